--- a/src/bin/indigoknot-drill.rs
+++ b/src/bin/mothproxy-simhost.rs
@@ -1,17 +1,17 @@
-//! Hosts dispatchers behind the line protocol of [`indigoknot::wire`] on standard input and output.
+//! Hosts dispatchers behind the line protocol of [`mothproxy::wire`] on standard input and output.
 #![forbid(unsafe_code)]
 
-use indigoknot::wire::Host;
+use mothproxy::wire::Host;
 use std::io::{self, BufWriter, Write};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    std::panic::set_hook(Box::new(|info| eprintln!("indigoknot-drill: {info}")));
+    std::panic::set_hook(Box::new(|info| eprintln!("mothproxy-simhost: {info}")));
     let mut out = BufWriter::new(io::stdout().lock());
     match Host::default().serve(io::stdin().lock(), &mut out).and_then(|()| Ok(out.flush()?)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("indigoknot-drill: {error}");
+            eprintln!("mothproxy-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,292 @@
+//! What a dispatcher is told at its start: the JSON file that `GW_CONFIG` names, and the file of the SSE front.
+//!
+//! The settings are nested JSON under the names of the simulator's first message; they are flattened to the
+//! same name=value form and mapped by the same code ([`crate::wire`]).
+
+use crate::interface::Settings;
+use crate::wire::{Names, Profile, settings, to_micros};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Why a configuration was not taken.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// A file could not be read.
+    Unreadable(String, std::io::Error),
+    /// A file is not what it should be: its name and what is wrong.
+    Malformed(String, String),
+    /// Something needed is missing.
+    Missing(&'static str),
+    /// An address does not read as one.
+    BadAddress(&'static str, String),
+    /// The settings are out of order.
+    BadSettings(String),
+}
+
+impl std::fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            ConfigError::Unreadable(file, error) => write!(f, "cannot read {file}: {error}"),
+            ConfigError::Malformed(file, what) => write!(f, "{file}: {what}"),
+            ConfigError::Missing(what) => write!(f, "{what} is missing"),
+            ConfigError::BadAddress(what, text) => write!(f, "{what} is not an address: {text:?}"),
+            ConfigError::BadSettings(what) => write!(f, "settings: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// What the machine allows.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct MachineLimits {
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors, of all the program's processes together.
+    pub sockets: u64,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        MachineLimits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// One row of the server table, in discovery's form.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "camelCase")]
+pub struct ServerRow {
+    /// The worker's name, the same at every dispatcher.
+    pub instance_id: String,
+    /// Where this dispatcher reaches it.
+    #[serde(default)]
+    pub host_port: String,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its kind of machine.
+    #[serde(default)]
+    pub machine_type: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u32,
+    /// `up`, `draining` or `removed`.
+    pub lifecycle: Lifecycle,
+    /// Its size beside others.
+    #[serde(default)]
+    pub weight: Option<f64>,
+    /// Its last start in Unix milliseconds, 0 for long ago.
+    #[serde(default)]
+    pub started_at_ms: f64,
+}
+
+/// Whether a worker takes work.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Lifecycle {
+    /// It does.
+    Up,
+    /// It finishes what it has.
+    Draining,
+    /// It is gone.
+    Removed,
+}
+
+/// A list of discovery's, whole or changes only.
+#[derive(Clone, Debug)]
+pub struct ServerList {
+    /// Its version.
+    pub generation: u64,
+    /// Whether it is the whole list.
+    pub reset: bool,
+    /// Its rows.
+    pub rows: Vec<ServerRow>,
+    /// Rows that could not be read and were dropped.
+    pub bad_rows: u64,
+}
+
+impl ServerList {
+    /// Reads one object of discovery's; bad rows are dropped and counted, a bad object is `None`.
+    pub fn read(value: &Value) -> Option<ServerList> {
+        let (mut rows, mut bad_rows) = (Vec::new(), 0);
+        for row in value.get("instances")?.as_array()? {
+            match ServerRow::deserialize(row) {
+                Ok(row) if !row.instance_id.is_empty() => rows.push(row),
+                _ => bad_rows += 1,
+            }
+        }
+        let generation = value.get("generation")?.as_u64()?;
+        Some(ServerList { generation, reset: value.get("reset")?.as_bool()?, rows, bad_rows })
+    }
+}
+
+/// Everything the dispatcher is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients and call-backs reach it.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Seed for random choices.
+    pub seed: u64,
+    /// The machine's limits.
+    pub limits: MachineLimits,
+    /// Where datagrams of other dispatchers arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// The dispatchers of the tier, this one included, by number.
+    pub peers: Vec<SocketAddr>,
+    /// An address that reaches all of them.
+    pub peers_all: Option<SocketAddr>,
+    /// The server table as last held.
+    pub known: ServerList,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names behind the settings' numbers.
+    pub names: SiteNames,
+    /// Workers close connections idle for this long, in microseconds.
+    pub conn_idle: u64,
+    /// A connection not up after this long counts as not made, in microseconds.
+    pub connect_timeout: u64,
+}
+
+/// The names that the settings give to classes, tenants, kinds, zones and report values.
+#[derive(Debug, Default)]
+pub struct SiteNames(pub(crate) Names);
+
+/// Flattens nested JSON to path=value: plain lists with commas, lists of objects by number and count.
+pub fn flatten(value: &Value) -> Vec<(String, String)> {
+    fn plain(value: &Value) -> Option<String> {
+        match value {
+            Value::String(s) => Some(s.clone()),
+            Value::Number(n) => Some(n.to_string()),
+            Value::Bool(b) => Some(b.to_string()),
+            _ => None,
+        }
+    }
+    fn walk(path: &str, value: &Value, out: &mut Vec<(String, String)>) {
+        let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+        match value {
+            Value::Object(fields) => fields.iter().for_each(|(name, v)| walk(&under(name), v, out)),
+            Value::Array(items) if items.iter().any(|v| v.is_object() || v.is_array()) => {
+                out.push((under("count"), items.len().to_string()));
+                items.iter().enumerate().for_each(|(i, v)| walk(&under(&i.to_string()), v, out));
+            }
+            Value::Array(items) => {
+                let texts: Vec<String> = items.iter().filter_map(plain).collect();
+                out.push((path.to_owned(), texts.join(",")));
+            }
+            _ => out.extend(plain(value).map(|text| (path.to_owned(), text))),
+        }
+    }
+    let mut out = Vec::new();
+    walk("", value, &mut out);
+    out
+}
+
+fn read_file(file: &Path) -> Result<String, ConfigError> {
+    std::fs::read_to_string(file).map_err(|e| ConfigError::Unreadable(file.display().to_string(), e))
+}
+
+fn address(what: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::BadAddress(what, text.to_owned()))
+}
+
+impl Config {
+    /// Reads the file that `GW_CONFIG` names. `GW_NAME`, `GW_LISTEN` and `GW_DISCOVERY` win over its values.
+    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let file = env("GW_CONFIG").ok_or(ConfigError::Missing("the environment variable GW_CONFIG"))?;
+        Config::read(&read_file(Path::new(&file))?, &file, env)
+    }
+
+    /// Reads a configuration's text; `file` names it in messages.
+    pub fn read(text: &str, file: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let malformed = |what: String| ConfigError::Malformed(file.to_owned(), what);
+        let root: Value = serde_json::from_str(text).map_err(|e| malformed(format!("not JSON: {e}")))?;
+        let text = |name: &str| root.get(name).and_then(Value::as_str).map(str::to_owned);
+        let either = |variable, name| env(variable).or_else(|| text(name));
+        let listen = either("GW_LISTEN", "listen").ok_or(ConfigError::Missing("listen"))?;
+        let discovery = either("GW_DISCOVERY", "discovery").ok_or(ConfigError::Missing("discovery"))?;
+        let seed = match root.get("seed") {
+            Some(Value::String(hex)) => u64::from_str_radix(hex, 16).ok(),
+            Some(number) => number.as_u64(),
+            None => return Err(ConfigError::Missing("seed")),
+        };
+        let limits = match root.get("limits") {
+            Some(value) => {
+                MachineLimits::deserialize(value).map_err(|e| malformed(format!("limits: {e}")))?
+            }
+            None => MachineLimits::default(),
+        };
+        let optional = |what: &'static str| text(what).map(|t| address(what, &t)).transpose();
+        let mut peers = Vec::new();
+        for peer in root.get("peers").and_then(Value::as_array).into_iter().flatten() {
+            let peer = peer.as_str().ok_or_else(|| malformed("peers: not an address".into()))?;
+            peers.push(address("peers", peer)?);
+        }
+        let known = root.get("known").ok_or(ConfigError::Missing("known"))?;
+        let known = ServerList::read(known).ok_or_else(|| malformed("known is not a list".into()))?;
+        let flat = flatten(root.get("settings").ok_or(ConfigError::Missing("settings"))?);
+        let pairs: HashMap<&str, &str> = flat.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+        let profile = Profile(pairs);
+        let number = |path, default| match profile.number(path, default) {
+            Ok(ms) if ms > 0.0 => Ok(to_micros(ms)),
+            Ok(_) => Err(ConfigError::BadSettings(format!("{path} is not above 0"))),
+            Err(what) => Err(ConfigError::BadSettings(what)),
+        };
+        let (settings, names) = settings(&profile).map_err(ConfigError::BadSettings)?;
+        settings.check().map_err(|e| ConfigError::BadSettings(e.to_string()))?;
+        Ok(Config {
+            name: either("GW_NAME", "name").ok_or(ConfigError::Missing("name"))?,
+            listen: address("listen", &listen)?,
+            discovery: address("discovery", &discovery)?,
+            seed: seed.ok_or_else(|| malformed("seed is not a hexadecimal number".into()))?,
+            limits,
+            peer_listen: optional("peer_listen")?,
+            peers,
+            peers_all: optional("peers_all")?,
+            known,
+            conn_idle: number("Limits.ConnIdleMs", 5_000.0)?,
+            connect_timeout: number("Limits.ConnectTimeoutMs", 250.0)?,
+            settings,
+            names: SiteNames(names),
+        })
+    }
+}
+
+/// The file of the SSE front (`deploy/sse.toml`).
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SseConfig {
+    /// Where it listens; without it the front is off.
+    pub listen: Option<String>,
+    /// A comment line goes out on a stream that has been quiet for this long, in milliseconds.
+    #[serde(default = "SseConfig::heartbeat")]
+    pub heartbeat_ms: u64,
+}
+
+impl SseConfig {
+    fn heartbeat() -> u64 {
+        5_000
+    }
+
+    /// Reads the file. A file that is not there leaves the front off, unless it was `named` by the user.
+    pub fn load(file: &Path, named: bool) -> Result<Option<(SocketAddr, u64)>, ConfigError> {
+        if !named && !file.exists() {
+            return Ok(None);
+        }
+        let read: SseConfig = toml::from_str(&read_file(file)?)
+            .map_err(|e| ConfigError::Malformed(file.display().to_string(), e.to_string()))?;
+        if read.heartbeat_ms == 0 {
+            let what = "heartbeat_ms is not above 0".to_owned();
+            return Err(ConfigError::Malformed(file.display().to_string(), what));
+        }
+        let listen = read.listen.map(|text| address("listen of the SSE front", &text)).transpose()?;
+        Ok(listen.map(|at| (at, read.heartbeat_ms * 1000)))
+    }
+}
--- /dev/null
+++ b/src/core/ledger.rs
@@ -0,0 +1,54 @@
+//! The ledger: each session taken gets exactly one entry.
+
+use crate::invariant;
+
+/// How a session ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// With a worker's result.
+    Served,
+    /// Turned away.
+    Denied,
+    /// Failed.
+    Failed,
+    /// Its client left before any answer.
+    Gone,
+}
+
+/// Counts of sessions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    /// Taken.
+    pub taken: u64,
+    /// Ended with a worker's result.
+    pub served: u64,
+    /// Turned away.
+    pub denied: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Left by their clients.
+    pub gone: u64,
+}
+
+impl Ledger {
+    /// Enters the end of a session.
+    pub fn enter(&mut self, entry: Entry) {
+        *match entry {
+            Entry::Served => &mut self.served,
+            Entry::Denied => &mut self.denied,
+            Entry::Failed => &mut self.failed,
+            Entry::Gone => &mut self.gone,
+        } += 1;
+        invariant!(self.ended() <= self.taken, "more final answers than sessions: {self:?}");
+    }
+
+    /// Sessions that have their entry.
+    pub fn ended(&self) -> u64 {
+        self.served + self.denied + self.failed + self.gone
+    }
+
+    /// Sessions that are owed one.
+    pub fn open(&self) -> u64 {
+        self.taken.saturating_sub(self.ended())
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,575 @@
+//! The core: sessions, dispatches, the server table, the deadlines and the ledger, round the decision module.
+//! It knows no wire and no descriptor: timed events go in, commands come out.
+
+pub mod deadlines;
+pub mod ledger;
+pub mod servers;
+
+use crate::Dispatcher;
+use crate::config::{ServerList, SiteNames};
+use crate::interface::*;
+use crate::invariant;
+use deadlines::{Deadline, Deadlines};
+use ledger::{Entry, Ledger};
+use servers::ServerTable;
+use std::collections::{HashMap, VecDeque};
+
+/// One session: a request of a client, from its last byte to its final answer.
+pub type SessionId = u64;
+
+/// A session is answered by the core itself if it is still open this long after its deadline.
+const BACKSTOP: Micros = 15_000;
+/// The module's clock at the start; a worker that started before it counts as started long ago.
+const CLOCK_START: Micros = 3_600_000_000;
+
+/// A session as it arrives.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request's id, as workers name it in call-backs.
+    pub name: String,
+    /// Whom to answer; the front's own number.
+    pub frontend: u64,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: Option<TenantId>,
+    /// What it concerns.
+    pub key: Option<KeyId>,
+    /// How long its client will wait.
+    pub patience: Micros,
+    /// Expected work, where clients tell it.
+    pub hint: Option<Micros>,
+    /// Slots it needs.
+    pub slots: f64,
+    /// Memory it needs.
+    pub memory: Option<f64>,
+    /// Whether it is marked as a repeat.
+    pub repeat: bool,
+}
+
+/// What a worker tells of a job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// It has started.
+    Started,
+    /// The share done.
+    Running(f64),
+    /// It is done; the result.
+    Done(Vec<u8>),
+    /// It failed; it may have run.
+    Failed,
+    /// It was handed back unstarted.
+    Returned,
+    /// It was lost; it may have run.
+    Lost,
+}
+
+/// How a dispatch ended, as its wire saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fate {
+    /// The worker gave a result.
+    Done(Vec<u8>),
+    /// It ended in this other way.
+    Without(Outcome),
+}
+
+/// What a session is answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// A worker's result.
+    Served(Vec<u8>),
+    /// Turned away; when to come back.
+    Deny(Option<Micros>),
+    /// Failed.
+    Failed,
+    /// Failed at its deadline.
+    TimedOut,
+}
+
+/// What the program round the core must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Begin a dispatch; `left` is how long its answer will be waited for.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// The dispatch, from 0.
+        dispatch: u32,
+        /// To whom.
+        worker: WorkerId,
+        /// How long the answer will be waited for.
+        left: Micros,
+    },
+    /// Stop waiting for a dispatch.
+    GiveUp {
+        /// The session.
+        session: SessionId,
+        /// The dispatch.
+        dispatch: u32,
+        /// Who has it.
+        worker: WorkerId,
+        /// The request's id, as the worker knows it.
+        name: String,
+    },
+    /// Give the final answer.
+    Answer {
+        /// The session.
+        session: SessionId,
+        /// Whom to answer.
+        frontend: u64,
+        /// What.
+        answer: Answer,
+    },
+    /// Tell a client that listens for it how its job gets on: started, or the share done.
+    Tell {
+        /// Whom.
+        frontend: u64,
+        /// The share done; `None` at the start.
+        share: Option<f64>,
+    },
+    /// Ask a worker for its load.
+    Probe(WorkerId),
+    /// Send bytes to the other dispatchers.
+    Peers(Vec<u8>),
+    /// Subscribe to changes of the server table.
+    Watch,
+    /// Ask for the whole table once.
+    Fetch,
+    /// A deadline set with [`Core::remind`] is due.
+    Due(u64),
+}
+
+struct Dispatch {
+    worker: WorkerId,
+    at: Micros,
+    limit: Option<Micros>,
+    /// The module is still owed its end.
+    out: bool,
+    started: bool,
+}
+
+struct Session {
+    name: String,
+    frontend: u64,
+    deadline: Micros,
+    /// Its final answer is still owed.
+    open: bool,
+    told_started: bool,
+    dispatches: Vec<Dispatch>,
+}
+
+/// The core. `take` and its kin bring events, `turn` runs what is due, `commands` hands out what follows.
+pub struct Core {
+    dispatcher: Dispatcher,
+    tick: Micros,
+    names: SiteNames,
+    /// The server table.
+    pub servers: ServerTable,
+    /// The ledger.
+    pub ledger: Ledger,
+    sessions: HashMap<SessionId, Session>,
+    by_name: HashMap<String, SessionId>,
+    finished: Vec<SessionId>,
+    next_session: SessionId,
+    deadlines: Deadlines,
+    events: Vec<Event>,
+    next_batch: Micros,
+    actions: Vec<Action>,
+    commands: VecDeque<Command>,
+    unix_offset: i128,
+    /// News of unknown sessions, or of dispatches that had ended.
+    pub stale_news: u64,
+}
+
+impl Core {
+    /// A core that knows nothing yet. `unix_now` is the Unix time, in microseconds, at which its clock starts.
+    pub fn new(
+        settings: Settings,
+        names: SiteNames,
+        seed: u64,
+        unix_now: u128,
+    ) -> Result<Core, SettingsError> {
+        let tick = settings.tick;
+        Ok(Core {
+            dispatcher: Dispatcher::new(settings, seed)?,
+            tick,
+            names,
+            servers: ServerTable::default(),
+            ledger: Ledger::default(),
+            sessions: HashMap::new(),
+            by_name: HashMap::new(),
+            finished: Vec::new(),
+            next_session: 0,
+            deadlines: Deadlines::default(),
+            events: Vec::new(),
+            next_batch: 0,
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+            unix_offset: CLOCK_START as i128 - unix_now as i128,
+            stale_news: 0,
+        })
+    }
+
+    /// The clock's first reading.
+    pub fn clock_start() -> Micros {
+        CLOCK_START
+    }
+
+    /// The names behind the settings' numbers.
+    pub fn names(&self) -> &SiteNames {
+        &self.names
+    }
+
+    /// The next thing to do, in order.
+    pub fn next_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// When `turn` must run next.
+    pub fn next_wake(&self) -> Option<Micros> {
+        let batch = (!self.events.is_empty()).then_some(self.next_batch);
+        batch.into_iter().chain(self.deadlines.next()).min()
+    }
+
+    /// Sets a deadline for the program round the core: [`Command::Due`] comes at it.
+    pub fn remind(&mut self, at: Micros, token: u64) {
+        self.deadlines.set(at, Deadline::Outer(token));
+    }
+
+    /// Takes such a deadline back.
+    pub fn unremind(&mut self, at: Micros, token: u64) {
+        self.deadlines.drop(at, Deadline::Outer(token));
+    }
+
+    /// A session has arrived. `None` where one of its name is still open: its call-backs could not be told
+    /// apart.
+    pub fn arrived(&mut self, now: Micros, new: Arrival) -> Option<SessionId> {
+        if self.by_name.contains_key(&new.name) {
+            return None;
+        }
+        let id = self.next_session;
+        self.next_session += 1;
+        let deadline = now + new.patience;
+        self.ledger.taken += 1;
+        self.by_name.insert(new.name.clone(), id);
+        let session = Session {
+            name: new.name,
+            frontend: new.frontend,
+            deadline,
+            open: true,
+            told_started: false,
+            dispatches: Vec::new(),
+        };
+        self.sessions.insert(id, session);
+        self.deadlines.set(deadline, Deadline::Session(id));
+        self.events.push(Event::Arrived(NewJob {
+            job: JobId(id),
+            class: new.class,
+            tenant: new.tenant,
+            key: new.key,
+            deadline,
+            hint: new.hint,
+            slots: new.slots,
+            memory: new.memory,
+            repeat: new.repeat,
+        }));
+        Some(id)
+    }
+
+    /// The client of a session left.
+    pub fn hung_up(&mut self, id: SessionId) {
+        if self.sessions.get(&id).is_some_and(|s| s.open) {
+            self.close(id, Entry::Gone);
+            self.events.push(Event::HungUp(JobId(id)));
+        }
+    }
+
+    /// A list of discovery's.
+    pub fn listed(&mut self, now: Micros, list: &ServerList, cached: bool) {
+        let offset = self.unix_offset;
+        let since_unix = |ms: f64| Micros::try_from((ms * 1000.0) as i128 + offset).ok().filter(|t| *t > 0);
+        let entries = self.servers.take(now, list, &mut self.names.0, since_unix);
+        let kind = match (cached, list.reset) {
+            (true, _) => RosterKind::Cached,
+            (_, true) => RosterKind::Whole,
+            _ => RosterKind::Changes,
+        };
+        self.events.push(Event::Roster(kind, entries));
+    }
+
+    /// A call to discovery failed, or the watch broke.
+    pub fn list_failed(&mut self) {
+        self.events.push(Event::RosterFailed);
+    }
+
+    /// A probe came back.
+    pub fn probed(&mut self, worker: WorkerId, outcome: Outcome, elapsed: Micros, report: Option<Report>) {
+        self.events.push(Event::Probed(Probed { worker, outcome, elapsed, report }));
+    }
+
+    /// A message of another dispatcher.
+    pub fn mail(&mut self, from: u32, bytes: Vec<u8>) {
+        self.events.push(Event::Mail { from, bytes });
+    }
+
+    /// News of a job, by the names that the worker uses. Whether they told anything new.
+    pub fn news(&mut self, now: Micros, name: &str, from: &str, news: News, report: Option<Report>) -> bool {
+        let found = self.by_name.get(name).copied().zip(self.servers.find(from)).and_then(|(id, worker)| {
+            let dispatches = &self.sessions.get(&id)?.dispatches;
+            Some((id, dispatches.iter().rposition(|d| d.worker == worker)? as u32))
+        });
+        let fresh = found.is_some_and(|(id, dispatch)| self.dispatch_news(now, id, dispatch, news, report));
+        self.stale_news += u64::from(!fresh);
+        fresh
+    }
+
+    /// News of one dispatch. Whether they told anything new.
+    pub fn dispatch_news(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        dispatch: u32,
+        news: News,
+        report: Option<Report>,
+    ) -> bool {
+        let without = |outcome| Fate::Without(outcome);
+        match news {
+            News::Started => self.started(id, dispatch, None),
+            News::Running(share) => self.started(id, dispatch, Some(share)),
+            News::Done(result) => self.ended(now, id, dispatch, Fate::Done(result), report),
+            News::Failed => self.ended(now, id, dispatch, without(Outcome::Error), report),
+            News::Returned => self.ended(now, id, dispatch, without(Outcome::Full), report),
+            News::Lost => self.ended(now, id, dispatch, without(Outcome::Reset), report),
+        }
+    }
+
+    fn started(&mut self, id: SessionId, dispatch: u32, share: Option<f64>) -> bool {
+        let Some(session) = self.sessions.get_mut(&id) else { return false };
+        let this = session.dispatches.get_mut(dispatch as usize).filter(|d| d.out);
+        let Some(this) = this else { return false };
+        let repeated = std::mem::replace(&mut this.started, true) && share.is_none();
+        if repeated {
+            return false;
+        }
+        if session.open {
+            let frontend = session.frontend;
+            if !std::mem::replace(&mut session.told_started, true) {
+                self.commands.push_back(Command::Tell { frontend, share: None });
+            }
+            if share.is_some() {
+                self.commands.push_back(Command::Tell { frontend, share });
+            }
+        }
+        let job = JobId(id);
+        self.events.push(match share {
+            None => Event::Started { job, attempt: dispatch },
+            Some(done) => Event::Progress { job, attempt: dispatch, done },
+        });
+        true
+    }
+
+    /// A dispatch ended. Only its first end counts; a result is the session's answer as long as none was given.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        dispatch: u32,
+        fate: Fate,
+        report: Option<Report>,
+    ) -> bool {
+        let Some(session) = self.sessions.get_mut(&id) else { return false };
+        let Some(this) = session.dispatches.get_mut(dispatch as usize) else { return false };
+        let was_out = std::mem::replace(&mut this.out, false);
+        let (worker, elapsed) = (this.worker, now.saturating_sub(this.at));
+        if let Some(at) = this.limit.take() {
+            self.deadlines.drop(at, Deadline::Limit(id, dispatch));
+        }
+        let (frontend, open) = (session.frontend, session.open);
+        let outcome = match fate {
+            Fate::Done(result) if open => {
+                // A dispatch that was given up may still bring the result: it is as good as any.
+                self.commands.push_back(Command::Answer {
+                    session: id,
+                    frontend,
+                    answer: Answer::Served(result),
+                });
+                self.close(id, Entry::Served);
+                if !was_out {
+                    self.events.push(Event::HungUp(JobId(id)));
+                    return true;
+                }
+                Outcome::Ok
+            }
+            Fate::Done(_) => Outcome::Ok,
+            Fate::Without(outcome) => outcome,
+        };
+        if !was_out {
+            return false;
+        }
+        self.tell_end(id, dispatch, worker, elapsed, outcome, report);
+        true
+    }
+
+    fn tell_end(
+        &mut self,
+        id: SessionId,
+        attempt: u32,
+        worker: WorkerId,
+        elapsed: Micros,
+        outcome: Outcome,
+        report: Option<Report>,
+    ) {
+        let closed = self.sessions.get(&id).is_none_or(|s| !s.open);
+        let job = JobId(id);
+        self.events.push(Event::Ended(Ended { job, attempt, worker, elapsed, closed, outcome, report }));
+        self.forget(id);
+    }
+
+    /// Enters a session's end.
+    fn close(&mut self, id: SessionId, entry: Entry) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        invariant!(session.open, "session {id} got a second final answer");
+        session.open = false;
+        self.deadlines.drop(session.deadline, Deadline::Session(id));
+        self.deadlines.drop(session.deadline + BACKSTOP, Deadline::Backstop(id));
+        self.ledger.enter(entry);
+        self.forget(id);
+    }
+
+    /// Notes a session that may be over. It is dropped only after the next batch: until the module has been
+    /// told, it may still send for it, and that dispatch must get the number that the module gives it.
+    fn forget(&mut self, id: SessionId) {
+        self.finished.push(id);
+    }
+
+    /// Drops sessions that are over, have nothing out and are known to be so by the module.
+    fn drop_finished(&mut self) {
+        let over = |s: &Session| !s.open && s.dispatches.iter().all(|d| !d.out);
+        for id in std::mem::take(&mut self.finished) {
+            if self.sessions.get(&id).is_some_and(over)
+                && let Some(session) = self.sessions.remove(&id)
+            {
+                self.by_name.remove(&session.name);
+            }
+        }
+    }
+
+    fn answer(&mut self, id: SessionId, answer: Answer, entry: Entry) {
+        let Some(session) = self.sessions.get(&id).filter(|s| s.open) else { return };
+        let frontend = session.frontend;
+        self.commands.push_back(Command::Answer { session: id, frontend, answer });
+        self.close(id, entry);
+    }
+
+    /// Sweeps the deadlines and, once the tick has come round, hands the module what has come in.
+    pub fn turn(&mut self, now: Micros) {
+        let mut at_once = false;
+        while let Some(deadline) = self.deadlines.pop_due(now) {
+            match deadline {
+                Deadline::Alarm(id) => self.events.push(Event::Alarm(id)),
+                Deadline::Outer(token) => self.commands.push_back(Command::Due(token)),
+                Deadline::Limit(id, dispatch) => self.time_out(now, id, dispatch),
+                Deadline::Session(id) => {
+                    at_once = true;
+                    let out = self.sessions.get(&id).map_or(0, |s| s.dispatches.len() as u32);
+                    (0..out).for_each(|dispatch| self.time_out(now, id, dispatch));
+                    if let Some(session) = self.sessions.get(&id) {
+                        self.deadlines.set(session.deadline + BACKSTOP, Deadline::Backstop(id));
+                    }
+                }
+                Deadline::Backstop(id) => {
+                    // The module gives up in time by itself; this guards the rule should it ever not.
+                    invariant!(false, "session {id} is past its deadline and open");
+                    self.answer(id, Answer::TimedOut, Entry::Failed);
+                    self.events.push(Event::HungUp(JobId(id)));
+                }
+            }
+        }
+        if self.events.is_empty() || (now < self.next_batch && !at_once) {
+            return;
+        }
+        self.next_batch = now + self.tick;
+        let mut actions = std::mem::take(&mut self.actions);
+        for event in std::mem::take(&mut self.events) {
+            self.dispatcher.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+        self.actions = actions;
+        self.drop_finished();
+    }
+
+    /// A dispatch has had its time: its worker is told, the module too.
+    fn time_out(&mut self, now: Micros, id: SessionId, dispatch: u32) {
+        self.give_up(now, id, dispatch, Outcome::Timeout);
+    }
+
+    fn give_up(&mut self, now: Micros, id: SessionId, dispatch: u32, outcome: Outcome) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let this = session.dispatches.get(dispatch as usize).filter(|d| d.out);
+        if let Some(worker) = this.map(|d| d.worker) {
+            let name = session.name.clone();
+            self.commands.push_back(Command::GiveUp { session: id, dispatch, worker, name });
+            self.ended(now, id, dispatch, Fate::Without(outcome), None);
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { job, worker, limit } => self.send(now, job.0, worker, limit),
+            Action::Cancel { job, attempt } => {
+                self.give_up(now, job.0, attempt, Outcome::Cancelled);
+            }
+            Action::Refuse { job, retry_after } => {
+                self.answer(job.0, Answer::Deny(retry_after), Entry::Denied);
+            }
+            Action::Fail(job) => {
+                let late = self.sessions.get(&job.0).is_some_and(|s| now + 2 * self.tick >= s.deadline);
+                let answer = if late { Answer::TimedOut } else { Answer::Failed };
+                self.answer(job.0, answer, Entry::Failed);
+            }
+            Action::SetAlarm(id, after) => self.deadlines.set(now + after.max(1), Deadline::Alarm(id)),
+            Action::Probe(worker) => self.commands.push_back(Command::Probe(worker)),
+            Action::Tell(bytes) => self.commands.push_back(Command::Peers(bytes)),
+            Action::Watch => self.commands.push_back(Command::Watch),
+            Action::Fetch => self.commands.push_back(Command::Fetch),
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: SessionId, worker: WorkerId, limit: Option<Micros>) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            invariant!(false, "a dispatch of session {id}, which is no more");
+            return;
+        };
+        let attempt = session.dispatches.len() as u32;
+        if !session.open {
+            // The batch was fixed before its session ended: nothing goes out after a final answer.
+            session.dispatches.push(Dispatch { worker, at: now, limit: None, out: false, started: false });
+            let (job, outcome) = (JobId(id), Outcome::Moot);
+            let ended = Ended { job, attempt, worker, elapsed: 0, closed: true, outcome, report: None };
+            return self.events.push(Event::Ended(ended));
+        }
+        let doubled = session.dispatches.iter().any(|d| d.worker == worker && d.out);
+        invariant!(!doubled, "worker {} has session {id} already", worker.0);
+        let dispatch = attempt;
+        let limit = limit.map(|span| now + span).filter(|at| *at < session.deadline);
+        if let Some(at) = limit {
+            self.deadlines.set(at, Deadline::Limit(id, dispatch));
+        }
+        session.dispatches.push(Dispatch { worker, at: now, limit, out: true, started: false });
+        let left = limit.unwrap_or(session.deadline).saturating_sub(now);
+        self.commands.push_back(Command::Send { session: id, dispatch, worker, left });
+    }
+
+    /// Answers every open session as failed: the machine is about to go.
+    pub fn fail_all(&mut self) {
+        let mut open: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| s.open).map(|(id, _)| *id).collect();
+        open.sort_unstable();
+        for id in open {
+            self.answer(id, Answer::Failed, Entry::Failed);
+            self.events.push(Event::HungUp(JobId(id)));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/servers.rs
@@ -0,0 +1,120 @@
+//! The server table: discovery's list under the numbers that the module knows.
+
+use crate::config::{Lifecycle, ServerList, ServerRow};
+use crate::interface::*;
+use crate::wire::{Names, tag};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// A worker as the table holds it. Its number is never given to another.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Discovery's name for it.
+    pub instance_id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Since when it has been known not to take work.
+    pub stopped: Option<Micros>,
+    /// Whether it is gone.
+    pub removed: bool,
+}
+
+/// The table, and what discovery said that could not be read.
+#[derive(Debug, Default)]
+pub struct ServerTable {
+    servers: Vec<Server>,
+    ids: HashMap<String, WorkerId>,
+    /// The version of the list that is held.
+    pub generation: u64,
+    /// Rows dropped since the start.
+    pub bad_rows: u64,
+}
+
+impl ServerTable {
+    /// The worker of this name.
+    pub fn find(&self, instance_id: &str) -> Option<WorkerId> {
+        self.ids.get(instance_id).copied()
+    }
+
+    /// The worker of this number.
+    pub fn get(&self, worker: WorkerId) -> Option<&Server> {
+        self.servers.get(worker.0 as usize)
+    }
+
+    /// How many workers take work.
+    pub fn ready(&self) -> usize {
+        self.servers.iter().filter(|s| s.stopped.is_none()).count()
+    }
+
+    /// Every worker ever named, by number.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerId, &Server)> {
+        self.servers.iter().enumerate().map(|(n, s)| (WorkerId(n as u32), s))
+    }
+
+    /// Takes a list in and words it for the module. `since_unix` turns Unix time in milliseconds into the
+    /// module's time.
+    pub(crate) fn take(
+        &mut self,
+        now: Micros,
+        list: &ServerList,
+        names: &mut Names,
+        since_unix: impl Fn(f64) -> Option<Micros>,
+    ) -> Vec<RosterEntry> {
+        self.generation = list.generation;
+        self.bad_rows += list.bad_rows;
+        let mut entries = Vec::with_capacity(list.rows.len());
+        if list.reset {
+            // Whoever a whole list does not name is gone.
+            for server in &mut self.servers {
+                server.stopped.get_or_insert(now);
+                server.removed = true;
+            }
+        }
+        for row in &list.rows {
+            let Some(worker) = self.enter(row) else {
+                self.bad_rows += 1;
+                continue;
+            };
+            let server = &mut self.servers[worker.0 as usize];
+            server.removed = row.lifecycle == Lifecycle::Removed;
+            server.stopped = match row.lifecycle {
+                Lifecycle::Up => None,
+                _ => server.stopped.or(Some(now)),
+            };
+            entries.push(RosterEntry {
+                worker,
+                tag: tag(&row.instance_id),
+                zone: ZoneId(names.zones.id(&row.zone) as u16),
+                kind: KindId(names.kinds.id(&row.machine_type) as u16),
+                cell: CellId(row.cell),
+                status: match row.lifecycle {
+                    Lifecycle::Up => Status::Ready,
+                    Lifecycle::Draining => Status::Draining,
+                    Lifecycle::Removed => Status::Gone,
+                },
+                weight: row.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
+                started_at: Some(row.started_at_ms).filter(|ms| *ms > 0.0).and_then(&since_unix),
+            });
+        }
+        entries
+    }
+
+    /// The number of a row's worker; a known one may have a new address. None where the row names no address
+    /// and the worker has none.
+    fn enter(&mut self, row: &ServerRow) -> Option<WorkerId> {
+        let address = row.host_port.parse::<SocketAddr>().ok();
+        if let Some(id) = self.ids.get(&row.instance_id) {
+            let server = &mut self.servers[id.0 as usize];
+            if row.lifecycle == Lifecycle::Up && address.is_none() {
+                return None;
+            }
+            server.address = address.unwrap_or(server.address);
+            return Some(*id);
+        }
+        let id = WorkerId(self.servers.len() as u32);
+        let instance_id = row.instance_id.clone();
+        self.servers.push(Server { instance_id, address: address?, stopped: None, removed: false });
+        self.ids.insert(row.instance_id.clone(), id);
+        Some(id)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,13 @@
 #![warn(missing_docs)]
 #![doc = include_str!("../README.md")]
 
+pub mod config;
+pub mod core;
+pub mod front;
+pub mod http;
 pub mod interface;
+pub mod invariant;
+pub mod net;
 pub mod rules;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/net/conn.rs
@@ -0,0 +1,152 @@
+//! One connection: its socket, what was read and not used yet, what is to be written.
+
+use crate::http::Piece;
+use rustix::event::epoll::EventFlags;
+use rustix::io::Errno;
+use std::collections::VecDeque;
+use std::io::IoSlice;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::OwnedFd;
+
+/// Pieces handed to one gathered write at most.
+const GATHER: usize = 16;
+/// Bytes read at a time.
+const READ: usize = 16 * 1024;
+
+/// What reading brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadEnd {
+    /// All there was for now.
+    Dry,
+    /// As much as was asked for; there may be more.
+    Enough,
+    /// The other side has ended its sending.
+    Eof,
+    /// The connection broke.
+    Broken,
+}
+
+/// Pieces to be written, in order.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    pieces: VecDeque<Piece>,
+    /// Bytes of the first piece that are written.
+    done: usize,
+    len: usize,
+}
+
+impl Outbox {
+    /// Adds pieces.
+    pub fn push(&mut self, pieces: Vec<Piece>) {
+        for piece in pieces {
+            let len = piece.bytes().len();
+            if len > 0 {
+                self.len += len;
+                self.pieces.push_back(piece);
+            }
+        }
+    }
+
+    /// Bytes still to be written.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether all is written.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    fn advance(&mut self, mut written: usize) {
+        self.len -= written;
+        while let Some(first) = self.pieces.front() {
+            let left = first.bytes().len() - self.done;
+            if written < left {
+                self.done += written;
+                return;
+            }
+            written -= left;
+            self.done = 0;
+            self.pieces.pop_front();
+        }
+    }
+}
+
+/// A connection.
+#[derive(Debug)]
+pub struct Conn {
+    /// Its socket.
+    pub stream: TcpStream,
+    /// What was read and not used yet.
+    pub inbox: Vec<u8>,
+    /// What is to be written.
+    pub outbox: Outbox,
+    /// What epoll watches it for.
+    pub interest: EventFlags,
+    /// Its deadline, if one is set.
+    pub timer: Option<u64>,
+}
+
+impl Conn {
+    /// A connection over a socket that does not block.
+    pub fn new(stream: TcpStream) -> Conn {
+        let _ = stream.set_nodelay(true); // a slower connection is no reason to lose it
+        let interest = EventFlags::empty();
+        Conn { stream, inbox: Vec::new(), outbox: Outbox::default(), interest, timer: None }
+    }
+
+    /// Begins to connect; the socket turns writable once that is settled.
+    pub fn connect(to: SocketAddr) -> Result<Conn, Errno> {
+        use rustix::net::{SocketFlags, SocketType, connect, ipproto, socket_with};
+        let family = match to {
+            SocketAddr::V4(_) => rustix::net::AddressFamily::INET,
+            SocketAddr::V6(_) => rustix::net::AddressFamily::INET6,
+        };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let fd: OwnedFd = socket_with(family, SocketType::STREAM, flags, Some(ipproto::TCP))?;
+        match connect(&fd, &to) {
+            Ok(()) | Err(Errno::INPROGRESS) => Ok(Conn::new(TcpStream::from(fd))),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes what it can. False if the connection broke.
+    pub fn flush(&mut self) -> bool {
+        while !self.outbox.is_empty() {
+            let mut slices = [IoSlice::new(&[]); GATHER];
+            let mut count = 0;
+            for (piece, slice) in self.outbox.pieces.iter().zip(&mut slices) {
+                let from = if count == 0 { self.outbox.done } else { 0 };
+                *slice = IoSlice::new(&piece.bytes()[from..]);
+                count += 1;
+            }
+            match rustix::io::writev(&self.stream, &slices[..count]) {
+                Ok(0) => return false,
+                Ok(written) => self.outbox.advance(written),
+                Err(Errno::AGAIN) => return true,
+                Err(Errno::INTR) => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Reads until the inbox holds `most` bytes or nothing more is there.
+    pub fn fill(&mut self, most: usize) -> ReadEnd {
+        while self.inbox.len() < most {
+            let held = self.inbox.len();
+            let room = (most - held).min(READ);
+            self.inbox.resize(held + room, 0);
+            let read = rustix::io::read(&self.stream, &mut self.inbox[held..]);
+            self.inbox.truncate(held + *read.as_ref().unwrap_or(&0));
+            match read {
+                Ok(0) => return ReadEnd::Eof,
+                Ok(read) if read < room => return ReadEnd::Dry,
+                Ok(_) | Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return ReadEnd::Dry,
+                Err(_) => return ReadEnd::Broken,
+            }
+        }
+        ReadEnd::Enough
+    }
+}
--- /dev/null
+++ b/src/net/frontend.rs
@@ -0,0 +1,370 @@
+//! Connections of frontends: clients, and workers with their call-backs.
+
+use super::conn::{Conn, ReadEnd};
+use super::{ACCEPT_TIMER, ACCEPTS, Role, Server, Token};
+use crate::core::{Answer, SessionId};
+use crate::front::platform::{self, Raw, Reject, Route};
+use crate::front::sse;
+use crate::http::{self, Chunked, Framing, MAX_BODY, MAX_HEAD, Piece};
+use crate::interface::Micros;
+use rustix::event::epoll::EventFlags;
+use std::rc::Rc;
+
+/// A request must be complete this long after its first byte.
+const REQUEST_TIME: Micros = 20_000_000;
+/// An idle connection is closed after this.
+const IDLE: Micros = 120_000_000;
+/// A client that reads nothing of a finished answer for this long is given up.
+const STALL: Micros = 30_000_000;
+/// After an answer that ends the connection, what the client still sends is read away for this long: closing at
+/// once would reset the connection and could destroy the answer.
+const LINGER: Micros = 1_000_000;
+/// Progress is dropped for a client that has this much left to read; final events never are.
+const SLOW_READER: usize = 16 * 1024;
+/// Bytes read ahead of a request being answered.
+const AHEAD: usize = 4 * 1024;
+/// Accepting is tried again after this where there was no room.
+const ACCEPT_PAUSE: Micros = 20_000;
+
+enum State {
+    Reading,
+    Chunks {
+        bytes: Rc<Vec<u8>>,
+        head: http::Request,
+        decoder: Chunked,
+        body: Vec<u8>,
+    },
+    Waiting {
+        session: SessionId,
+        keep_alive: bool,
+        stream: Option<Stream>,
+    },
+    /// The last answer is being written; then the connection lingers and closes.
+    Ending {
+        lingers: bool,
+    },
+}
+
+#[derive(Clone, Copy)]
+struct Stream {
+    begun: bool,
+    /// When something was last written on it.
+    last: Micros,
+}
+
+pub(super) struct Front {
+    sse: bool,
+    state: State,
+    idle_since: Option<Micros>,
+}
+
+impl Front {
+    /// Whether it holds a request that is not answered, or a part of one.
+    pub(super) fn is_busy(&self) -> bool {
+        self.idle_since.is_none() && !matches!(self.state, State::Ending { lingers: true })
+    }
+}
+
+impl Server {
+    pub(super) fn accept(&mut self, sse: bool) {
+        for _ in 0..ACCEPTS {
+            // Idle connections give way before accepting fails; a client with nothing to say loses nothing.
+            if self.fronts >= self.most_fronts && !self.drop_idle_front() || !self.make_room() {
+                return self.pause_accepting();
+            }
+            let accepted = match (sse, &self.sse) {
+                (false, _) => self.platform.accept(),
+                (true, Some((listener, _))) => listener.accept(),
+                (true, None) => return,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(error) if matches!(error.raw_os_error(), Some(23 | 24)) => {
+                    return self.pause_accepting(); // no descriptors left, here or on the machine
+                }
+                Err(_) => continue,
+            };
+            if stream.set_nonblocking(true).is_err() {
+                continue;
+            }
+            let (state, conn) = (State::Reading, Conn::new(stream));
+            let Some(token) = self.add(conn, |_| Role::Front(Front { sse, state, idle_since: None })) else {
+                continue;
+            };
+            // Often the request is there already.
+            if let Some((conn, Role::Front(front))) = self.take(token) {
+                self.front_ready(token, conn, front, EventFlags::IN);
+            }
+        }
+    }
+
+    /// With a level-triggered listener and no room, every turn would end at once: it is not watched for a while.
+    fn pause_accepting(&mut self) {
+        if std::mem::replace(&mut self.accepting, false) {
+            self.counts.accept_pauses += 1;
+            self.listen_for(EventFlags::empty());
+            self.core.remind(self.now + ACCEPT_PAUSE, ACCEPT_TIMER);
+        }
+    }
+
+    pub(super) fn accept_again(&mut self) {
+        self.accepting = true;
+        self.listen_for(EventFlags::IN);
+    }
+
+    fn listen_for(&mut self, flags: EventFlags) {
+        use rustix::event::epoll::{EventData, modify};
+        let platform = modify(&self.epoll, &self.platform, EventData::new_u64(super::PLATFORM.0), flags);
+        let sse = self.sse.as_ref().map_or(Ok(()), |(listener, _)| {
+            modify(&self.epoll, listener, EventData::new_u64(super::SSE.0), flags)
+        });
+        crate::invariant!(platform.is_ok() && sse.is_ok(), "epoll does not know a listener");
+    }
+
+    pub(super) fn front_ready(&mut self, token: Token, mut conn: Conn, mut front: Front, flags: EventFlags) {
+        if let Some(since) = front.idle_since.take() {
+            self.idle_fronts.remove(&(since, token));
+        }
+        if flags.contains(EventFlags::OUT) && !conn.flush() {
+            return self.front_gone(token, conn, front);
+        }
+        if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
+            let most = match &front.state {
+                State::Waiting { .. } => conn.inbox.len() + AHEAD,
+                _ => MAX_HEAD + MAX_BODY,
+            };
+            match conn.fill(most) {
+                ReadEnd::Dry | ReadEnd::Enough => {}
+                // What it had asked for is asked for no more.
+                ReadEnd::Eof | ReadEnd::Broken => return self.front_gone(token, conn, front),
+            }
+        }
+        self.front_go_on(token, conn, front);
+    }
+
+    /// Uses what was read, writes what is there to write, and settles what to wait for.
+    fn front_go_on(&mut self, token: Token, mut conn: Conn, mut front: Front) {
+        loop {
+            match &mut front.state {
+                State::Ending { .. } => {
+                    conn.inbox.clear();
+                    break;
+                }
+                State::Waiting { .. } => break,
+                State::Reading if conn.inbox.is_empty() => break,
+                State::Reading => match http::read_request(&conn.inbox) {
+                    Ok(None) => break,
+                    Err(error) => self.reject(&mut conn, &mut front, error.into()),
+                    Ok(Some(head)) => {
+                        if head.fields.lists(&conn.inbox, "expect", "100-continue") {
+                            conn.outbox.push(vec!["HTTP/1.1 100 Continue\r\n\r\n".into()]);
+                        }
+                        let length = match head.framing {
+                            Framing::Length(length) => head.len + length,
+                            _ => head.len,
+                        };
+                        if head.framing == Framing::Chunked {
+                            let rest = conn.inbox.split_off(head.len);
+                            let bytes = Rc::new(std::mem::replace(&mut conn.inbox, rest));
+                            let (decoder, body) = (Chunked::default(), Vec::new());
+                            front.state = State::Chunks { bytes, head, decoder, body };
+                        } else if conn.inbox.len() < length {
+                            break;
+                        } else {
+                            let rest = conn.inbox.split_off(length);
+                            let bytes = Rc::new(std::mem::replace(&mut conn.inbox, rest));
+                            let body = Piece::Part(bytes.clone(), head.len..length);
+                            self.requested(token, &mut conn, &mut front, Raw { bytes, head, body });
+                        }
+                    }
+                },
+                State::Chunks { decoder, body, .. } => {
+                    let used = decoder.decode(&conn.inbox, body);
+                    match used {
+                        Err(_) => self.reject(&mut conn, &mut front, Reject::Bad),
+                        Ok(_) if body.len() > MAX_BODY => {
+                            self.reject(&mut conn, &mut front, Reject::BodyTooLarge);
+                        }
+                        Ok(used) => {
+                            conn.inbox.drain(..used);
+                            if !decoder.is_done() {
+                                break;
+                            }
+                            let state = std::mem::replace(&mut front.state, State::Reading);
+                            if let State::Chunks { bytes, head, body, .. } = state {
+                                let raw = Raw { bytes, head, body: Piece::Made(body) };
+                                self.requested(token, &mut conn, &mut front, raw);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        self.front_settle(token, conn, front);
+    }
+
+    /// A request that is not taken gets its answer.
+    fn reject(&mut self, conn: &mut Conn, front: &mut Front, why: Reject) {
+        self.counts.rejects += u64::from(why != Reject::NotReady);
+        conn.outbox.push(platform::reject(why, false));
+        front.state = State::Ending { lingers: false };
+    }
+
+    fn requested(&mut self, token: Token, conn: &mut Conn, front: &mut Front, raw: Raw) {
+        let keep_alive = raw.head.keep_alive && self.stopping.is_none();
+        front.state = if keep_alive { State::Reading } else { State::Ending { lingers: false } };
+        let refused = match platform::route(self.core.names(), &self.classes, &raw, !front.sse) {
+            Ok(Route::Ready) if self.stopping.is_some() => Some(Reject::NotReady),
+            Ok(Route::Ready) => {
+                conn.outbox.push(platform::ready());
+                None
+            }
+            Ok(Route::News) => match platform::read_news(self.core.names(), raw.body.bytes(), None) {
+                Some(told) => {
+                    self.core.news(self.now, &told.id, &told.from, told.news, told.report);
+                    conn.outbox.push(platform::heard(keep_alive));
+                    None
+                }
+                None => Some(Reject::Bad),
+            },
+            Ok(Route::Session(mut arrival)) => {
+                arrival.frontend = token.0;
+                let stream =
+                    (front.sse && sse::wants_stream(&raw)).then_some(Stream { begun: false, last: self.now });
+                match self.core.arrived(self.now, arrival) {
+                    Some(session) => {
+                        self.requests.insert(session, raw);
+                        front.state = State::Waiting { session, keep_alive, stream };
+                        None
+                    }
+                    None => Some(Reject::Doubled),
+                }
+            }
+            Err(why) => Some(why),
+        };
+        if let Some(why) = refused {
+            if why.closes() {
+                return self.reject(conn, front, why);
+            }
+            self.counts.rejects += u64::from(why != Reject::NotReady);
+            conn.outbox.push(platform::reject(why, keep_alive));
+        }
+    }
+
+    fn front_settle(&mut self, token: Token, mut conn: Conn, mut front: Front) {
+        if !conn.flush() {
+            return self.front_gone(token, conn, front);
+        }
+        let written = conn.outbox.is_empty();
+        if let State::Ending { lingers } = &mut front.state
+            && written
+            && !std::mem::replace(lingers, true)
+        {
+            let _ = conn.stream.shutdown(std::net::Shutdown::Write); // it may be gone; the timer ends it
+            self.set_timer(token, &mut conn, Some(self.now + LINGER));
+        }
+        let heartbeat = self.sse.as_ref().map_or(0, |(_, every)| *every);
+        let at = match &front.state {
+            State::Ending { lingers: true } => conn.timer,
+            State::Ending { .. } => Some(conn.timer.unwrap_or(self.now + STALL)),
+            State::Reading if conn.inbox.is_empty() && written => Some(self.now + IDLE),
+            State::Reading | State::Chunks { .. } => Some(conn.timer.unwrap_or(self.now + REQUEST_TIME)),
+            State::Waiting { stream: Some(stream), .. } if stream.begun => Some(stream.last + heartbeat),
+            State::Waiting { .. } => None,
+        };
+        if at != conn.timer {
+            self.set_timer(token, &mut conn, at);
+        }
+        let idle = matches!(front.state, State::Reading) && conn.inbox.is_empty() && written;
+        if idle {
+            front.idle_since = Some(self.now);
+            self.idle_fronts.insert((self.now, token));
+        }
+        // A client that sends on while its request is answered is read only so far.
+        let read = !matches!(front.state, State::Waiting { .. }) || conn.inbox.len() < AHEAD;
+        self.watch_for(token, &mut conn, read);
+        self.put(token, conn, Role::Front(front));
+    }
+
+    /// The connection is over; a session it waited for has lost its client.
+    fn front_gone(&mut self, token: Token, conn: Conn, front: Front) {
+        if let State::Waiting { session, .. } = front.state {
+            self.requests.remove(&session);
+            self.core.hung_up(session);
+        }
+        self.close(token, conn, Role::Front(front));
+    }
+
+    pub(super) fn front_due(&mut self, token: Token, mut conn: Conn, mut front: Front) {
+        if let Some(since) = front.idle_since.take() {
+            self.idle_fronts.remove(&(since, token));
+            return self.front_gone(token, conn, front);
+        }
+        match &mut front.state {
+            State::Ending { .. } => self.front_gone(token, conn, front),
+            State::Waiting { stream: Some(stream), .. } => {
+                stream.last = self.now;
+                if conn.outbox.is_empty() {
+                    conn.outbox.push(sse::heartbeat());
+                }
+                self.front_settle(token, conn, front);
+            }
+            State::Waiting { .. } => self.front_settle(token, conn, front),
+            State::Reading | State::Chunks { .. } if !conn.outbox.is_empty() => {
+                self.front_gone(token, conn, front); // it does not read its answer
+            }
+            State::Reading | State::Chunks { .. } => {
+                self.reject(&mut conn, &mut front, Reject::TooSlow);
+                self.front_settle(token, conn, front);
+            }
+        }
+    }
+
+    /// Writes the final answer of a session.
+    pub(super) fn answer(&mut self, token: Token, session: SessionId, answer: Answer) {
+        let Some((mut conn, role)) = self.take(token) else { return };
+        let Role::Front(mut front) = role else {
+            crate::invariant!(false, "an answer for a connection that is no frontend's");
+            return self.put(token, conn, role);
+        };
+        let State::Waiting { session: waiting, keep_alive, stream } = front.state else {
+            crate::invariant!(false, "an answer for a frontend that waits for none");
+            return self.put(token, conn, Role::Front(front));
+        };
+        crate::invariant!(waiting == session, "an answer for another session");
+        let keep_alive = keep_alive && (self.stopping.is_none() || stream.is_some_and(|s| s.begun));
+        match (stream, &answer) {
+            (Some(stream), _) if stream.begun => conn.outbox.push(sse::last(answer)),
+            (Some(_), Answer::Served(_)) => {
+                conn.outbox.push(sse::head(keep_alive));
+                conn.outbox.push(sse::started());
+                conn.outbox.push(sse::last(answer));
+            }
+            _ => conn.outbox.push(platform::answer(answer, keep_alive)),
+        }
+        front.state = if keep_alive { State::Reading } else { State::Ending { lingers: false } };
+        self.set_timer(token, &mut conn, None);
+        self.front_go_on(token, conn, front);
+    }
+
+    /// Tells a client that listens for it how its job gets on.
+    pub(super) fn tell(&mut self, token: Token, share: Option<f64>) {
+        let Some((mut conn, mut role)) = self.take(token) else { return };
+        let Role::Front(Front { state: State::Waiting { keep_alive, stream: Some(stream), .. }, .. }) =
+            &mut role
+        else {
+            return self.put(token, conn, role);
+        };
+        if !std::mem::replace(&mut stream.begun, true) {
+            conn.outbox.push(sse::head(*keep_alive));
+            conn.outbox.push(sse::started());
+        }
+        if let Some(share) = share.filter(|_| conn.outbox.len() < SLOW_READER) {
+            conn.outbox.push(sse::progress(share));
+        }
+        stream.last = self.now;
+        let Role::Front(front) = role else { return };
+        self.front_settle(token, conn, front);
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,428 @@
+//! The sockets: one epoll loop that turns what arrives into events of the core and its commands into bytes.
+
+mod backend;
+mod conn;
+mod discovery;
+mod frontend;
+mod peers;
+mod stop;
+
+use crate::config::{Config, ConfigError};
+use crate::core::{Command, Core, SessionId};
+use crate::interface::{Class, Micros, WorkerId};
+use crate::invariant;
+use backend::{Back, Probe};
+use conn::Conn;
+use discovery::Call;
+use frontend::Front;
+use rustix::event::epoll::{self, EventData, EventFlags};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Descriptors that are no connections: epoll, listeners, signals, log, datagrams, and some to spare.
+const SPARE_FDS: usize = 40;
+/// Events taken from epoll at a time.
+const EVENTS: usize = 256;
+/// Connections accepted in one go, so that a rush of them does not keep answers waiting.
+const ACCEPTS: usize = 64;
+/// The log's summary line comes this often, if there was anything to count.
+const SUMMARY: Micros = 10_000_000;
+
+/// The number of a connection: its slot, and how often the slot was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct Token(u64);
+
+impl Token {
+    fn new(slot: usize, used: u32) -> Token {
+        Token(u64::from(used) << 32 | slot as u64)
+    }
+
+    fn slot(self) -> usize {
+        (self.0 & 0xffff_ffff) as usize
+    }
+}
+
+const PLATFORM: Token = Token(u64::MAX);
+const SSE: Token = Token(u64::MAX - 1);
+const SIGNAL: Token = Token(u64::MAX - 2);
+const PEERS: Token = Token(u64::MAX - 3);
+const SUMMARY_TIMER: u64 = u64::MAX - 4;
+const STOP_TIMER: u64 = u64::MAX - 5;
+const ACCEPT_TIMER: u64 = u64::MAX - 6;
+
+/// What a connection is for.
+enum Role {
+    Front(Front),
+    Back(Back),
+    Call(Call),
+}
+
+struct Slot {
+    used: u32,
+    held: Option<(Conn, Role)>,
+}
+
+/// Why the program cannot serve.
+#[derive(Debug)]
+pub enum NetError {
+    /// The configuration is out of order.
+    Config(ConfigError),
+    /// The module did not take the settings.
+    Settings(crate::interface::SettingsError),
+    /// An address cannot be listened on.
+    Listen(SocketAddr, std::io::Error),
+    /// The system refused something else.
+    System(&'static str, std::io::Error),
+}
+
+impl std::fmt::Display for NetError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            NetError::Config(error) => write!(f, "configuration: {error}"),
+            NetError::Settings(error) => write!(f, "configuration: {error}"),
+            NetError::Listen(at, error) => write!(f, "cannot listen on {at}: {error}"),
+            NetError::System(what, error) => write!(f, "{what}: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for NetError {}
+
+impl From<ConfigError> for NetError {
+    fn from(error: ConfigError) -> NetError {
+        NetError::Config(error)
+    }
+}
+
+/// Counts for the log, beside the ledger's.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Counts {
+    dispatches: u64,
+    connects: u64,
+    connect_failures: u64,
+    resets: u64,
+    rejects: u64,
+    bad_datagrams: u64,
+    bad_lists: u64,
+    accept_pauses: u64,
+}
+
+/// The program's state.
+pub struct Server {
+    config: Config,
+    classes: Vec<Class>,
+    core: Core,
+    started: Instant,
+    now: Micros,
+    epoll: OwnedFd,
+    platform: TcpListener,
+    sse: Option<(TcpListener, Micros)>,
+    signals: UnixStream,
+    peers: Option<UdpSocket>,
+    slots: Vec<Slot>,
+    free: Vec<usize>,
+    live: usize,
+    fronts: usize,
+    most_conns: usize,
+    most_fronts: usize,
+    accepting: bool,
+    /// Connections of frontends without a session, by the time since which they are idle.
+    idle_fronts: std::collections::BTreeSet<(Micros, Token)>,
+    /// Requests of open sessions.
+    requests: HashMap<SessionId, crate::front::platform::Raw>,
+    /// Connections on which a dispatch awaits its first answer, or streams.
+    dispatching: HashMap<(SessionId, u32), Token>,
+    /// Idle connections to workers, the freshest last.
+    pool: HashMap<WorkerId, Vec<Token>>,
+    probes: HashMap<Token, Probe>,
+    watch: Option<Token>,
+    stopping: Option<Micros>,
+    done: bool,
+    counts: Counts,
+    reported: (Counts, crate::core::ledger::Ledger),
+}
+
+fn system(what: &'static str) -> impl Fn(rustix::io::Errno) -> NetError {
+    move |error| NetError::System(what, error.into())
+}
+
+fn listen(at: SocketAddr) -> Result<TcpListener, NetError> {
+    let failed = |error| NetError::Listen(at, error);
+    let listener = TcpListener::bind(at).map_err(failed)?;
+    listener.set_nonblocking(true).map_err(failed)?;
+    Ok(listener)
+}
+
+impl Server {
+    /// Opens everything. `sse` is where the SSE front listens, and its heartbeat.
+    pub fn open(mut config: Config, sse: Option<(SocketAddr, Micros)>) -> Result<Server, NetError> {
+        let unix_now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros();
+        let names = std::mem::take(&mut config.names);
+        let classes = config.settings.classes.clone();
+        let mut core =
+            Core::new(config.settings.clone(), names, config.seed, unix_now).map_err(NetError::Settings)?;
+        let platform = listen(config.listen)?;
+        let sse = sse.map(|(at, heartbeat)| listen(at).map(|l| (l, heartbeat))).transpose()?;
+        let io = |what| move |error| NetError::System(what, error);
+        let (signals, writer) = UnixStream::pair().map_err(io("signals"))?;
+        signals.set_nonblocking(true).map_err(io("signals"))?;
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            let writer = writer.try_clone().map_err(io("signals"))?;
+            signal_hook::low_level::pipe::register(signal, writer).map_err(io("signals"))?;
+        }
+        let peers = config.peer_listen.map(UdpSocket::bind).transpose().map_err(io("peer socket"))?;
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(system("epoll"))?;
+        let add = |fd: std::os::fd::BorrowedFd<'_>, token: Token| {
+            epoll::add(&epoll, fd, EventData::new_u64(token.0), EventFlags::IN).map_err(system("epoll"))
+        };
+        use std::os::fd::AsFd;
+        add(platform.as_fd(), PLATFORM)?;
+        add(signals.as_fd(), SIGNAL)?;
+        if let Some((listener, _)) = &sse {
+            add(listener.as_fd(), SSE)?;
+        }
+        if let Some(peers) = &peers {
+            peers.set_nonblocking(true).map_err(io("peer socket"))?;
+            add(peers.as_fd(), PEERS)?;
+        }
+        let now = Core::clock_start();
+        core.listed(now, &config.known, true);
+        core.remind(now + SUMMARY, SUMMARY_TIMER);
+        // A connection may buffer a whole request and a whole answer: memory bounds their number as well.
+        let by_memory = (config.limits.memory_mb as usize * 1024 * 1024) / (2 * 96 * 1024);
+        let most_conns =
+            (config.limits.sockets as usize).saturating_sub(SPARE_FDS).max(16).min(by_memory.max(16));
+        Ok(Server {
+            classes,
+            core,
+            started: Instant::now(),
+            now,
+            epoll,
+            platform,
+            sse,
+            signals,
+            peers,
+            slots: Vec::new(),
+            free: Vec::new(),
+            live: 0,
+            fronts: 0,
+            most_conns,
+            most_fronts: most_conns * 2 / 3,
+            accepting: true,
+            idle_fronts: Default::default(),
+            requests: HashMap::new(),
+            dispatching: HashMap::new(),
+            pool: HashMap::new(),
+            probes: HashMap::new(),
+            watch: None,
+            stopping: None,
+            done: false,
+            counts: Counts::default(),
+            reported: Default::default(),
+            config,
+        })
+    }
+
+    /// Where the program listens: the platform's front, and the SSE front where it is on.
+    pub fn addresses(&self) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        let sse = self.sse.as_ref().and_then(|(listener, _)| listener.local_addr().ok());
+        (self.platform.local_addr().ok(), sse)
+    }
+
+    fn clock(&mut self) {
+        self.now = Core::clock_start() + self.started.elapsed().as_micros() as Micros;
+    }
+
+    /// Serves until a stop signal has been seen through.
+    pub fn serve(&mut self) -> Result<(), NetError> {
+        let mut events = Vec::with_capacity(EVENTS);
+        while !self.done {
+            self.clock();
+            self.core.turn(self.now);
+            self.run_commands();
+            let wait = self.core.next_wake().map(|at| {
+                let span = Duration::from_micros(at.saturating_sub(self.now));
+                rustix::event::Timespec {
+                    tv_sec: span.as_secs() as i64,
+                    tv_nsec: i64::from(span.subsec_nanos()),
+                }
+            });
+            events.clear();
+            match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), wait.as_ref()) {
+                Ok(_) | Err(rustix::io::Errno::INTR) => {}
+                Err(error) => return Err(system("epoll")(error)),
+            }
+            self.clock();
+            for event in events.drain(..) {
+                let (data, flags) = (event.data, event.flags);
+                match Token(data.u64()) {
+                    PLATFORM => self.accept(false),
+                    SSE => self.accept(true),
+                    SIGNAL => self.signalled(),
+                    PEERS => self.hear_peers(),
+                    token => self.ready(token, flags),
+                }
+            }
+        }
+        self.summary();
+        Ok(())
+    }
+
+    fn run_commands(&mut self) {
+        while let Some(command) = self.core.next_command() {
+            match command {
+                Command::Send { session, dispatch, worker, left } => {
+                    self.dispatch(session, dispatch, worker, left);
+                }
+                Command::GiveUp { session, dispatch, worker, name } => {
+                    self.give_up(session, dispatch, worker, &name);
+                }
+                Command::Answer { session, frontend, answer } => {
+                    self.requests.remove(&session);
+                    self.answer(Token(frontend), session, answer);
+                }
+                Command::Tell { frontend, share } => self.tell(Token(frontend), share),
+                Command::Probe(worker) => self.probe(worker),
+                Command::Peers(bytes) => self.tell_peers(&bytes),
+                Command::Watch => self.call(true),
+                Command::Fetch => self.call(false),
+                Command::Due(SUMMARY_TIMER) => {
+                    self.summary();
+                    self.core.remind(self.now + SUMMARY, SUMMARY_TIMER);
+                }
+                Command::Due(STOP_TIMER) => self.stop_step(),
+                Command::Due(ACCEPT_TIMER) => self.accept_again(),
+                Command::Due(token) => self.due(Token(token)),
+            }
+        }
+    }
+
+    /// Takes a connection out of its slot, to be put back or closed.
+    fn take(&mut self, token: Token) -> Option<(Conn, Role)> {
+        let slot = self.slots.get_mut(token.slot())?;
+        if Token::new(token.slot(), slot.used) == token { slot.held.take() } else { None }
+    }
+
+    fn put(&mut self, token: Token, conn: Conn, role: Role) {
+        self.slots[token.slot()].held = Some((conn, role));
+    }
+
+    /// Gives a connection a slot and has epoll watch it.
+    fn add(&mut self, conn: Conn, role: impl FnOnce(Token) -> Role) -> Option<Token> {
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(Slot { used: 0, held: None });
+            self.slots.len() - 1
+        });
+        let token = Token::new(slot, self.slots[slot].used);
+        let flags = EventFlags::empty();
+        if epoll::add(&self.epoll, &conn.stream, EventData::new_u64(token.0), flags).is_err() {
+            self.free.push(slot);
+            return None;
+        }
+        self.live += 1;
+        let role = role(token);
+        self.fronts += usize::from(matches!(role, Role::Front(_)));
+        self.slots[slot].held = Some((conn, role));
+        Some(token)
+    }
+
+    /// Closes a connection that was taken out of its slot.
+    fn close(&mut self, token: Token, conn: Conn, role: Role) {
+        if let Some(at) = conn.timer {
+            self.core.unremind(at, token.0);
+        }
+        let slot = &mut self.slots[token.slot()];
+        invariant!(slot.held.is_none(), "a connection closed while in its slot");
+        slot.used = slot.used.wrapping_add(1) & 0x7fff_ffff;
+        self.free.push(token.slot());
+        self.live -= 1;
+        if matches!(role, Role::Front(_)) {
+            self.fronts -= 1;
+        }
+        drop(conn); // closing the socket takes it out of epoll as well
+    }
+
+    /// Sets or drops a connection's deadline.
+    fn set_timer(&mut self, token: Token, conn: &mut Conn, at: Option<Micros>) {
+        if let Some(old) = conn.timer.take() {
+            self.core.unremind(old, token.0);
+        }
+        if let Some(at) = at {
+            self.core.remind(at, token.0);
+        }
+        conn.timer = at;
+    }
+
+    /// Tells epoll what to watch a connection for.
+    fn watch_for(&mut self, token: Token, conn: &mut Conn, read: bool) {
+        let mut flags = EventFlags::RDHUP;
+        flags.set(EventFlags::IN, read);
+        flags.set(EventFlags::OUT, !conn.outbox.is_empty());
+        if flags != conn.interest {
+            let changed = epoll::modify(&self.epoll, &conn.stream, EventData::new_u64(token.0), flags);
+            invariant!(changed.is_ok(), "epoll does not know a connection");
+            conn.interest = flags;
+        }
+    }
+
+    fn ready(&mut self, token: Token, flags: EventFlags) {
+        let Some((conn, role)) = self.take(token) else { return };
+        match role {
+            Role::Front(front) => self.front_ready(token, conn, front, flags),
+            Role::Back(back) => self.back_ready(token, conn, back, flags),
+            Role::Call(call) => self.call_ready(token, conn, call, flags),
+        }
+    }
+
+    fn due(&mut self, token: Token) {
+        let Some((mut conn, role)) = self.take(token) else { return };
+        conn.timer = None;
+        match role {
+            Role::Front(front) => self.front_due(token, conn, front),
+            Role::Back(back) => self.back_due(token, conn, back),
+            Role::Call(call) => self.call_failed(token, conn, call, "no answer in time"),
+        }
+    }
+
+    /// Makes room for a new connection where the descriptors are used up, by closing an idle one.
+    fn make_room(&mut self) -> bool {
+        self.live < self.most_conns || self.drop_idle_backend() || self.drop_idle_front()
+    }
+
+    /// One line of figures, if anything has changed since the last.
+    fn summary(&mut self) {
+        let state = (self.counts, self.core.ledger);
+        if state == self.reported {
+            return;
+        }
+        self.reported = state;
+        let (c, l) = state;
+        eprintln!(
+            "figures taken={} served={} denied={} failed={} gone={} open={} dispatches={} connects={} \
+             connect_failures={} resets={} rejects={} stale_news={} bad_rows={} bad_lists={} \
+             bad_datagrams={} accept_pauses={} connections={} workers={} broken_invariants={}",
+            l.taken,
+            l.served,
+            l.denied,
+            l.failed,
+            l.gone,
+            l.open(),
+            c.dispatches,
+            c.connects,
+            c.connect_failures,
+            c.resets,
+            c.rejects,
+            self.core.stale_news,
+            self.core.servers.bad_rows,
+            c.bad_lists,
+            c.bad_datagrams,
+            c.accept_pauses,
+            self.live,
+            self.core.servers.ready(),
+            invariant::broken(),
+        );
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -42,10 +42,11 @@
     pairs: Vec<(&'a str, &'a str)>,
 }
 
-type Parsed<T> = Result<T, String>;
+/// A value, or what is wrong with its text.
+pub(crate) type Parsed<T> = Result<T, String>;
 
 /// A span or time of fractional milliseconds.
-fn to_micros(ms: f64) -> Micros {
+pub(crate) fn to_micros(ms: f64) -> Micros {
     (ms * 1000.0).round().clamp(0.0, 9e18) as Micros
 }
 
@@ -96,14 +97,14 @@
 }
 
 /// Hands out numbers in order of appearance.
-#[derive(Default)]
-struct Interner {
+#[derive(Debug, Default)]
+pub(crate) struct Interner {
     names: HashMap<String, u32>,
     next: u32,
 }
 
 impl Interner {
-    fn id(&mut self, name: &str) -> u32 {
+    pub(crate) fn id(&mut self, name: &str) -> u32 {
         if let Some(id) = self.names.get(name) {
             return *id;
         }
@@ -112,6 +113,15 @@
         self.names.insert(name.to_owned(), id);
         id
     }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
+    /// The number of a name that already has one.
+    pub(crate) fn find(&self, name: &str) -> Option<u32> {
+        self.names.get(name).copied()
+    }
 }
 
 struct OpenJob {
@@ -121,8 +131,9 @@
     closed: bool,
 }
 
-#[derive(Clone, Copy)]
-enum Value {
+/// What a value of a load report stands for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Value {
     Cpu,
     FreeSlots,
     FreeMemory,
@@ -134,32 +145,57 @@
     Unknown,
 }
 
+impl Value {
+    /// Puts a number where it belongs in a report; one that is not finite counts as absent.
+    pub(crate) fn enter(self, report: &mut Report, number: f64) {
+        let slot = match self {
+            Value::Cpu => &mut report.cpu,
+            Value::FreeSlots => &mut report.free_slots,
+            Value::FreeMemory => &mut report.free_memory,
+            Value::Active => &mut report.active,
+            Value::Waiting => &mut report.waiting,
+            Value::AvgMs => &mut report.avg_ms,
+            Value::Rps => &mut report.rps,
+            Value::ErrRps => &mut report.err_rps,
+            Value::Unknown => return,
+        };
+        *slot = Some(number).filter(|n| n.is_finite());
+    }
+}
+
+/// The names that a deployment's settings give to classes, tenants, kinds, zones and report values.
+#[derive(Debug, Default)]
+pub(crate) struct Names {
+    pub(crate) classes: Interner,
+    pub(crate) tenants: Interner,
+    pub(crate) kinds: Interner,
+    pub(crate) zones: Interner,
+    /// The values of a load report, in the order in which the settings name them.
+    pub(crate) values: Vec<(String, Value)>,
+}
+
 struct Instance {
     dispatcher: Dispatcher,
     workers: Interner,
     worker_names: Vec<String>,
-    classes: Interner,
-    tenants: Interner,
-    kinds: Interner,
-    zones: Interner,
+    names: Names,
     keys: Interner,
     job_ids: HashMap<String, JobId>,
     jobs: HashMap<JobId, OpenJob>,
     next_job: u64,
-    values: Vec<Value>,
 }
 
-/// The settings of a `hello` line, read by name.
-struct Profile<'a>(HashMap<&'a str, &'a str>);
+/// The settings of a `hello` line or of a configuration file, read by name.
+pub(crate) struct Profile<'a>(pub(crate) HashMap<&'a str, &'a str>);
 
 impl<'a> Profile<'a> {
     fn text(&self, path: &str) -> Option<&'a str> {
         self.0.get(path).copied()
     }
 
-    fn number(&self, path: &str, default: f64) -> Parsed<f64> {
+    pub(crate) fn number(&self, path: &str, default: f64) -> Parsed<f64> {
         self.text(path)
-            .map_or(Ok(default), |v| v.parse().map_err(|_| format!("hello: {path} is not a number: {v:?}")))
+            .map_or(Ok(default), |v| v.parse().map_err(|_| format!("{path} is not a number: {v:?}")))
     }
 
     fn micros(&self, path: &str, default: f64) -> Parsed<Micros> {
@@ -175,12 +211,14 @@
     }
 }
 
-fn settings(p: &Profile, zones: &mut Interner, kinds: &mut Interner) -> Parsed<Settings> {
+/// Maps settings names to [`Settings`]; the names met on the way come back beside them.
+pub(crate) fn settings(p: &Profile) -> Parsed<(Settings, Names)> {
+    let mut names = Names::default();
     for zone in p.list("Zones") {
-        zones.id(zone);
+        names.zones.id(zone);
     }
     for kind in p.list("Kinds") {
-        kinds.id(kind);
+        names.kinds.id(kind);
     }
     let class_kinds = p.list("Domain.ClassKind");
     let priorities = p.list("Domain.ClassPriority");
@@ -204,6 +242,7 @@
         };
         let own_stretch = p.number(&at("AimStretch"), 0.0)?;
         let stretch = stretches.get(i).and_then(|s| s.parse().ok()).unwrap_or(own_stretch);
+        names.classes.id(p.text(&at("Name")).unwrap_or(""));
         classes.push(Class {
             aim: p.micros(&at("TargetMs"), ms(deadline))?,
             stretch,
@@ -218,6 +257,7 @@
     }
     let mut tenants = Vec::new();
     for i in 0..(p.number("Projects.count", 0.0)? as usize).min(p.0.len()) {
+        names.tenants.id(p.text(&format!("Projects.{i}.Name")).unwrap_or(""));
         tenants.push(Tenant {
             quota_per_s: p.number(&format!("Projects.{i}.QuotaPerS"), 0.0)?,
             portion: p.number(&format!("Projects.{i}.Portion"), 0.0)?,
@@ -225,10 +265,24 @@
     }
     let progress = p.micros("Domain.ProgressMs", 0.0)?;
     let on_request = p.text("Discovery") == Some("on_request");
-    Ok(Settings {
+    for name in p.list("LoadInfo.Fields") {
+        let value = match name {
+            "cpu" => Value::Cpu,
+            "active" => Value::Active,
+            "waiting" => Value::Waiting,
+            "avg_ms" => Value::AvgMs,
+            "rps" => Value::Rps,
+            "err_rps" => Value::ErrRps,
+            "x0" if p.text("Domain.ReportX0") == Some("free_slots") => Value::FreeSlots,
+            "x1" if p.text("Domain.ReportX1") == Some("free_memory") => Value::FreeMemory,
+            _ => Value::Unknown,
+        };
+        names.values.push((name.to_owned(), value));
+    }
+    let settings = Settings {
         me: p.number("Me", 0.0)? as u32,
         nodes: p.number("Siblings", 1.0)? as u32,
-        zone: ZoneId(zones.id(p.text("Zone").unwrap_or("")) as u16),
+        zone: ZoneId(names.zones.id(p.text("Zone").unwrap_or("")) as u16),
         classes,
         tenants,
         over_share_worth: p.number("OverShareWorth", 1.0)?,
@@ -265,52 +319,27 @@
         price_probe: p.number("Prices.Probe", 0.0)?,
         price_waste: p.number("Prices.Waste", 0.0)?,
         price_late_fail: p.number("Prices.LateFail", 0.0)?,
-    })
+    };
+    Ok((settings, names))
 }
 
 fn hello(f: &Fields) -> Parsed<Instance> {
     let profile = Profile(f.pairs.iter().copied().collect());
-    let (mut zones, mut kinds) = (Interner::default(), Interner::default());
-    let (mut classes, mut tenants) = (Interner::default(), Interner::default());
-    let settings = settings(&profile, &mut zones, &mut kinds)?;
-    for i in 0..settings.classes.len() {
-        classes.id(profile.text(&format!("Grades.{i}.Name")).unwrap_or(""));
-    }
-    for i in 0..settings.tenants.len() {
-        tenants.id(profile.text(&format!("Projects.{i}.Name")).unwrap_or(""));
-    }
-    let values = profile.list("LoadInfo.Fields");
+    let (settings, names) = settings(&profile).map_err(|e| format!("hello: {e}"))?;
     Ok(Instance {
         dispatcher: Dispatcher::new(settings, f.need("InitSeed")?).map_err(|e| format!("hello: {e}"))?,
         workers: Interner::default(),
         worker_names: Vec::new(),
-        classes,
-        tenants,
-        kinds,
-        zones,
+        names,
         keys: Interner::default(),
         job_ids: HashMap::new(),
         jobs: HashMap::new(),
         next_job: 0,
-        values: values
-            .iter()
-            .map(|name| match *name {
-                "cpu" => Value::Cpu,
-                "active" => Value::Active,
-                "waiting" => Value::Waiting,
-                "avg_ms" => Value::AvgMs,
-                "rps" => Value::Rps,
-                "err_rps" => Value::ErrRps,
-                "x0" if profile.text("Domain.ReportX0") == Some("free_slots") => Value::FreeSlots,
-                "x1" if profile.text("Domain.ReportX1") == Some("free_memory") => Value::FreeMemory,
-                _ => Value::Unknown,
-            })
-            .collect(),
     })
 }
 
 /// A number that any node would give to this name (FNV-1a).
-fn tag(name: &str) -> u64 {
+pub(crate) fn tag(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
@@ -340,24 +369,13 @@
             return Ok(None);
         };
         let mut report = Report::default();
-        for (text, value) in row.split(',').zip(&self.values) {
+        for (text, (_, value)) in row.split(',').zip(&self.names.values) {
             if text.is_empty() {
                 continue;
             }
             let number: f64 =
                 text.parse().map_err(|_| format!("{}: Feedback is not a number: {text:?}", f.message))?;
-            let slot = match value {
-                Value::Cpu => &mut report.cpu,
-                Value::FreeSlots => &mut report.free_slots,
-                Value::FreeMemory => &mut report.free_memory,
-                Value::Active => &mut report.active,
-                Value::Waiting => &mut report.waiting,
-                Value::AvgMs => &mut report.avg_ms,
-                Value::Rps => &mut report.rps,
-                Value::ErrRps => &mut report.err_rps,
-                Value::Unknown => continue,
-            };
-            *slot = Some(number).filter(|n| n.is_finite());
+            value.enter(&mut report, number);
         }
         Ok(Some(report))
     }
@@ -381,8 +399,8 @@
         Ok(RosterEntry {
             worker: self.worker(name),
             tag: tag(name),
-            zone: ZoneId(self.zones.id(f.find("RackZone").unwrap_or("")) as u16),
-            kind: KindId(self.kinds.id(f.find("Shape").unwrap_or("")) as u16),
+            zone: ZoneId(self.names.zones.id(f.find("RackZone").unwrap_or("")) as u16),
+            kind: KindId(self.names.kinds.id(f.find("Shape").unwrap_or("")) as u16),
             cell: CellId(f.parsed("Group")?.unwrap_or(0)),
             status: match f.need::<i64>("Status")? {
                 0 => Status::Draining,
@@ -424,9 +442,9 @@
                 let hint = f.micros("HintMs")?;
                 let new = NewJob {
                     job: id,
-                    class: ClassId(self.classes.id(f.find("Lane").unwrap_or("")) as u16),
+                    class: ClassId(self.names.classes.id(f.find("Lane").unwrap_or("")) as u16),
                     tenant: (f.find("Party").filter(|p| !p.is_empty() && *p != "0"))
-                        .map(|p| TenantId(self.tenants.id(p) as u16)),
+                        .map(|p| TenantId(self.names.tenants.id(p) as u16)),
                     key: f.find("NameKey").map(|k| KeyId(self.keys.id(k))),
                     deadline: f.micros("ValidUntilMs")?.ok_or("accept: no ValidUntilMs")?,
                     hint: hint.filter(|h| flags & 1 == 1 && *h > 0),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: a hand-driven dispatcher.
 #![allow(dead_code)]
 
-use indigoknot::*;
+use mothproxy::*;
 
 pub const MS: Micros = 1_000;
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use indigoknot::*;
+use mothproxy::*;
 
 fn answers(effect: Effect) -> Node {
     Node::new(Settings { classes: vec![class(effect)], ..Settings::default() })
--- a/tests/four_rules.rs
+++ b/tests/four_rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use indigoknot::*;
+use mothproxy::*;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use indigoknot::rules::capability;
-use indigoknot::*;
+use mothproxy::rules::capability;
+use mothproxy::*;
 
 #[test]
 fn score_has_the_points_worked_out_by_hand() {
