Let sent work run: no copies, no early give-up where a cancel stops nothing

Cause: src/rules.rs review() gave a sent job up at its latest start and copied unstarted ones up to three times; here a cancel drops neither running nor waiting work, so workers ran dead jobs.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,7 +25,7 @@
 /// A sign of life is overdue after this many times the usual wait.
 const OVERDUE: f64 = 2.0;
 /// Copies of a job out at once, at most.
-const COPIES: usize = 3;
+const COPIES: usize = 1;
 /// Bounces after which a job's further attempts are spread over its slack.
 const QUICK_TRIES: usize = 2;
 /// A job of unknown size is taken for this part of its class's mean: most are smaller than the mean.
@@ -218,7 +218,7 @@
         let stuck = job.any(State::MayHaveRun) && effect == Effect::SideEffect;
         let spent = job.sent() >= self.set.max_attempts;
         // A job that can no longer earn anything is not started: it would only delay the rest.
-        if (late_worth == 0.0 && soon >= latest) || (out == 0 && (stuck || spent)) {
+        if out == 0 && ((late_worth == 0.0 && soon >= latest) || stuck || spent) {
             return self.give_up(id, acts);
         }
         let movable = self.movable(job) && job.bounces() < QUICK_TRIES;
