Keep queues out of the workers: hold here, send on starts and ends, say when to return

Causes, all in src/rules.rs: pick() measured a queue by the usual wait, which grows with the queue; an unknown worker was sent any number; review() queued movable jobs at full workers at once, though nothing can be moved where a cancel drops nothing; held jobs looked again on a timer only. Now work unstarted for 20 ms shows a queue, an unknown worker holds as much of ours as it has slots, jobs are held for 70% of their slack, starts and ends wake them in the order in which they must start, one copy goes out after half the slack if the worker is silent. Refusals carry a retry-after computed from what waits here over this node's share of the slots.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,14 +24,19 @@
 const MOST_STRIKES: u32 = 6;
 /// A sign of life is overdue after this many times the usual wait.
 const OVERDUE: f64 = 2.0;
+/// Work of ours that a worker has not started after this long shows a queue there, however usual queues are.
+const QUEUED: Micros = 20_000;
 /// Copies of a job out at once, at most.
-const COPIES: usize = 1;
+const COPIES: usize = 2;
+/// A job is copied once it has waited unstarted for this part of its slack: a cancel may stop nothing, so that a
+/// copy costs as much as a job.
+const COPY_PART: f64 = 0.5;
 /// Bounces after which a job's further attempts are spread over its slack.
 const QUICK_TRIES: usize = 2;
 /// A job of unknown size is taken for this part of its class's mean: most are smaller than the mean.
-const TYPICAL_PART: f64 = 0.5;
-/// An immovable job is held for this part of its slack, looking again this many times, before it queues.
-const HOLD_PART: f64 = 0.5;
+const TYPICAL_PART: f64 = 0.3;
+/// A job is held for this part of its slack, looking again this many times, before it queues.
+const HOLD_PART: f64 = 0.7;
 const HOLD_LOOKS: u64 = 16;
 /// Part of the cold budget that all nodes together plan to use: a window may touch two turns.
 const COLD_SAFETY: f64 = 0.5;
@@ -129,7 +134,7 @@
 
     fn arrived(&mut self, new: NewJob, acts: &mut Vec<Action>) {
         let Some(class) = self.set.classes.get(usize::from(new.class.0)) else {
-            return acts.push(Action::Refuse { job: new.job, retry_after: None });
+            return acts.push(Action::Refuse { job: new.job, retry_after: self.stay_away() });
         };
         let seen = self.m.class_work[usize::from(new.class.0)];
         let guess = if seen.count > 0.0 { seen.value } else { class.aim as f64 };
@@ -138,6 +143,7 @@
         let mean = self.m.note_arrival(usize::from(new.class.0), work);
         self.m.jobs.insert(new.job, Job::new(new, self.m.now, work, work.max(mean)));
         self.alarm(new.job, new.deadline.saturating_sub(self.set.tick), acts);
+        self.wake_held(acts); // what waits here already goes first
         self.review(new.job, acts);
     }
 
@@ -164,11 +170,22 @@
             Effect::Pure | Effect::Token { group: Group::All, .. } => true,
             _ => job.bounces() == job.attempts.len(),
         };
-        let refusal = Action::Refuse { job: id, retry_after: None };
+        let refusal = Action::Refuse { job: id, retry_after: self.stay_away() };
         acts.push(if harmless { refusal } else { Action::Fail(id) });
         self.close(id, acts);
     }
 
+    /// When a refused client ought to come back, where clients are told: once the ready workers, shared with the
+    /// other nodes, can have run what waits here.
+    fn stay_away(&self) -> Option<Micros> {
+        let most = self.set.max_retry_after?;
+        let slots = |id: &WorkerId| self.m.at(*id).known.map_or(0.0, |k| self.m.slots(k.kind));
+        let share = self.m.ready.iter().map(slots).sum::<f64>() / f64::from(self.set.nodes);
+        let work = (self.m.held.len() + 1) as f64 * self.m.mean_work() * self.m.slow.value.max(1.0);
+        let clear = if share > 0.0 { work / share } else { f64::INFINITY };
+        Some((clear.min(most as f64) as Micros).max(self.set.tick))
+    }
+
     /// Whether a job may be sent (again) to this worker, by its class and by what may have run.
     fn may_send(&self, job: &Job, to: &RosterEntry) -> bool {
         let mut risky = job.attempts.iter().filter(|a| a.state != State::NeverRan);
@@ -221,10 +238,9 @@
         if out == 0 && ((late_worth == 0.0 && soon >= latest) || stuck || spent) {
             return self.give_up(id, acts);
         }
-        let movable = self.movable(job) && job.bounces() < QUICK_TRIES;
         let (slack, left) = (latest.saturating_sub(self.m.now), job.new.deadline - self.m.now);
         let hold_end = job.arrived + ((latest - job.arrived) as f64 * HOLD_PART) as Micros;
-        let queue = movable || (slack > 0 && self.m.now >= hold_end);
+        let queue = slack > 0 && self.m.now >= hold_end;
         let sign_due = self.sign_due(job.work);
         if let Some(last) = self.m.jobs.get_mut(&id).and_then(Job::newest_unstarted) {
             if self.m.now < last.at + sign_due {
@@ -232,14 +248,16 @@
                 return self.alarm(id, due, acts);
             }
             // A worker that does not start what its report had room for is not believed for a while.
-            let (worker, promised) = (last.worker, std::mem::take(&mut last.promised));
+            let (worker, job_at, promised) = (last.worker, last.at, std::mem::take(&mut last.promised));
             if promised && self.set.tells_start {
                 self.strike(worker);
             }
-            if late_worth == 0.0 {
-                self.alarm(id, latest.saturating_sub(self.set.tick), acts);
+            let patience = (latest.saturating_sub(job_at) as f64 * COPY_PART) as Micros;
+            if self.m.now < job_at + patience {
+                return self.alarm(id, job_at + patience, acts);
             }
-            if out >= COPIES || effect == Effect::SideEffect || spent {
+            // A worker that was heard of since lives: the job is in its queue and will run there in any case.
+            if out >= COPIES || effect == Effect::SideEffect || spent || self.m.at(worker).heard > job_at {
                 return;
             }
         }
@@ -247,7 +265,10 @@
             return;
         }
         match self.pick(id) {
-            Some((rank, worker)) if rank <= Rank::Unknown || (out == 0 && queue && rank != Rank::TooLong) => {
+            Some((rank, worker))
+                if rank == Rank::Fresh
+                    || (out == 0 && (rank == Rank::Unknown || (queue && rank != Rank::TooLong))) =>
+            {
                 self.send(id, worker, rank, acts) // a full one only once holding has not helped
             }
             _ => {
@@ -350,7 +371,8 @@
     fn pick(&mut self, id: JobId) -> Option<(Rank, WorkerId)> {
         let pool = self.candidates(id);
         let job = self.m.jobs.get(&id)?;
-        let (needs, memory, due) = (job.new.slots, job.new.memory, self.sign_due(job.work));
+        let (needs, memory) = (job.new.slots, job.new.memory);
+        let due = self.sign_due(job.work).min(if self.set.tells_start { QUEUED } else { Micros::MAX });
         let mut ranked: Vec<(Rank, f64, f64, WorkerId)> = Vec::new();
         let mut lowest_cpu = f64::INFINITY;
         let slack = self.latest_start(job).saturating_sub(self.m.now) as f64;
@@ -396,6 +418,7 @@
                 None if !self.m.is_warm(&known, self.set.cold_time) => {
                     (Rank::Fresh, -(capability(0.5, 0.5) * spare / TIE).round(), slowness)
                 }
+                None if held + needs > self.m.slots(known.kind).max(2.0) => (Rank::TooLong, soonest, luck),
                 None => {
                     let farther = if away { AWAY } else { 1.0 };
                     (unseen, (held + luck) * slowness * farther / (known.weight.max(0.01) * spare), luck)
@@ -460,6 +483,7 @@
         (this.state, this.running_since) = (State::Running, Some(now));
         let (waited, worker) = ((now - this.at) as f64, &mut self.m.workers[this.worker.0 as usize]);
         worker.trust = Trust::default();
+        worker.heard = now;
         worker.out.iter_mut().filter(|o| o.is(id, attempt)).for_each(|o| o.started = true);
         // A running quartile of the wait: three steps down for one up.
         self.m.sign_after *= if waited < self.m.sign_after { 0.85 } else { 1.05 };
@@ -468,6 +492,26 @@
         for (n, _) in others.filter(|_| self.set.may_cancel && !job.closed) {
             acts.push(Action::Cancel { job: id, attempt: n as u32 });
         }
+        self.wake_held(acts);
+    }
+
+    /// A start or an end may mean room: the jobs that wait here are looked at while one is sent, first the one
+    /// that must start soonest.
+    fn wake_held(&mut self, acts: &mut Vec<Action>) {
+        let due = |id: &JobId| self.m.jobs.get(id).map(|job| (self.latest_start(job), *id));
+        let mut held: Vec<_> = self.m.held.iter().filter_map(due).collect();
+        held.sort_unstable();
+        for (_, id) in held {
+            // One turned away again and again waits out its time: its last tries are spread.
+            let patient = |job: &&mut Job| job.bounces() < QUICK_TRIES;
+            let Some(job) = self.m.jobs.get_mut(&id).filter(patient) else { continue };
+            job.wait_until = 0;
+            let sent = job.sent();
+            self.review(id, acts);
+            if self.m.jobs.get(&id).is_some_and(|job| !job.closed && job.sent() == sent) {
+                break;
+            }
+        }
     }
 
     fn ended(&mut self, end: Ended, acts: &mut Vec<Action>) {
@@ -482,6 +526,9 @@
         let (work, class) = (job.work, usize::from(job.new.class.0));
         self.m.worker(worker).out.retain(|o| !o.is(id, attempt));
         let zone = self.m.worker(worker).known.map(|k| k.zone);
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            self.m.worker(worker).heard = now;
+        }
         match outcome {
             Outcome::Ok => {
                 let took = ran_for.unwrap_or(elapsed) as f64;
@@ -518,6 +565,7 @@
             self.review(id, acts);
         }
         self.m.forget(id);
+        self.wake_held(acts);
         if let Some(report) = report.filter(|_| outcome == Outcome::Ok) {
             self.enter(worker, &report, acts);
         }
@@ -536,6 +584,9 @@
         let Some(worker) = self.m.workers.get_mut(id.0 as usize) else { return };
         let askers = std::mem::take(&mut worker.askers);
         worker.probing = false;
+        if outcome == Outcome::Ok {
+            worker.heard = self.m.now;
+        }
         match report {
             Some(report) if outcome == Outcome::Ok => self.enter(id, &report, acts),
             _ if outcome == Outcome::Ok => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,7 +11,7 @@
 }
 
 impl Mean {
-    const MEMORY: f64 = 10.0;
+    const MEMORY: f64 = 40.0;
 
     pub fn add(&mut self, x: f64) {
         self.count = (self.count + 1.0).min(Self::MEMORY);
@@ -68,6 +68,8 @@
     pub slow: Mean,
     pub trust: Trust,
     pub probing: bool,
+    /// When it last gave a sign of life.
+    pub heard: Micros,
     /// Jobs that wait for its echo.
     pub askers: Vec<JobId>,
     /// The stretch of the fall window in which it was last sent work while cold, and how much.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -56,6 +56,11 @@
         self.echo(id, Outcome::Ok, Some(report))
     }
 
+    /// A report of an idle worker, unless it is this one.
+    pub fn report_unless(&mut self, id: u32, silent: WorkerId) -> Vec<Action> {
+        if id == silent.0 { Vec::new() } else { self.report(id, 0.1, 4.0) }
+    }
+
     pub fn echo(&mut self, id: u32, outcome: Outcome, report: Option<Report>) -> Vec<Action> {
         self.feed(Event::Probed(Probed { worker: WorkerId(id), outcome, elapsed: 300, report }))
     }
