--- a/src/config.rs
+++ b/src/config.rs
@@ -161,8 +161,11 @@
 
 /// Flattens nested JSON to path=value: plain lists with commas, lists of objects by number and count.
 pub fn flatten(value: &Value) -> Vec<(String, String)> {
-    fn plain(value: &Value) -> Option<String> {
+    fn plain(path: &str, value: &Value) -> Option<String> {
         match value {
+            // The simulator's wire writes "free slots" as "free_slots", and its adapter knows it by that. Without
+            // this the free slots of every load report were passed over. Names keep their spaces.
+            Value::String(s) if path.starts_with("Domain.") => Some(s.replace([' ', ','], "_")),
             Value::String(s) => Some(s.clone()),
             Value::Number(n) => Some(n.to_string()),
             Value::Bool(b) => Some(b.to_string()),
@@ -178,10 +181,10 @@
                 items.iter().enumerate().for_each(|(i, v)| walk(&under(&i.to_string()), v, out));
             }
             Value::Array(items) => {
-                let texts: Vec<String> = items.iter().filter_map(plain).collect();
+                let texts: Vec<String> = items.iter().filter_map(|v| plain(path, v)).collect();
                 out.push((path.to_owned(), texts.join(",")));
             }
-            _ => out.extend(plain(value).map(|text| (path.to_owned(), text))),
+            _ => out.extend(plain(path, value).map(|text| (path.to_owned(), text))),
         }
     }
     let mut out = Vec::new();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,8 +28,8 @@
 const QUEUED: Micros = 20_000;
 /// Copies of a job out at once, at most.
 const COPIES: usize = 2;
-/// A job is copied once it has waited unstarted for this part of its slack: a cancel may stop nothing, so that a
-/// copy costs as much as a job.
+/// A job is copied once it has waited unstarted for this part of its slack: a cancel may stop nothing, and
+/// then a copy costs as much as a job.
 const COPY_PART: f64 = 0.5;
 /// Bounces after which a job's further attempts are spread over its slack.
 const QUICK_TRIES: usize = 2;
@@ -175,8 +175,8 @@
         self.close(id, acts);
     }
 
-    /// When a refused client ought to come back, where clients are told: once the ready workers, shared with the
-    /// other nodes, can have run what waits here.
+    /// When a refused client ought to come back, where clients are told: once the ready workers, shared with
+    /// the other nodes, can have run what waits here.
     fn stay_away(&self) -> Option<Micros> {
         let most = self.set.max_retry_after?;
         let slots = |id: &WorkerId| self.m.at(*id).known.map_or(0.0, |k| self.m.slots(k.kind));
@@ -495,8 +495,8 @@
         self.wake_held(acts);
     }
 
-    /// A start or an end may mean room: the jobs that wait here are looked at while one is sent, first the one
-    /// that must start soonest.
+    /// A start or an end may mean room: the jobs that wait here are looked at while one is sent, first the
+    /// one that must start soonest.
     fn wake_held(&mut self, acts: &mut Vec<Action>) {
         let due = |id: &JobId| self.m.jobs.get(id).map(|job| (self.latest_start(job), *id));
         let mut held: Vec<_> = self.m.held.iter().filter_map(due).collect();
