--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -212,9 +212,8 @@
                 State::Stream { session, dispatch, body, events } => {
                     let mut read = Vec::new();
                     let (session, dispatch) = (*session, *dispatch);
-                    if body.feed(&mut conn.inbox, &mut read).is_err() {
-                        return false;
-                    }
+                    // What came before the framing broke is as good as any: the final event may be in it.
+                    let framed = body.feed(&mut conn.inbox, &mut read).is_ok();
                     let mut seen: Vec<StreamEvent> = Vec::new();
                     let fed = events.feed(&read, |event| seen.push(event));
                     let over = body.is_done();
@@ -222,7 +221,7 @@
                         self.streamed(session, dispatch, &event);
                     }
                     // The stream may end only after the final event: then this changes nothing any more.
-                    return fed.is_ok() && !over;
+                    return framed && fed.is_ok() && !over;
                 }
             }
         }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -88,6 +88,11 @@
             if stream.set_nonblocking(true).is_err() {
                 continue;
             }
+            if sse {
+                // Progress that waits in the kernel for a slow reader is stale when it is read, and it holds
+                // memory; without a bound it grows to megabytes. Where it cannot be set, only that is lost.
+                let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SLOW_READER);
+            }
             let (state, conn) = (State::Reading, Conn::new(stream));
             let Some(token) = self.add(conn, |_| Role::Front(Front { sse, state, idle_since: None })) else {
                 continue;
--- /dev/null
+++ b/tests/common/stand_ins.rs
@@ -0,0 +1,394 @@
+//! Stand-ins for what surrounds the program: clients, card nodes and discovery, written from the protocol's and
+//! HTTP's public descriptions. All of them listen on loopback at ports that the system picks.
+#![allow(dead_code)]
+
+use super::site;
+use mothproxy::http::{self, Body};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Nothing in these tests takes this long; a hang fails instead of hanging.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits for something that other threads bring about.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = std::time::Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(std::time::Instant::now() < end, "never: {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(':'));
+        lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()).next()
+    }
+}
+
+/// Reads one answer off a connection; `None` if it ends before that.
+pub fn read_reply(stream: &mut TcpStream) -> Option<Reply> {
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    let (mut seen, mut buf) = (Vec::new(), [0; 4096]);
+    let head = loop {
+        match http::read_response(&seen).expect("an HTTP answer") {
+            Some(head) if head.status == 100 => drop(seen.drain(..head.len)),
+            Some(head) => break head,
+            None => match stream.read(&mut buf) {
+                Ok(0) | Err(_) => return None,
+                Ok(read) => seen.extend(&buf[..read]),
+            },
+        }
+    };
+    let text = String::from_utf8_lossy(&seen[..head.len]).into_owned();
+    seen.drain(..head.len);
+    let (mut body, mut read) = (Body::new(head.framing), Vec::new());
+    loop {
+        body.feed(&mut seen, &mut read).expect("a sound body");
+        if body.is_done() {
+            break;
+        }
+        match stream.read(&mut buf) {
+            Ok(0) if body.ends_with_connection() => break,
+            Ok(0) | Err(_) => return None,
+            Ok(got) => seen.extend(&buf[..got]),
+        }
+    }
+    Some(Reply { status: head.status, head: text, body: String::from_utf8_lossy(&read).into_owned() })
+}
+
+pub fn connect(to: SocketAddr) -> TcpStream {
+    TcpStream::connect(to).expect("the program listens")
+}
+
+/// Sends bytes on a new connection and reads the answer.
+pub fn send(to: SocketAddr, bytes: &str) -> Option<Reply> {
+    let mut stream = connect(to);
+    // The program may answer and close before it has read all: then the write fails and the answer counts.
+    let _ = stream.write_all(bytes.as_bytes());
+    read_reply(&mut stream)
+}
+
+/// A job as clients hand it in; what its body says is what the stand-in node does.
+pub fn job(id: &str, class: &str, body: &str, extra: &str) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: {id}\r\nX-Service-Class: {class}\r\n\
+         X-Account: steppe-mart\r\nIdempotency-Key: key-{id}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A card node. The body of a job says what becomes of it; see [`Node::act`].
+pub struct Node {
+    pub name: String,
+    pub address: SocketAddr,
+    /// What arrived: method, target and id of each request.
+    pub seen: Mutex<Vec<String>>,
+    pub jobs: AtomicU64,
+    home: Mutex<Option<SocketAddr>>,
+}
+
+impl Node {
+    pub fn start(name: &str) -> Arc<Node> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let node = Arc::new(Node {
+            name: name.to_owned(),
+            address,
+            seen: Mutex::default(),
+            jobs: AtomicU64::new(0),
+            home: Mutex::default(),
+        });
+        let shared = node.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let node = shared.clone();
+                std::thread::spawn(move || node.serve(stream));
+            }
+        });
+        node
+    }
+
+    pub fn row(&self, lifecycle: &str) -> Value {
+        site::row(&self.name, &self.address.to_string(), lifecycle)
+    }
+
+    pub fn saw(&self, what: &str) -> bool {
+        self.seen.lock().expect("a lock").iter().any(|line| line.contains(what))
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let (mut seen, mut buf) = (Vec::new(), [0; 4096]);
+        loop {
+            let head = match http::read_request(&seen).expect("an HTTP request") {
+                Some(head) => head,
+                None => match stream.read(&mut buf) {
+                    Ok(0) | Err(_) => return,
+                    Ok(read) => {
+                        seen.extend(&buf[..read]);
+                        continue;
+                    }
+                },
+            };
+            let text = |range: std::ops::Range<usize>| String::from_utf8_lossy(&seen[range]).into_owned();
+            let (method, target) = (text(head.method.clone()), text(head.target.clone()));
+            let id = head.fields.text(&seen, "X-Correlation-Id").unwrap_or("").to_owned();
+            let key = head.fields.text(&seen, "Idempotency-Key").unwrap_or("").to_owned();
+            let (mut body, mut read) = (Body::new(head.framing), Vec::new());
+            seen.drain(..head.len);
+            while method == "POST" && !body.is_done() {
+                body.feed(&mut seen, &mut read).expect("a sound body");
+                if !body.is_done() {
+                    match stream.read(&mut buf) {
+                        Ok(0) | Err(_) => return,
+                        Ok(got) => seen.extend(&buf[..got]),
+                    }
+                }
+            }
+            self.seen.lock().expect("a lock").push(format!("{method} {target} {id} {key}"));
+            if method == "DELETE" {
+                let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+                continue;
+            }
+            self.jobs.fetch_add(1, Ordering::SeqCst);
+            if !self.act(&mut stream, &id, &String::from_utf8_lossy(&read)) {
+                return;
+            }
+        }
+    }
+
+    /// Does what the body says, word by word. False closes the connection.
+    fn act(&self, stream: &mut TcpStream, id: &str, body: &str) -> bool {
+        let mut say = |text: &str| stream.write_all(text.as_bytes()).is_ok();
+        let (mut streams, mut taken) = (false, false);
+        for word in body.split(' ') {
+            let (word, value) = word.split_once('=').unwrap_or((word, ""));
+            let news = match word {
+                "take" => {
+                    taken = true;
+                    if !say("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n") {
+                        return false;
+                    }
+                    continue;
+                }
+                "stream" => {
+                    streams = true;
+                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                                Transfer-Encoding: chunked\r\n\r\n";
+                    if !say(head) {
+                        return false;
+                    }
+                    continue;
+                }
+                "full" if say("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n") => {
+                    continue;
+                }
+                "busy" if say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") => continue,
+                "error" if say("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n") => continue,
+                "cut" => {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return false;
+                }
+                "pause" => {
+                    std::thread::sleep(Duration::from_millis(value.parse().expect("a number")));
+                    continue;
+                }
+                "flood" => {
+                    for n in 0..value.parse::<u32>().expect("a number") {
+                        let news = json!({"state": "running", "share": f64::from(n % 100) / 100.0});
+                        if !say(&event(&news)) {
+                            return false;
+                        }
+                    }
+                    self.seen.lock().expect("a lock").push("flooded".to_owned());
+                    continue;
+                }
+                "hang" if taken => return true, // nothing more is told
+                "hang" => {
+                    // Silent until the other side gives up.
+                    let _ = stream.read(&mut [0; 64]);
+                    return false;
+                }
+                "started" => json!({"state": "started"}),
+                "running" => json!({"state": "running", "share": value.parse::<f64>().expect("a share")}),
+                "done" => json!({"state": "done", "result": value, "load": {"cpu": 0.2, "x0": 3.0}}),
+                "failed" | "returned" | "lost" => json!({"state": word}),
+                _ => return false,
+            };
+            let told = if streams { say(&event(&news)) } else { self.call_back(id, news) };
+            if !told {
+                return false;
+            }
+        }
+        !streams
+    }
+
+    fn call_back(&self, id: &str, mut news: Value) -> bool {
+        let home = self.home.lock().expect("a lock").expect("the program's address");
+        news["id"] = json!(id);
+        news["from"] = json!(self.name);
+        let text = news.to_string();
+        let head = "POST /_jobs/news HTTP/1.1\r\nHost: n0\r\nConnection: close\r\n";
+        send(home, &format!("{head}Content-Length: {}\r\n\r\n{text}", text.len()))
+            .is_some_and(|r| r.status == 204)
+    }
+}
+
+/// A chunk with one event.
+fn event(news: &Value) -> String {
+    let state = news["state"].as_str().expect("a state");
+    let text = format!("event: {state}\ndata: {news}\n\n");
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Discovery: each watch first gets the whole list, then the lines that the test pushes.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub calls: AtomicU64,
+    list: Mutex<Value>,
+    watches: Mutex<Vec<TcpStream>>,
+}
+
+impl Discovery {
+    pub fn start(list: Value) -> Arc<Discovery> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (calls, list, watches) = (AtomicU64::new(0), Mutex::new(list), Mutex::default());
+        let discovery = Arc::new(Discovery { address, calls, list, watches });
+        let shared = discovery.clone();
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let _ = stream.read(&mut [0; 2048]);
+                shared.calls.fetch_add(1, Ordering::SeqCst);
+                let list = shared.list.lock().expect("a lock").clone();
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                let _ = stream.write_all(line(&list).as_bytes());
+                shared.watches.lock().expect("a lock").push(stream);
+            }
+        });
+        discovery
+    }
+
+    /// Tells all watches of a change; later calls get `list`.
+    pub fn push(&self, change: &str, list: Value) {
+        *self.list.lock().expect("a lock") = list;
+        let text = format!("{change}\n");
+        for watch in self.watches.lock().expect("a lock").iter_mut() {
+            let _ = watch.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+        }
+    }
+
+    /// Ends all watches.
+    pub fn cut(&self) {
+        for watch in self.watches.lock().expect("a lock").drain(..) {
+            let _ = watch.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+fn line(list: &Value) -> String {
+    let text = format!("{list}\n");
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The program, started over real sockets.
+pub struct Program {
+    child: Child,
+    pub platform: SocketAddr,
+    pub sse: Option<SocketAddr>,
+    lines: Receiver<String>,
+    log: Vec<String>,
+}
+
+/// Starts the program with these nodes in `known`, and discovery if there is one.
+pub fn start(nodes: &[Arc<Node>], discovery: Option<SocketAddr>, sse: bool) -> Program {
+    start_with(nodes, discovery, sse, |_| {})
+}
+
+pub fn start_with(
+    nodes: &[Arc<Node>],
+    discovery: Option<SocketAddr>,
+    sse: bool,
+    change: impl FnOnce(&mut Value),
+) -> Program {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let rows: Vec<Value> = nodes.iter().map(|n| n.row("up")).collect();
+    let discovery = discovery.map_or("127.0.0.1:1".to_owned(), |at| at.to_string());
+    let mut config = site::config("127.0.0.1:0", &discovery, json!(rows));
+    change(&mut config);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let stem = std::env::temp_dir().join(format!("mothproxy-test-{}-{number}", std::process::id()));
+    let (config_file, sse_file) = (stem.with_extension("json"), stem.with_extension("toml"));
+    std::fs::write(&config_file, config.to_string()).expect("a temporary file");
+    let front = if sse { "listen = \"127.0.0.1:0\"\nheartbeat_ms = 200\n" } else { "" };
+    std::fs::write(&sse_file, front).expect("a temporary file");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mothproxy"))
+        .arg("--sse")
+        .arg(&sse_file)
+        .env_remove("GW_NAME")
+        .env_remove("GW_LISTEN")
+        .env_remove("GW_DISCOVERY")
+        .env("GW_CONFIG", &config_file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let stderr = BufReader::new(child.stderr.take().expect("a pipe"));
+    let (sender, lines) = channel();
+    std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
+    let first = lines.recv_timeout(PATIENCE).expect("a first line");
+    let _ = std::fs::remove_file(config_file);
+    let _ = std::fs::remove_file(sse_file);
+    let rest = first.strip_prefix("serving: n0 on ").unwrap_or_else(|| panic!("{first}"));
+    let (platform, sse) = rest.split_once(", SSE ").expect("two addresses");
+    let platform: SocketAddr = platform.parse().expect("an address");
+    for node in nodes {
+        *node.home.lock().expect("a lock") = Some(platform);
+    }
+    Program { child, platform, sse: sse.parse().ok(), lines, log: vec![first] }
+}
+
+impl Program {
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
+        assert!(sent.success());
+    }
+
+    /// Waits for the program's end and returns whether it was a clean one, and its log.
+    pub fn wait(mut self) -> (bool, Vec<String>) {
+        let mut log = std::mem::take(&mut self.log);
+        log.extend(std::iter::from_fn(|| self.lines.recv_timeout(PATIENCE).ok()));
+        (self.child.wait().expect("it ends").success(), log)
+    }
+
+    /// Stops the program and returns the figures of its last summary line.
+    pub fn figures(self) -> std::collections::BTreeMap<String, u64> {
+        self.terminate();
+        let (clean, log) = self.wait();
+        assert!(clean, "{log:?}");
+        let last = log.iter().rev().find_map(|line| line.strip_prefix("figures ")).expect("a summary");
+        last.split(' ')
+            .filter_map(|p| p.split_once('='))
+            .map(|(n, v)| (n.into(), v.parse().expect("a number")))
+            .collect()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,278 @@
+//! The core without sockets: exactly one final answer, call-backs in any order, drains, deadlines.
+
+#[path = "common/site.rs"]
+mod site;
+
+use mothproxy::core::{Answer, Arrival, Command, Core, Fate, News};
+use mothproxy::*;
+use quickcheck::{Arbitrary, Gen};
+use serde_json::json;
+
+const MS: Micros = 1_000;
+
+struct Bench {
+    core: Core,
+    now: Micros,
+    next: u64,
+}
+
+impl Bench {
+    fn new(workers: usize) -> Bench {
+        let rows: Vec<_> = (0..workers)
+            .map(|n| site::row(&format!("s-{n}"), &format!("127.0.0.1:{}", 9000 + n), "up"))
+            .collect();
+        let config = site::read(&site::config("127.0.0.1:0", "127.0.0.1:1", json!(rows)));
+        let mut core = Core::new(config.settings, config.names, config.seed, 0).expect("sound settings");
+        let now = Core::clock_start();
+        core.listed(now, &config.known, true);
+        Bench { core, now, next: 0 }
+    }
+
+    fn arrive(&mut self, class: u16, patience: Micros) -> Option<u64> {
+        self.next += 1;
+        let name = format!("job-{}", self.next);
+        self.arrive_as(&name, class, patience)
+    }
+
+    fn arrive_as(&mut self, name: &str, class: u16, patience: Micros) -> Option<u64> {
+        let arrival = Arrival {
+            name: name.to_owned(),
+            frontend: 70,
+            class: ClassId(class),
+            tenant: Some(TenantId(0)),
+            key: None,
+            patience,
+            hint: None,
+            slots: 1.0,
+            memory: None,
+            repeat: false,
+        };
+        self.core.arrived(self.now, arrival)
+    }
+
+    /// Lets time pass and returns all commands but alarms of the program round the core.
+    fn pass(&mut self, span: Micros) -> Vec<Command> {
+        let until = self.now + span;
+        let mut all = Vec::new();
+        loop {
+            self.core.turn(self.now);
+            all.extend(std::iter::from_fn(|| self.core.next_command()));
+            match self.core.next_wake() {
+                Some(at) if at <= until => self.now = self.now.max(at),
+                _ => break,
+            }
+        }
+        self.now = until;
+        all
+    }
+
+    fn news(&mut self, name: &str, from: WorkerId, news: News) -> bool {
+        let from = self.core.servers.get(from).expect("known").instance_id.clone();
+        self.core.news(self.now, name, &from, news, None)
+    }
+}
+
+fn sent(commands: &[Command]) -> Vec<(u64, u32, WorkerId)> {
+    let send = |c: &Command| match c {
+        Command::Send { session, dispatch, worker, .. } => Some((*session, *dispatch, *worker)),
+        _ => None,
+    };
+    commands.iter().filter_map(send).collect()
+}
+
+fn answers(commands: &[Command]) -> Vec<(u64, Answer)> {
+    let answer = |c: &Command| match c {
+        Command::Answer { session, answer, .. } => Some((*session, answer.clone())),
+        _ => None,
+    };
+    commands.iter().filter_map(answer).collect()
+}
+
+#[test]
+fn a_result_is_the_answer_and_its_repeats_change_nothing() {
+    let mut bench = Bench::new(2);
+    let id = bench.arrive(0, 5_000 * MS).expect("new");
+    let (_, _, worker) = sent(&bench.pass(5 * MS))[0];
+    // The call-back may come before the worker's 202; each of the ten tries is answered, one counts.
+    assert!(bench.news("job-1", worker, News::Done(b"ok".to_vec())));
+    assert!(!bench.news("job-1", worker, News::Done(b"again".to_vec())));
+    let served = Answer::Served(b"ok".to_vec());
+    assert_eq!(answers(&bench.pass(20 * MS)), [(id, served)]);
+    assert!(!bench.news("job-1", worker, News::Done(b"late".to_vec())));
+    assert_eq!((bench.core.ledger.served, bench.core.ledger.open(), bench.core.stale_news), (1, 0, 2));
+}
+
+#[test]
+fn news_must_match_the_job_and_its_worker() {
+    let mut bench = Bench::new(2);
+    bench.arrive(0, 5_000 * MS);
+    let (_, _, worker) = sent(&bench.pass(5 * MS))[0];
+    let other = WorkerId(1 - worker.0);
+    assert!(!bench.news("job-1", other, News::Done(b"no".to_vec())));
+    assert!(!bench.core.news(bench.now, "job-9", "s-0", News::Lost, None));
+    assert!(!bench.core.news(bench.now, "job-1", "s-9", News::Lost, None));
+    assert_eq!(answers(&bench.pass(5 * MS)), []);
+}
+
+#[test]
+fn an_id_that_is_still_open_is_not_taken_again() {
+    let mut bench = Bench::new(1);
+    assert!(bench.arrive_as("x", 0, 5_000 * MS).is_some());
+    assert!(bench.arrive_as("x", 0, 5_000 * MS).is_none());
+    assert_eq!(bench.core.ledger.taken, 1);
+}
+
+/// A worker that is told to hand nothing on: what may have run is not refused, whatever comes.
+#[test]
+fn a_redeem_that_may_have_run_is_failed_and_not_refused() {
+    let mut bench = Bench::new(1);
+    let id = bench.arrive(1, 1_000 * MS).expect("new");
+    let (_, dispatch, _) = sent(&bench.pass(5 * MS))[0];
+    bench.core.ended(bench.now, id, dispatch, Fate::Without(Outcome::Reset), None);
+    let all = answers(&bench.pass(1_050 * MS));
+    assert!(matches!(all[..], [(_, Answer::Failed | Answer::TimedOut)]), "{all:?}");
+}
+
+#[test]
+fn a_silent_worker_costs_the_session_no_more_than_its_deadline() {
+    let mut bench = Bench::new(1);
+    let id = bench.arrive(1, 800 * MS).expect("new");
+    let from = bench.now;
+    assert_eq!(sent(&bench.pass(5 * MS)).len(), 1);
+    assert_eq!(answers(&bench.pass(780 * MS)), []);
+    let all = bench.pass(30 * MS);
+    assert_eq!(answers(&all), [(id, Answer::TimedOut)]);
+    assert!(all.iter().any(|c| matches!(c, Command::GiveUp { .. })), "the worker is told");
+    assert!(bench.now <= from + 850 * MS);
+}
+
+#[test]
+fn a_result_of_a_dispatch_that_was_given_up_still_serves_an_open_session() {
+    let mut bench = Bench::new(3);
+    let id = bench.arrive(0, 7_000 * MS).expect("new");
+    let first = sent(&bench.pass(5 * MS))[0].2;
+    bench.core.ended(bench.now, id, 0, Fate::Without(Outcome::Timeout), None);
+    assert!(bench.news("job-1", first, News::Done(b"late".to_vec())));
+    assert_eq!(answers(&bench.pass(10 * MS)), [(id, Answer::Served(b"late".to_vec()))]);
+    assert_eq!(bench.core.ledger.served, 1);
+}
+
+#[test]
+fn a_client_that_leaves_is_gone_and_nothing_is_sent_for_it_later() {
+    let mut bench = Bench::new(1);
+    let id = bench.arrive(0, 5_000 * MS).expect("new");
+    bench.core.hung_up(id);
+    let all = bench.pass(6_000 * MS);
+    assert_eq!((sent(&all), answers(&all)), (vec![], vec![]));
+    assert_eq!((bench.core.ledger.gone, bench.core.ledger.open()), (1, 0));
+}
+
+#[test]
+fn a_whole_list_ends_whoever_it_does_not_name_and_numbers_are_not_used_twice() {
+    let mut bench = Bench::new(2);
+    bench.core.listed(
+        bench.now,
+        &site::list(2, true, json!([site::row("s-1", "127.0.0.1:9101", "up")])),
+        false,
+    );
+    bench.core.listed(
+        bench.now,
+        &site::list(3, false, json!([site::row("s-7", "127.0.0.1:9107", "up")])),
+        false,
+    );
+    let table = &bench.core.servers;
+    assert!(table.get(WorkerId(0)).is_some_and(|s| s.removed && s.stopped.is_some()));
+    assert_eq!(table.get(WorkerId(1)).map(|s| s.address.port()), Some(9101));
+    assert_eq!((table.find("s-7"), table.ready()), (Some(WorkerId(2)), 2));
+    let bad = json!([{"instanceId": "s-8"}, {"hostPort": "x"}, site::row("s-9", "nowhere", "up"), 5]);
+    bench.core.listed(bench.now, &site::list(4, false, bad), false);
+    assert_eq!(bench.core.servers.bad_rows, 4);
+}
+
+#[test]
+fn the_batch_waits_for_the_tick_and_deadlines_do_not() {
+    let mut bench = Bench::new(1);
+    bench.pass(10 * MS);
+    bench.core.turn(bench.now);
+    bench.arrive(0, 5_000 * MS);
+    bench.core.turn(bench.now);
+    let first = std::iter::from_fn(|| bench.core.next_command()).count();
+    assert!(first > 0, "a quiet core takes the event at once");
+    bench.arrive(0, 5_000 * MS);
+    bench.core.turn(bench.now + MS);
+    assert_eq!(bench.core.next_command(), None, "the next batch is 2 ms later");
+    bench.core.turn(bench.now + 2 * MS);
+    assert!(bench.core.next_command().is_some());
+}
+
+#[test]
+fn all_that_is_open_can_be_failed_before_the_machine_goes() {
+    let mut bench = Bench::new(1);
+    for _ in 0..5 {
+        bench.arrive(0, 5_000 * MS);
+    }
+    bench.pass(10 * MS);
+    bench.core.fail_all();
+    assert_eq!((bench.core.ledger.failed, bench.core.ledger.open()), (5, 0));
+}
+
+/// Random lives of sessions: each gets exactly one entry and one answer at most, and nothing goes out after it.
+#[test]
+fn each_session_gets_exactly_one_final_answer() {
+    for seed in 0..150 {
+        let g = &mut Gen::from_size_and_seed(32, seed);
+        let mut bench = Bench::new(3);
+        let mut out: Vec<(u64, u32, WorkerId)> = Vec::new();
+        let mut answered = std::collections::BTreeMap::<u64, u32>::new();
+        let mut gone = Vec::new();
+        for _ in 0..80 {
+            match u8::arbitrary(g) % 8 {
+                0..=2 => drop(bench.arrive(u16::from(bool::arbitrary(g)), 400 * MS)),
+                3 if bench.next > 0 => {
+                    let id = u64::arbitrary(g) % bench.next;
+                    bench.core.hung_up(id);
+                    gone.push(id);
+                }
+                4 | 5 if !out.is_empty() => {
+                    let (id, dispatch, _) = out[usize::arbitrary(g) % out.len()];
+                    let outcomes = [Outcome::Full, Outcome::Reset, Outcome::ConnectFailed, Outcome::Error];
+                    let fate = match g.choose(&outcomes) {
+                        Some(outcome) if bool::arbitrary(g) => Fate::Without(*outcome),
+                        _ => Fate::Done(Vec::new()),
+                    };
+                    bench.core.ended(bench.now, id, dispatch, fate, None);
+                }
+                6 if !out.is_empty() => {
+                    let (id, dispatch, _) = out[usize::arbitrary(g) % out.len()];
+                    bench.core.dispatch_news(bench.now, id, dispatch, News::Started, None);
+                }
+                _ => {}
+            }
+            let all = bench.pass(u64::from(u8::arbitrary(g)) * MS);
+            check(&all, &mut out, &mut answered);
+        }
+        let all = bench.pass(1_000 * MS);
+        check(&all, &mut out, &mut answered);
+        let ledger = bench.core.ledger;
+        assert_eq!((ledger.taken, ledger.open()), (bench.next, 0), "seed {seed}: {ledger:?}");
+        assert!(answered.values().all(|n| *n == 1), "seed {seed}");
+        assert_eq!(answered.len() as u64 + ledger.gone, ledger.taken, "seed {seed}");
+    }
+}
+
+fn check(
+    all: &[Command],
+    out: &mut Vec<(u64, u32, WorkerId)>,
+    answered: &mut std::collections::BTreeMap<u64, u32>,
+) {
+    for command in all {
+        match command {
+            Command::Send { session, dispatch, worker, .. } => {
+                assert!(!answered.contains_key(session), "sent after its final answer");
+                out.push((*session, *dispatch, *worker));
+            }
+            Command::Answer { session, .. } => *answered.entry(*session).or_default() += 1,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,152 @@
+//! The parsers against random cuts of valid messages and random garbage, from fixed seeds.
+
+use mothproxy::http::{self, Body, Chunked, EventStream, Framing, HeadError, StreamEvent, events, load};
+use quickcheck::{Arbitrary, Gen};
+
+const ROUNDS: u64 = 400;
+
+fn each_round(mut check: impl FnMut(&mut Gen)) {
+    (0..ROUNDS).for_each(|seed| check(&mut Gen::from_size_and_seed(64, seed)));
+}
+
+/// Pieces of these bytes, cut at random places.
+fn cuts(bytes: &[u8], g: &mut Gen) -> Vec<Vec<u8>> {
+    let mut rest = bytes;
+    let mut pieces = Vec::new();
+    while !rest.is_empty() {
+        let (piece, after) = rest.split_at(1 + usize::arbitrary(g) % rest.len().min(40));
+        pieces.push(piece.to_vec());
+        rest = after;
+    }
+    pieces
+}
+
+fn token(g: &mut Gen) -> String {
+    let letters: Vec<char> = "abcXYZ019-_".chars().collect();
+    (0..1 + usize::arbitrary(g) % 12).filter_map(|_| g.choose(&letters).copied()).collect()
+}
+
+#[test]
+fn a_request_head_reads_the_same_however_it_is_cut() {
+    each_round(|g| {
+        let (path, id, length) = (token(g), token(g), usize::arbitrary(g) % 70_000);
+        let end = if bool::arbitrary(g) { "\r\n" } else { "\n" };
+        let head = [format!("POST /{path} HTTP/1.1"), "Host: h".into(), format!("X-Id:  {id} ")];
+        let text = head.join(end) + end + &format!("Content-Length: {length}{end}{end}tail");
+        let head_len = text.len() - 4;
+        let mut seen = Vec::new();
+        for piece in cuts(text.as_bytes(), g) {
+            let before = seen.len();
+            seen.extend(piece);
+            let read = http::read_request(&seen);
+            if seen.len() < head_len {
+                assert_eq!(read, Ok(None));
+            } else if length > http::MAX_BODY {
+                assert_eq!(read, Err(HeadError::BodyTooLarge));
+            } else {
+                let read = read.expect("valid").unwrap_or_else(|| panic!("cut at {before}"));
+                assert_eq!((read.framing, read.len), (Framing::Length(length), head_len));
+                assert_eq!(&seen[read.target.clone()], format!("/{path}").as_bytes());
+                assert_eq!(read.fields.text(&seen, "x-ID"), Some(id.as_str()));
+            }
+        }
+    });
+}
+
+#[test]
+fn a_chunked_body_reads_the_same_however_it_is_cut() {
+    each_round(|g| {
+        let chunks: Vec<Vec<u8>> = (0..usize::arbitrary(g) % 6).map(|_| Vec::arbitrary(g)).collect();
+        let mut wire = Vec::new();
+        for chunk in chunks.iter().filter(|c| !c.is_empty()) {
+            wire.extend(format!("{:X};name=value\r\n", chunk.len()).bytes().chain(chunk.iter().copied()));
+            wire.extend(b"\r\n");
+        }
+        wire.extend(b"0\r\nTrailer: x\r\n\r\nnext");
+        let (mut decoder, mut body, mut used) = (Chunked::default(), Vec::new(), 0);
+        for piece in cuts(&wire, g) {
+            used += decoder.decode(&piece, &mut body).expect("valid");
+        }
+        assert!(decoder.is_done());
+        assert_eq!((body, used), (chunks.concat(), wire.len() - 4));
+    });
+}
+
+#[test]
+fn an_event_stream_reads_the_same_however_it_is_cut() {
+    each_round(|g| {
+        let (mut wire, mut sent) = (b": hello\n\n".to_vec(), Vec::new());
+        for _ in 0..usize::arbitrary(g) % 6 {
+            let event = StreamEvent { name: token(g), data: format!("{}\n{}", token(g), token(g)) };
+            let text = events::write_event(&event.name, &event.data);
+            let text =
+                String::from_utf8(text).expect("text").replace('\n', g.choose(&["\n", "\r\n"]).expect("two"));
+            wire.extend(text.bytes());
+            sent.push(event);
+        }
+        let (mut stream, mut seen) = (EventStream::default(), Vec::new());
+        for piece in cuts(&wire, g) {
+            stream.feed(&piece, |event| seen.push(event)).expect("small");
+        }
+        assert_eq!(seen, sent);
+    });
+}
+
+#[test]
+fn garbage_and_damage_never_panic_and_never_grow_without_bound() {
+    let valid = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    each_round(|g| {
+        let mut bytes: Vec<u8> = if bool::arbitrary(g) { Vec::arbitrary(g) } else { valid.to_vec() };
+        for _ in 0..1 + usize::arbitrary(g) % 4 {
+            let at = usize::arbitrary(g) % bytes.len().max(1);
+            if let Some(byte) = bytes.get_mut(at) {
+                *byte = u8::arbitrary(g);
+            }
+        }
+        let lens = [
+            http::read_request(&bytes).ok().flatten().map(|h| h.len),
+            http::read_response(&bytes).ok().flatten().map(|h| h.len),
+        ];
+        assert!(lens.into_iter().flatten().all(|len| len <= bytes.len()));
+        for framing in [Framing::Length(7), Framing::Chunked, Framing::Absent] {
+            let (mut body, mut out) = (Body::new(framing), Vec::new());
+            let _ = body.feed(&mut bytes.clone(), &mut out);
+            assert!(out.len() <= bytes.len());
+        }
+        let mut data = 0;
+        let _ = EventStream::default().feed(&bytes, |event| data += event.data.len());
+        assert!(data <= 3 * bytes.len()); // a byte that is no UTF-8 becomes three
+        assert!(load::pairs(&String::from_utf8_lossy(&bytes)).all(|(_, value)| value.is_finite()));
+    });
+}
+
+#[test]
+fn what_could_smuggle_a_request_is_refused() {
+    let read = |fields: &str| {
+        http::read_request(format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n\r\n").as_bytes()).map(|_| ())
+    };
+    let cases = [
+        ("Content-Length: 3\r\nContent-Length: 3", HeadError::Ambiguous),
+        ("Content-Length: 3, 3", HeadError::Ambiguous),
+        ("Content-Length: 3\r\nTransfer-Encoding: chunked", HeadError::Ambiguous),
+        ("Transfer-Encoding: gzip, chunked", HeadError::UnknownCoding),
+        ("Content-Length: +3", HeadError::Malformed),
+        ("Content-Length : 3", HeadError::Malformed),
+        ("A: b\r\n folded", HeadError::Malformed),
+        ("A: b\0c", HeadError::Malformed),
+        ("Content-Length: 99999999999999999999999", HeadError::BodyTooLarge),
+    ];
+    for (fields, error) in cases {
+        assert_eq!(read(fields), Err(error), "{fields:?}");
+    }
+    assert_eq!(read("Content-Length: 3"), Ok(()));
+    assert_eq!(http::read_request(b"GET / HTTP/2.0\r\nHost: h\r\n\r\n"), Err(HeadError::Version));
+    assert_eq!(http::read_request(b"GET / HTTP/1.1\r\n\r\n"), Err(HeadError::Malformed));
+    assert_eq!(http::read_request(&vec![b'a'; http::MAX_HEAD]), Err(HeadError::TooLarge));
+}
+
+#[test]
+fn an_endless_line_is_given_up() {
+    assert!(Chunked::default().decode(&[b'0'; 2_000], &mut Vec::new()).is_err());
+    assert!(EventStream::default().feed(&vec![b'a'; 200_000], |_| {}).is_err());
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,255 @@
+//! The program over real sockets: the platform's front, workers, discovery, bad input, a planned stop.
+
+#[path = "common/site.rs"]
+mod site;
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::*;
+use std::io::{Read, Write};
+use std::process::Command;
+use std::sync::atomic::Ordering;
+
+#[test]
+fn a_job_is_served_with_the_workers_result() {
+    let node = Node::start("s-1");
+    let program = start(std::slice::from_ref(&node), None, false);
+    assert_eq!(
+        send(program.platform, "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n").expect("an answer").status,
+        200
+    );
+    let mut stream = connect(program.platform);
+    for (n, body) in
+        ["take started running=0.5 done=a", "done=b take", "take done=c done=c"].iter().enumerate()
+    {
+        let id = format!("00000000000000a{n}");
+        stream.write_all(job(&id, "redeem", body, "").as_bytes()).expect("written");
+        let reply = read_reply(&mut stream).expect("an answer on the same connection");
+        assert_eq!((reply.status, reply.body), (200, "abc"[n..n + 1].to_owned()), "{body}");
+        assert!(node.saw(&format!("POST /redeem {id} key-{id}")), "id and key pass on unchanged");
+    }
+    let figures = program.figures();
+    assert_eq!((figures["taken"], figures["served"], figures["broken_invariants"]), (3, 3, 0));
+}
+
+#[test]
+fn outcomes_follow_the_table() {
+    let node = Node::start("s-1");
+    let program = start(std::slice::from_ref(&node), None, false);
+    let cases = [
+        // Not run: a redeem may be refused. May have run: it must not be.
+        ("redeem", "full", 503),
+        ("redeem", "take returned", 503),
+        ("redeem", "take failed", 500),
+        ("redeem", "error", 500),
+        ("redeem", "busy", 500),
+        ("redeem", "take lost", 500),
+        ("redeem", "cut", 500),
+        ("redeem", "take hang", 504),
+        ("balance", "take hang", 503),
+    ];
+    for (n, (class, body, status)) in cases.into_iter().enumerate() {
+        let id = format!("00000000000000b{n}");
+        let request = job(&id, class, body, "X-Time-Left-Ms: 600\r\n");
+        let reply = send(program.platform, &request).expect("an answer");
+        let fits = reply.status == status || (status == 500 && reply.status == 504);
+        assert!(fits, "{body}: {} instead of {status}", reply.status);
+        let after = reply.field("Retry-After").map(|s| s.parse::<f64>().expect("seconds"));
+        assert_eq!(after.is_some_and(|s| s > 0.0 && s <= 2.0), status == 503, "{body}: {after:?}");
+    }
+    assert!(node.saw("DELETE /jobs/00000000000000b7"), "a dispatch that is given up is cancelled");
+}
+
+#[test]
+fn a_refused_connection_is_no_attempt_and_another_worker_serves() {
+    let dead = Node::start("s-0");
+    let closed =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let node = Node::start("s-1");
+    let program = start_with(&[node], None, false, |config| {
+        let row = site::row(&dead.name, &closed.to_string(), "up");
+        config["known"]["instances"].as_array_mut().expect("a list").push(row);
+    });
+    for n in 0..6 {
+        let reply = send(program.platform, &job(&format!("c{n}"), "redeem", "take started done=x", ""));
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+}
+
+#[test]
+fn bad_requests_get_their_status() {
+    let node = Node::start("s-1");
+    let program = start(&[node], None, false);
+    let good = job("d0", "balance", "done=x", "");
+    let big = "x".repeat(70_000);
+    let cases = [
+        ("nonsense\r\n\r\n".to_owned(), 400),
+        (good.replace("X-Account: steppe-mart", "X-Account: nobody"), 400),
+        (good.replace("X-Service-Class: balance", "X-Service-Class: redeem"), 400),
+        (good.replace("X-Correlation-Id: d0\r\n", ""), 400),
+        (good.replace("/balance", "/loan").replace(": balance", ": loan"), 400),
+        (good.replace("/balance", "/elsewhere"), 404),
+        (good.replace("POST /balance", "PUT /balance"), 405),
+        ("POST /up HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n".to_owned(), 405),
+        (good.replace("Content-Length: 6\r\n", ""), 411),
+        (job("d1", "balance", &big, ""), 413),
+        (job("d2", "balance", "x", &format!("X-Long: {big}\r\n")), 431),
+        (good.replace("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"), 400),
+        (good.replace("Content-Length: 6", "Content-Length: 6\r\nContent-Length: 6"), 400),
+        (job("d3", "redeem", "done=x", "").replace("Idempotency-Key: key-d3\r\n", ""), 400),
+        ("POST /_jobs/news HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}".to_owned(), 400),
+    ];
+    for (request, status) in cases {
+        let shown = request.chars().take(80).collect::<String>();
+        assert_eq!(send(program.platform, &request).expect("an answer").status, status, "{shown}");
+    }
+    let late = "{\"id\":\"nobody\",\"from\":\"s-1\",\"state\":\"lost\"}";
+    let head = format!("POST /_jobs/news HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", late.len());
+    assert_eq!(
+        send(program.platform, &(head + late)).expect("an answer").status,
+        204,
+        "an unknown id is heard"
+    );
+    assert_eq!(program.figures()["taken"], 0);
+}
+
+#[test]
+fn chunked_and_cut_requests_are_read() {
+    let node = Node::start("s-1");
+    let program = start(std::slice::from_ref(&node), None, false);
+    let chunked =
+        job("e0", "balance", "", "Transfer-Encoding: chunked\r\n").replace("Content-Length: 0\r\n", "");
+    let request = chunked + "8\r\ntake sta\r\nb\r\nrted done=x\r\n0\r\n\r\n";
+    let mut stream = connect(program.platform);
+    for byte in request.as_bytes().chunks(3) {
+        stream.write_all(byte).expect("written");
+    }
+    assert_eq!(read_reply(&mut stream).expect("an answer").body, "x");
+    // Two requests at once are answered in turn.
+    let two = job("e1", "balance", "take done=1", "") + &job("e2", "balance", "take done=2", "");
+    stream.write_all(two.as_bytes()).expect("written");
+    let bodies: Vec<String> = (0..2).map(|_| read_reply(&mut stream).expect("an answer").body).collect();
+    assert_eq!(bodies, ["1", "2"]);
+}
+
+#[test]
+fn a_client_that_leaves_is_gone() {
+    let node = Node::start("s-1");
+    let program = start(std::slice::from_ref(&node), None, false);
+    let mut stream = connect(program.platform);
+    stream.write_all(job("f0", "balance", "take hang", "").as_bytes()).expect("written");
+    until("a job arrives", || node.jobs.load(Ordering::SeqCst) > 0);
+    drop(stream);
+    until("the job is cancelled", || node.saw("DELETE /jobs/f0"));
+    let figures = program.figures();
+    assert_eq!((figures["taken"], figures["gone"], figures["open"]), (1, 1, 0));
+}
+
+#[test]
+fn a_drained_worker_gets_nothing_new_and_a_cut_watch_is_taken_up_again() {
+    let (old, new) = (Node::start("s-1"), Node::start("s-2"));
+    let whole = |rows| json!({"generation": 1, "reset": true, "instances": rows});
+    let discovery = Discovery::start(whole(json!([old.row("up")])));
+    let program = start(&[old.clone(), new.clone()], Some(discovery.address), false);
+    let served = |id: &str| {
+        let reply =
+            send(program.platform, &job(id, "balance", "take started done=x", "")).expect("an answer");
+        assert_eq!(reply.status, 200);
+    };
+    until("a watch", || discovery.calls.load(Ordering::SeqCst) > 0);
+    // The list has only the old one. It drains, the new one comes up; bad lines between change nothing.
+    let after = whole(json!([old.row("draining"), new.row("up")]));
+    let change = json!({"generation": 2, "reset": false, "instances": [old.row("draining"), new.row("up")]});
+    discovery.push("this is no list", after.clone());
+    discovery.push(&change.to_string(), after);
+    let mut n = 0;
+    while new.jobs.load(Ordering::SeqCst) == 0 {
+        served(&format!("g{n}"));
+        n += 1;
+    }
+    let before = old.jobs.load(Ordering::SeqCst);
+    (0..10).for_each(|n| served(&format!("h{n}")));
+    assert_eq!(old.jobs.load(Ordering::SeqCst), before, "the old one has been told to drain");
+    let calls = discovery.calls.load(Ordering::SeqCst);
+    discovery.cut();
+    until("discovery.calls.load(Ordering::SeqCst) == calls", || {
+        !(discovery.calls.load(Ordering::SeqCst) == calls)
+    });
+    assert_eq!(program.figures()["bad_lists"], 1);
+}
+
+#[test]
+fn at_a_planned_stop_everything_taken_is_answered() {
+    let node = Node::start("s-1");
+    let program = start(std::slice::from_ref(&node), None, false);
+    let mut before = connect(program.platform);
+    before.write_all(job("i0", "balance", "take started pause=300 done=x", "").as_bytes()).expect("written");
+    until("a job arrives", || node.jobs.load(Ordering::SeqCst) > 0);
+    program.terminate();
+    let to = program.platform;
+    // New connections are still taken, and told not to stay.
+    let reply = send(to, &job("i1", "balance", "take started done=y", "")).expect("an answer");
+    assert_eq!((reply.status, reply.field("Connection")), (200, Some("close")));
+    assert_eq!(send(to, "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n").expect("an answer").status, 503);
+    assert_eq!(read_reply(&mut before).expect("an answer").status, 200);
+    let (clean, log) = program.wait();
+    assert!(clean && log.iter().any(|l| l == "stopped: open=0"), "{log:?}");
+}
+
+/// Descriptors are budgeted: idle connections give way to those that come with work.
+#[test]
+fn idle_connections_give_way_when_descriptors_are_short() {
+    let node = Node::start("s-1");
+    let few = |config: &mut serde_json::Value| config["limits"]["sockets"] = json!(80);
+    let program = start_with(&[node], None, false, few);
+    let mut idle: Vec<_> = (0..100).map(|_| connect(program.platform)).collect();
+    for n in 0..5 {
+        let reply = send(program.platform, &job(&format!("j{n}"), "balance", "take started done=x", ""));
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    idle[0].set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    assert!(matches!(idle[0].read(&mut [0; 1]), Ok(0) | Err(_)), "the one idle for longest was closed");
+}
+
+#[test]
+fn a_bad_configuration_is_a_plain_message() {
+    let run = |file: &std::path::Path, args: &[&str]| {
+        let program = Command::new(env!("CARGO_BIN_EXE_mothproxy"))
+            .args(args)
+            .env("GW_CONFIG", file)
+            .env_remove("GW_LISTEN")
+            .output()
+            .expect("the program starts");
+        (program.status.success(), String::from_utf8_lossy(&program.stderr).into_owned())
+    };
+    let stem = std::env::temp_dir().join(format!("mothproxy-bad-{}", std::process::id()));
+    let good = site::config("127.0.0.1:0", "127.0.0.1:1", json!([]));
+    let without = |path: &str| {
+        let mut config = good.clone();
+        config.as_object_mut().expect("an object").remove(path);
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), "not JSON"),
+        (without("settings"), "settings is missing"),
+        (without("known"), "known is missing"),
+        (good.to_string().replace("127.0.0.1:0", "here"), "listen is not an address: \"here\""),
+        (good.to_string().replace("\"MaxAttempts\":3", "\"MaxAttempts\":0"), "settings allow no attempt"),
+        (
+            good.to_string().replace("\"MaxAttempts\":3", "\"MaxAttempts\":\"x\""),
+            "Limits.MaxAttempts is not a number",
+        ),
+    ];
+    for (text, message) in cases {
+        std::fs::write(&stem, text).expect("a temporary file");
+        let (fine, said) = run(&stem, &[]);
+        assert!(!fine && said.contains(message) && !said.contains("panicked"), "{message}: {said}");
+    }
+    std::fs::write(&stem, good.to_string()).expect("a temporary file");
+    let (fine, said) = run(&stem, &["--sse", "/nowhere/sse.toml"]);
+    assert!(!fine && said.contains("cannot read /nowhere/sse.toml"), "{said}");
+    std::fs::remove_file(&stem).expect("it was there");
+    let (fine, said) = run(&stem, &[]);
+    assert!(!fine && said.contains("cannot read"), "{said}");
+}
--- /dev/null
+++ b/tests/streams.rs
@@ -0,0 +1,201 @@
+//! Progress streams over real sockets, with stand-in clients and card nodes: each job gets exactly one final event.
+
+#[path = "common/site.rs"]
+mod site;
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
+
+use mothproxy::http::{self, Body, EventStream, StreamEvent};
+use serde_json::Value;
+use stand_ins::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+
+const ACCEPT: &str = "Accept: text/event-stream\r\n";
+
+/// What a client saw of one request.
+#[derive(Debug, Default)]
+struct Seen {
+    status: u16,
+    head: String,
+    streams: bool,
+    events: Vec<StreamEvent>,
+    heartbeats: usize,
+    /// The answer came to its proper end.
+    whole: bool,
+}
+
+impl Seen {
+    fn finals(&self) -> usize {
+        let last = |e: &&StreamEvent| matches!(e.name.as_str(), "done" | "deny" | "failed");
+        let plain = usize::from(!self.streams && self.whole);
+        plain + self.events.iter().filter(last).count()
+    }
+
+    fn names(&self) -> Vec<&str> {
+        self.events.iter().map(|e| e.name.as_str()).collect()
+    }
+
+    fn data(&self, n: usize) -> Value {
+        serde_json::from_str(&self.events[n].data).expect("JSON")
+    }
+}
+
+/// Sends a job and reads its answer until it ends, or until `enough` says so: then the client drops.
+fn watch(to: SocketAddr, request: &str, enough: impl Fn(&Seen) -> bool) -> Seen {
+    let mut stream = connect(to);
+    stream.write_all(request.as_bytes()).expect("written");
+    read_stream(&mut stream, enough)
+}
+
+fn read_stream(stream: &mut TcpStream, enough: impl Fn(&Seen) -> bool) -> Seen {
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    let (mut seen, mut inbox, mut buf) = (Seen::default(), Vec::new(), [0; 16 * 1024]);
+    let (mut body, mut events) = (None::<Body>, EventStream::default());
+    loop {
+        match stream.read(&mut buf) {
+            Ok(0) => return seen,
+            Ok(read) => inbox.extend(&buf[..read]),
+            Err(error) => panic!("{error} after {seen:?}"),
+        }
+        if body.is_none() {
+            let Some(head) = http::read_response(&inbox).expect("an HTTP answer") else { continue };
+            seen.status = head.status;
+            seen.head = String::from_utf8_lossy(&inbox[..head.len]).into_owned();
+            seen.streams = head.fields.text(&inbox, "content-type") == Some("text/event-stream");
+            inbox.drain(..head.len);
+            body = Some(Body::new(head.framing));
+        }
+        let (Some(body), mut read) = (&mut body, Vec::new()) else { continue };
+        body.feed(&mut inbox, &mut read).expect("a sound body");
+        seen.heartbeats += String::from_utf8_lossy(&read).matches(": alive\n").count();
+        events.feed(&read, |event| seen.events.push(event)).expect("small events");
+        seen.whole = body.is_done();
+        if seen.whole || enough(&seen) {
+            return seen;
+        }
+    }
+}
+
+fn fleet(nodes: usize) -> (Vec<Arc<Node>>, Program, SocketAddr) {
+    let nodes: Vec<Arc<Node>> = (0..nodes).map(|n| Node::start(&format!("s-{n}"))).collect();
+    let program = start(&nodes, None, true);
+    let sse = program.sse.expect("the SSE front is on");
+    (nodes, program, sse)
+}
+
+#[test]
+fn events_come_in_order_and_end_with_the_result() {
+    let (_nodes, program, sse) = fleet(2);
+    for (id, body) in
+        [("a0", "stream started running=0.25 done=x"), ("a1", "take started running=0.25 done=x")]
+    {
+        let seen = watch(sse, &job(id, "redeem", body, ACCEPT), |_| false);
+        assert_eq!((seen.status, seen.streams, seen.whole), (200, true, true));
+        assert_eq!(seen.names(), ["started", "progress", "done"], "{body}");
+        assert_eq!(
+            (seen.data(1)["share"].clone(), seen.data(2)["result"].clone()),
+            (0.25.into(), "x".into())
+        );
+    }
+    // Without the field the answer is a plain one, and on the platform's front it always is.
+    let plain = send(sse, &job("a2", "redeem", "stream started done=x", "")).expect("an answer");
+    assert_eq!((plain.status, plain.body.as_str()), (200, "x"));
+    let plain =
+        send(program.platform, &job("a3", "redeem", "stream started done=x", ACCEPT)).expect("an answer");
+    assert_eq!((plain.status, plain.body.as_str()), (200, "x"));
+    // Call-backs and the front layer's question belong to the platform's front alone.
+    assert_eq!(send(sse, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").expect("an answer").status, 404);
+}
+
+#[test]
+fn denies_and_failures_are_plain_before_the_stream_begins_and_events_after() {
+    let (_nodes, _program, sse) = fleet(2);
+    let ask = |id: &str, class: &str, body: &str| {
+        let extra = format!("{ACCEPT}X-Time-Left-Ms: 700\r\n");
+        watch(sse, &job(id, class, body, &extra), |_| false)
+    };
+    let seen = ask("b0", "redeem", "full");
+    assert_eq!((seen.status, seen.streams, seen.finals()), (503, false, 1));
+    assert!(seen.head.contains("\r\nRetry-After: "), "{}", seen.head);
+    let seen = ask("b1", "redeem", "take hang");
+    assert_eq!((seen.status, seen.streams, seen.finals()), (504, false, 1));
+    let seen = ask("b2", "balance", "stream started running=0.1 returned");
+    assert_eq!((seen.status, seen.streams, seen.finals()), (200, true, 1));
+    assert_eq!(seen.names().last(), Some(&"deny"));
+    assert!(seen.data(seen.events.len() - 1)["retry_after"].as_f64().is_some_and(|s| s > 0.0));
+    let seen = ask("b3", "redeem", "stream started running=0.1 failed");
+    assert_eq!((seen.names().last(), seen.finals()), (Some(&"failed"), 1));
+    // The node tells progress once and then nothing: the deadline ends the session.
+    let seen = ask("b4", "redeem", "stream started running=0.1 hang");
+    assert_eq!((seen.names(), seen.finals()), (vec!["started", "progress", "failed"], 1));
+    assert_eq!(seen.data(2)["status"], 504);
+    assert!(seen.heartbeats > 0, "a quiet stream is kept alive");
+}
+
+/// A client that reads nothing while its node tells much: progress is dropped, the final event is not.
+#[test]
+fn a_slow_reader_loses_progress_and_never_the_final_event() {
+    const FLOOD: usize = 15_000;
+    let (nodes, program, sse) = fleet(1);
+    let mut stream = connect(sse);
+    rustix::net::sockopt::set_socket_recv_buffer_size(&stream, 4096).expect("a socket option");
+    let body = format!("stream started flood={FLOOD} done=x");
+    stream.write_all(job("c0", "redeem", &body, ACCEPT).as_bytes()).expect("written");
+    until("the node has told all", || nodes[0].saw("flooded"));
+    let seen = read_stream(&mut stream, |_| false);
+    assert_eq!((seen.finals(), seen.names().last(), seen.whole), (1, Some(&"done"), true));
+    let progress = seen.events.iter().filter(|e| e.name == "progress").count();
+    assert!(progress > 0 && progress < FLOOD, "{progress} of {FLOOD}");
+    assert_eq!(program.figures()["served"], 1);
+}
+
+/// The proof asked for: some hundred streams at once, drops and stalls among them. Finals seen and clients gone
+/// add up to the jobs taken, and only those are gone that dropped.
+#[test]
+fn final_events_match_the_jobs_taken() {
+    const STREAMS: usize = 360;
+    let (_nodes, program, sse) = fleet(40);
+    let kinds = [
+        ("redeem", "stream started running=0.3 running=0.7 done=x", 20_000, false),
+        ("balance", "take started running=0.5 done=x", 7_000, false),
+        ("redeem", "stream started running=0.1 hang", 20_000, true),
+        ("redeem", "stream started running=0.4 hang", 900, false),
+        ("redeem", "take started running=0.2 hang", 900, false),
+        ("balance", "full", 7_000, false),
+        ("redeem", "stream started running=0.2 cut", 2_000, false),
+        ("balance", "take started hang", 20_000, true),
+    ];
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|n| {
+            let (class, body, patience, drops) = kinds[n % kinds.len()];
+            let extra = format!("{ACCEPT}X-Time-Left-Ms: {patience}\r\n");
+            let request = job(&format!("{n:016x}"), class, body, &extra);
+            thread::spawn(move || {
+                let seen = watch(sse, &request, |seen| drops && !seen.events.is_empty());
+                let dropped = drops && seen.finals() == 0;
+                assert!(seen.whole || dropped, "an answer was cut short: {seen:?}");
+                assert_eq!(seen.finals(), usize::from(!dropped), "{seen:?}");
+                if seen.streams {
+                    assert_eq!(seen.names().first(), Some(&"started"));
+                }
+                (seen.finals() as u64, u64::from(dropped))
+            })
+        })
+        .collect();
+    let (mut finals, mut dropped) = (0, 0);
+    for client in clients {
+        let (f, d) = client.join().expect("a client's checks hold");
+        (finals, dropped) = (finals + f, dropped + d);
+    }
+    let figures = program.figures();
+    assert_eq!((finals + dropped, figures["taken"]), (STREAMS as u64, STREAMS as u64));
+    assert_eq!((figures["gone"], figures["open"], figures["broken_invariants"]), (dropped, 0, 0));
+    assert_eq!(figures["served"] + figures["denied"] + figures["failed"], finals);
+    assert!(
+        dropped > 0 && figures["served"] > 0 && figures["denied"] > 0 && figures["failed"] > 0,
+        "{figures:?}"
+    );
+}
