--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,75 @@
+//! The real configuration: nested JSON under the simulator's names.
+
+#[path = "common/site.rs"]
+mod site;
+
+use mothproxy::config::{Config, SseConfig, flatten};
+use mothproxy::front::platform;
+use mothproxy::http;
+use mothproxy::*;
+use serde_json::json;
+
+#[test]
+fn settings_come_out_as_the_module_needs_them() {
+    let config =
+        site::read(&site::config("127.0.0.1:1", "127.0.0.1:2", json!([site::row("s", "127.0.0.1:3", "up")])));
+    let set = &config.settings;
+    assert_eq!((set.tick, set.classes.len(), set.tenants.len(), set.max_attempts), (2_000, 2, 1, 3));
+    assert_eq!((set.classes[0].stretch, set.classes[1].aim), (2.0, 600_000));
+    assert_eq!(set.classes[1].effect, Effect::Token { group: Group::Cell, memory: 40_000_000 });
+    assert_eq!((set.ask_within, set.max_retry_after), (Some(400_000), Some(2_000_000)));
+    assert_eq!((config.conn_idle, config.connect_timeout, config.known.rows.len()), (5_000_000, 250_000, 1));
+}
+
+/// Found on an overloaded day: "free slots" has a space here and "_" on the simulator's wire, so that the free
+/// slots of every report were dropped and no worker ever read as full.
+#[test]
+fn the_free_slots_of_a_load_report_are_read() {
+    let config = site::read(&site::config("127.0.0.1:1", "127.0.0.1:2", json!([])));
+    let expected = Report { cpu: Some(0.5), free_slots: Some(3.0), err_rps: Some(0.1), ..Report::default() };
+    let pairs = |text| platform::report(&config.names, http::load::pairs(text));
+    assert_eq!(pairs("eps=0.1,util=0.5,x0=3,unheard=9"), Some(expected));
+    assert_eq!(pairs("err_rps=0.1,cpu=0.5,x0=3"), Some(expected));
+    assert_eq!(pairs("unheard=9,x0=many"), None);
+    let news = json!({"id": "a", "from": "s", "state": "done", "result": "r", "load": {"x0": 3.0, "util": 0.5, "eps": 0.1}});
+    let told = platform::read_news(&config.names, news.to_string().as_bytes(), None).expect("news");
+    assert_eq!(told.report, Some(expected));
+}
+
+#[test]
+fn lists_and_objects_are_flattened_and_names_keep_their_spaces() {
+    let flat =
+        flatten(&json!({"A": [1, 2.5], "B": [{"C": true}, {"C": "x y"}], "Domain": {"D": "x y"}, "N": null}));
+    let flat: Vec<(&str, &str)> = flat.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    for pair in [("A", "1,2.5"), ("B.count", "2"), ("B.0.C", "true"), ("B.1.C", "x y"), ("Domain.D", "x_y")] {
+        assert!(flat.contains(&pair), "{pair:?} in {flat:?}");
+    }
+    assert_eq!(flat.len(), 5);
+}
+
+#[test]
+fn the_environment_wins_over_the_file() {
+    let config = site::config("127.0.0.1:1", "127.0.0.1:2", json!([])).to_string();
+    let env = |name: &str| (name == "GW_LISTEN").then(|| "127.0.0.1:9".to_owned());
+    let config = Config::read(&config, "config.json", env).expect("sound");
+    assert_eq!((config.listen.port(), config.discovery.port(), config.name.as_str()), (9, 2, "n0"));
+}
+
+#[test]
+fn the_file_of_the_sse_front_says_where_it_listens() {
+    let file = std::env::temp_dir().join(format!("mothproxy-sse-{}.toml", std::process::id()));
+    let read = |text: &str| {
+        std::fs::write(&file, text).expect("a temporary file");
+        SseConfig::load(&file, true).map_err(|e| e.to_string())
+    };
+    assert_eq!(read(""), Ok(None));
+    let on = Some(("127.0.0.1:8444".parse().expect("an address"), 250_000));
+    assert_eq!(read("listen = \"127.0.0.1:8444\"\nheartbeat_ms = 250"), Ok(on));
+    assert!(read("listen = \"here\"").is_err_and(|e| e.contains("is not an address")));
+    assert!(read("lisen = \"127.0.0.1:8444\"").is_err_and(|e| e.contains("lisen")));
+    std::fs::remove_file(&file).expect("it was there");
+    assert_eq!(SseConfig::load(&file, false).expect("not there is off"), None);
+    assert!(SseConfig::load(&file, true).is_err());
+    let shipped = SseConfig::load(std::path::Path::new("deploy/sse.toml"), true).expect("sound");
+    assert_eq!(shipped, None, "off as shipped");
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -173,9 +173,7 @@
     assert_eq!(old.jobs.load(Ordering::SeqCst), before, "the old one has been told to drain");
     let calls = discovery.calls.load(Ordering::SeqCst);
     discovery.cut();
-    until("discovery.calls.load(Ordering::SeqCst) == calls", || {
-        !(discovery.calls.load(Ordering::SeqCst) == calls)
-    });
+    until("another watch", || discovery.calls.load(Ordering::SeqCst) > calls);
     assert_eq!(program.figures()["bad_lists"], 1);
 }
 
