Make the drain test start without the new worker, and count a watch once it is open

Cause: the stand-in counted the call before the test could push to its watch, and the program knew both workers from the start, so that a job could reach the new one before the change.

--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -271,11 +271,11 @@
         std::thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let _ = stream.read(&mut [0; 2048]);
-                shared.calls.fetch_add(1, Ordering::SeqCst);
                 let list = shared.list.lock().expect("a lock").clone();
                 let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 let _ = stream.write_all(line(&list).as_bytes());
                 shared.watches.lock().expect("a lock").push(stream);
+                shared.calls.fetch_add(1, Ordering::SeqCst); // only now can a test push to it
             }
         });
         discovery
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -151,7 +151,9 @@
     let (old, new) = (Node::start("s-1"), Node::start("s-2"));
     let whole = |rows| json!({"generation": 1, "reset": true, "instances": rows});
     let discovery = Discovery::start(whole(json!([old.row("up")])));
-    let program = start(&[old.clone(), new.clone()], Some(discovery.address), false);
+    // At first it knows only the old one: the new one gets a job only once the change was heard.
+    let known = |config: &mut serde_json::Value| config["known"]["instances"] = json!([old.row("up")]);
+    let program = start_with(&[old.clone(), new.clone()], Some(discovery.address), false, known);
     let served = |id: &str| {
         let reply =
             send(program.platform, &job(id, "balance", "take started done=x", "")).expect("an answer");
