--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -107,7 +107,7 @@
     let path = target.split(['?', '#']).next().unwrap_or("");
     match path {
         names::READY if workers_call => match method {
-            b"GET" | b"HEAD" => return Ok(Route::Ready),
+            b"GET" => return Ok(Route::Ready),
             _ => return Err(Reject::WrongMethod("GET")),
         },
         names::NEWS if workers_call => match method {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -69,7 +69,9 @@
     pub(super) fn accept(&mut self, sse: bool) {
         for _ in 0..ACCEPTS {
             // Idle connections give way before accepting fails; a client with nothing to say loses nothing.
-            if self.fronts >= self.most_fronts && !self.drop_idle_front() || !self.make_room() {
+            if self.fronts >= self.most_fronts && !self.drop_idle_front() && self.fronts >= self.last_fronts
+                || !self.make_room()
+            {
                 return self.pause_accepting();
             }
             let accepted = match (sse, &self.sse) {
@@ -233,6 +235,9 @@
                 }
                 None => Some(Reject::Bad),
             },
+            // All descriptors for frontends are at work: this one is turned away before anything has run, since
+            // one left in the queue of connections would be lost at its deadline.
+            Ok(Route::Session(_)) if self.fronts > self.most_fronts => Some(Reject::NoRoom),
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
                 let stream =
@@ -301,10 +306,24 @@
         self.close(token, conn, Role::Front(front));
     }
 
+    /// Closes an idle connection, unless a request has arrived on it that was not read yet: that one is taken.
+    pub(super) fn close_idle(&mut self, token: Token, conn: Conn, mut front: Front) -> bool {
+        let arrived = matches!(conn.stream.peek(&mut [0]), Ok(read) if read > 0);
+        if arrived {
+            self.front_ready(token, conn, front, EventFlags::IN);
+        } else {
+            if let Some(since) = front.idle_since.take() {
+                self.idle_fronts.remove(&(since, token));
+            }
+            self.front_gone(token, conn, front);
+        }
+        !arrived
+    }
+
     pub(super) fn front_due(&mut self, token: Token, mut conn: Conn, mut front: Front) {
-        if let Some(since) = front.idle_since.take() {
-            self.idle_fronts.remove(&(since, token));
-            return self.front_gone(token, conn, front);
+        if front.idle_since.is_some() {
+            self.close_idle(token, conn, front);
+            return;
         }
         match &mut front.state {
             State::Ending { .. } => self.front_gone(token, conn, front),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -127,7 +127,9 @@
     live: usize,
     fronts: usize,
     most_conns: usize,
+    /// Frontends beyond this are turned away, and beyond `last_fronts` not accepted.
     most_fronts: usize,
+    last_fronts: usize,
     accepting: bool,
     /// Connections of frontends without a session, by the time since which they are idle.
     idle_fronts: std::collections::BTreeSet<(Micros, Token)>,
@@ -211,6 +213,7 @@
             fronts: 0,
             most_conns,
             most_fronts: most_conns * 2 / 3,
+            last_fronts: most_conns * 5 / 6,
             accepting: true,
             idle_fronts: Default::default(),
             requests: HashMap::new(),
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -51,9 +51,20 @@
 
     /// Closes the connection of a frontend that has been idle for longest.
     pub(super) fn drop_idle_front(&mut self) -> bool {
-        let Some((_, token)) = self.idle_fronts.pop_first() else { return false };
-        self.close_token(token);
-        true
+        while let Some((_, token)) = self.idle_fronts.first().copied() {
+            match self.take(token) {
+                Some((conn, Role::Front(front))) => {
+                    if self.close_idle(token, conn, front) {
+                        return true;
+                    }
+                }
+                _ => {
+                    crate::invariant!(false, "an idle connection that is none");
+                    self.idle_fronts.pop_first();
+                }
+            }
+        }
+        false
     }
 
     pub(super) fn close_token(&mut self, token: Token) {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -212,6 +212,25 @@
     assert!(matches!(idle[0].read(&mut [0; 1]), Ok(0) | Err(_)), "the one idle for longest was closed");
 }
 
+/// With every descriptor at work a job is turned away while nothing of it has run, and the others are answered.
+#[test]
+fn a_job_beyond_the_descriptors_is_turned_away() {
+    let node = Node::start("s-1");
+    let few = |config: &mut serde_json::Value| config["limits"]["sockets"] = json!(80);
+    let program = start_with(&[node], None, false, few);
+    let request = |n: usize| job(&format!("k{n}"), "redeem", "take hang", "X-Time-Left-Ms: 3000\r\n");
+    let mut clients: Vec<_> = (0..32).map(|_| connect(program.platform)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write_all(request(n).as_bytes()).expect("written");
+    }
+    let statuses: Vec<u16> =
+        clients.iter_mut().map(|client| read_reply(client).expect("an answer").status).collect();
+    assert_eq!(statuses.iter().filter(|s| **s == 503 || **s == 504).count(), 32, "{statuses:?}");
+    let figures = program.figures();
+    assert!(figures["rejects"] > 0 && figures["taken"] + figures["rejects"] == 32, "{figures:?}");
+    assert_eq!((figures["open"], figures["gone"]), (0, 0));
+}
+
 #[test]
 fn a_bad_configuration_is_a_plain_message() {
     let run = |file: &std::path::Path, args: &[&str]| {
