--- a/src/rules.rs
+++ b/src/rules.rs
@@ -476,13 +476,15 @@
 
     /// A job runs: its worker is trusted again, and its other attempts are called off.
     fn sign(&mut self, id: JobId, attempt: u32, acts: &mut Vec<Action>) {
-        let now = self.m.now;
+        let (now, window) = (self.m.now, self.window());
         let Some(job) = self.m.jobs.get_mut(&id) else { return };
         let this = job.attempts.get_mut(attempt as usize).filter(|a| a.state == State::Out);
         let Some(this) = this else { return };
         (this.state, this.running_since) = (State::Running, Some(now));
         let (waited, worker) = ((now - this.at) as f64, &mut self.m.workers[this.worker.0 as usize]);
-        worker.trust = Trust::default();
+        // One that waited in a queue says that the worker is full: the next would queue for as long again.
+        let queued = if waited > QUEUED as f64 { waited.min(window as f64) as Micros } else { 0 };
+        worker.trust = Trust { strikes: 0, until: now + queued };
         worker.heard = now;
         worker.out.iter_mut().filter(|o| o.is(id, attempt)).for_each(|o| o.started = true);
         // A running quartile of the wait: three steps down for one up.
