Reread the configuration at SIGHUP and move the watch to the discovery it names

No handler was set anywhere (src/net/mod.rs open() registered SIGTERM and SIGINT only), and one pipe for both signals could not have told a third apart. Checked with a probe: index=0 at the new service brings the whole list. Now: a flag for each signal, raised before the loop is woken; the file is reread whole or not at all; settings, limits and peers count at once, zones and kinds keep their numbers; calls to the old discovery are closed and the new one is asked from version 0. The module asks a moved service again within 0.2 s for 5 s, since the change counts as told 4 s after SIGHUP; a connection to discovery has 0.5 s to come up. Tests: tests/reload.rs, which the program before did not survive. A test on idle connections passed on a time-out of its own read: it now asks whether they are closed.

--- a/src/config.rs
+++ b/src/config.rs
@@ -127,12 +127,16 @@
 /// Everything the dispatcher is told.
 #[derive(Debug)]
 pub struct Config {
+    /// The file it was read from.
+    pub file: String,
     /// Its name.
     pub name: String,
     /// Where clients and call-backs reach it.
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where the file says that discovery is, whatever the environment says.
+    pub named_discovery: Option<SocketAddr>,
     /// Seed for random choices.
     pub seed: u64,
     /// The machine's limits.
@@ -207,8 +211,40 @@
         Config::read(&read_file(Path::new(&file))?, &file, env)
     }
 
+    /// Reads its file anew, for a program that runs under this configuration and has met `known` names. Its name
+    /// and where it listens stay. An address of discovery that the file did not name before counts, though the
+    /// environment won at the start: that is how a running program is told of another.
+    pub fn reread(&self, known: &SiteNames) -> Result<Config, ConfigError> {
+        let kept = |name: &str| match name {
+            "GW_NAME" => Some(self.name.clone()),
+            "GW_LISTEN" => Some(self.listen.to_string()),
+            "GW_DISCOVERY" => Some(self.discovery.to_string()),
+            _ => None,
+        };
+        let text = read_file(Path::new(&self.file))?;
+        let mut new = Config::read_after(&text, &self.file, kept, known)?;
+        // Sessions and learned figures go by the numbers of classes and tenants.
+        if !new.names.0.classes.keeps(&known.0.classes) || !new.names.0.tenants.keeps(&known.0.tenants) {
+            let what = "a class or tenant is missing or out of its order, which takes a restart";
+            return Err(ConfigError::BadSettings(what.to_owned()));
+        }
+        if let Some(named) = new.named_discovery.filter(|_| new.named_discovery != self.named_discovery) {
+            new.discovery = named;
+        }
+        Ok(new)
+    }
+
     /// Reads a configuration's text; `file` names it in messages.
     pub fn read(text: &str, file: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        Config::read_after(text, file, env, &SiteNames::default())
+    }
+
+    fn read_after(
+        text: &str,
+        file: &str,
+        env: impl Fn(&str) -> Option<String>,
+        known_names: &SiteNames,
+    ) -> Result<Config, ConfigError> {
         let malformed = |what: String| ConfigError::Malformed(file.to_owned(), what);
         let root: Value = serde_json::from_str(text).map_err(|e| malformed(format!("not JSON: {e}")))?;
         let text = |name: &str| root.get(name).and_then(Value::as_str).map(str::to_owned);
@@ -242,12 +278,14 @@
             Ok(_) => Err(ConfigError::BadSettings(format!("{path} is not above 0"))),
             Err(what) => Err(ConfigError::BadSettings(what)),
         };
-        let (settings, names) = settings(&profile).map_err(ConfigError::BadSettings)?;
+        let (settings, names) = settings(&profile, &known_names.0).map_err(ConfigError::BadSettings)?;
         settings.check().map_err(|e| ConfigError::BadSettings(e.to_string()))?;
         Ok(Config {
+            file: file.to_owned(),
             name: either("GW_NAME", "name").ok_or(ConfigError::Missing("name"))?,
             listen: address("listen", &listen)?,
             discovery: address("discovery", &discovery)?,
+            named_discovery: optional("discovery")?,
             seed: seed.ok_or_else(|| malformed("seed is not a hexadecimal number".into()))?,
             limits,
             peer_listen: optional("peer_listen")?,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -210,6 +210,20 @@
         })
     }
 
+    /// Goes on under other settings. Classes and tenants must have kept their numbers.
+    pub fn reconfigure(&mut self, settings: Settings, names: SiteNames) -> Result<(), SettingsError> {
+        let tick = settings.tick;
+        self.dispatcher.reconfigure(settings)?;
+        (self.tick, self.names) = (tick, names);
+        Ok(())
+    }
+
+    /// Another service of discovery counts from now on. Its versions mean nothing beside the old one's.
+    pub fn discovery_moved(&mut self) {
+        self.servers.generation = 0;
+        self.events.push(Event::RosterMoved);
+    }
+
     /// The clock's first reading.
     pub fn clock_start() -> Micros {
         CLOCK_START
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -224,6 +224,8 @@
     NotAmongNodes,
     /// No attempt is allowed.
     NoAttempts,
+    /// A running module was given settings that lack a class of its own.
+    ClassGone,
     /// A figure is negative, not finite, or a share above 1.
     OutOfRange,
 }
@@ -234,6 +236,7 @@
             SettingsError::NoClasses => "settings name no class of jobs",
             SettingsError::NotAmongNodes => "this node's number is not below the count of nodes",
             SettingsError::NoAttempts => "settings allow no attempt",
+            SettingsError::ClassGone => "settings lack a class of the running module",
             SettingsError::OutOfRange => "a figure of the settings is out of range",
         })
     }
@@ -434,6 +437,8 @@
     Roster(RosterKind, Vec<RosterEntry>),
     /// A request for the roster failed, or the subscription broke; the list stays in force.
     RosterFailed,
+    /// Another service tells the roster from now on: it is to be asked at once. The list stays in force.
+    RosterMoved,
     /// A job has arrived: exactly one final answer is owed before its deadline.
     Arrived(NewJob),
     /// A stream has begun on this attempt.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,6 +10,8 @@
 
 /// The call must be answered by then: discovery itself gives up a call that has waited for a second.
 const ANSWER_TIME: Micros = 3_000_000;
+/// The connection for it must be up by then.
+const CONNECT_TIME: Micros = 500_000;
 /// A watch sends at least an empty line every 2 s; one that is silent for longer than this is dead.
 const SILENCE: Micros = 5_000_000;
 /// The longest line of a watch, or whole list.
@@ -42,7 +44,7 @@
             self.watch = Some(token);
         }
         if let Some((mut conn, role)) = self.take(token) {
-            self.set_timer(token, &mut conn, Some(self.now + ANSWER_TIME));
+            self.set_timer(token, &mut conn, Some(self.now + CONNECT_TIME));
             self.watch_for(token, &mut conn, true);
             self.put(token, conn, role);
         }
@@ -55,6 +57,7 @@
                 return self.call_failed(token, conn, call, "no connection");
             }
             call.connecting = false;
+            self.set_timer(token, &mut conn, Some(self.now + ANSWER_TIME));
         }
         if !conn.flush() {
             return self.call_failed(token, conn, call, "connection lost");
@@ -123,6 +126,11 @@
             Some(list) => {
                 call.answered = true;
                 self.core.listed(self.now, &list, false);
+                // A new service may answer with changes though it was asked for everything. Workers that it has
+                // never heard of would then stay in the table: the whole list is asked for once.
+                if std::mem::take(&mut self.whole_list_due) && !list.reset {
+                    self.call(false);
+                }
             }
             None => self.counts.bad_lists += 1,
         }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -69,7 +69,9 @@
     pub(super) fn accept(&mut self, sse: bool) {
         for _ in 0..ACCEPTS {
             // Idle connections give way before accepting fails; a client with nothing to say loses nothing.
-            if self.fronts >= self.most_fronts && !self.drop_idle_front() && self.fronts >= self.last_fronts
+            if self.fronts >= self.budget.fronts
+                && !self.drop_idle_front()
+                && self.fronts >= self.budget.last_fronts
                 || !self.make_room()
             {
                 return self.pause_accepting();
@@ -237,7 +239,7 @@
             },
             // All descriptors for frontends are at work: this one is turned away before anything has run, since
             // one left in the queue of connections would be lost at its deadline.
-            Ok(Route::Session(_)) if self.fronts > self.most_fronts => Some(Reject::NoRoom),
+            Ok(Route::Session(_)) if self.fronts > self.budget.fronts => Some(Reject::NoRoom),
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
                 let stream =
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,9 +5,10 @@
 mod discovery;
 mod frontend;
 mod peers;
+mod reload;
 mod stop;
 
-use crate::config::{Config, ConfigError};
+use crate::config::{Config, ConfigError, MachineLimits};
 use crate::core::{Command, Core, SessionId};
 use crate::interface::{Class, Micros, WorkerId};
 use crate::invariant;
@@ -15,11 +16,11 @@
 use conn::Conn;
 use discovery::Call;
 use frontend::Front;
+use reload::Signals;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::OwnedFd;
-use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Descriptors that are no connections: epoll, listeners, signals, log, datagrams, and some to spare.
@@ -97,6 +98,25 @@
     }
 }
 
+/// How many connections there may be.
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    /// In all.
+    conns: usize,
+    /// Frontends beyond this are turned away, and beyond `last_fronts` not accepted.
+    fronts: usize,
+    last_fronts: usize,
+}
+
+impl Budget {
+    fn of(limits: MachineLimits) -> Budget {
+        // A connection may buffer a whole request and a whole answer: memory bounds their number as well.
+        let by_memory = (limits.memory_mb as usize * 1024 * 1024) / (2 * 96 * 1024);
+        let conns = (limits.sockets as usize).saturating_sub(SPARE_FDS).max(16).min(by_memory.max(16));
+        Budget { conns, fronts: conns * 2 / 3, last_fronts: conns * 5 / 6 }
+    }
+}
+
 /// Counts for the log, beside the ledger's.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Counts {
@@ -120,16 +140,13 @@
     epoll: OwnedFd,
     platform: TcpListener,
     sse: Option<(TcpListener, Micros)>,
-    signals: UnixStream,
+    signals: Signals,
     peers: Option<UdpSocket>,
     slots: Vec<Slot>,
     free: Vec<usize>,
     live: usize,
     fronts: usize,
-    most_conns: usize,
-    /// Frontends beyond this are turned away, and beyond `last_fronts` not accepted.
-    most_fronts: usize,
-    last_fronts: usize,
+    budget: Budget,
     accepting: bool,
     /// Connections of frontends without a session, by the time since which they are idle.
     idle_fronts: std::collections::BTreeSet<(Micros, Token)>,
@@ -141,6 +158,8 @@
     pool: HashMap<WorkerId, Vec<Token>>,
     probes: HashMap<Token, Probe>,
     watch: Option<Token>,
+    /// A new service of discovery has not told its whole list yet.
+    whole_list_due: bool,
     stopping: Option<Micros>,
     done: bool,
     counts: Counts,
@@ -161,6 +180,9 @@
 impl Server {
     /// Opens everything. `sse` is where the SSE front listens, and its heartbeat.
     pub fn open(mut config: Config, sse: Option<(SocketAddr, Micros)>) -> Result<Server, NetError> {
+        let io = |what| move |error| NetError::System(what, error);
+        // First of all: a SIGHUP that no handler awaits ends the program, with all it has taken.
+        let signals = Signals::register().map_err(io("signals"))?;
         let unix_now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros();
         let names = std::mem::take(&mut config.names);
         let classes = config.settings.classes.clone();
@@ -168,13 +190,6 @@
             Core::new(config.settings.clone(), names, config.seed, unix_now).map_err(NetError::Settings)?;
         let platform = listen(config.listen)?;
         let sse = sse.map(|(at, heartbeat)| listen(at).map(|l| (l, heartbeat))).transpose()?;
-        let io = |what| move |error| NetError::System(what, error);
-        let (signals, writer) = UnixStream::pair().map_err(io("signals"))?;
-        signals.set_nonblocking(true).map_err(io("signals"))?;
-        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-            let writer = writer.try_clone().map_err(io("signals"))?;
-            signal_hook::low_level::pipe::register(signal, writer).map_err(io("signals"))?;
-        }
         let peers = config.peer_listen.map(UdpSocket::bind).transpose().map_err(io("peer socket"))?;
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(system("epoll"))?;
         let add = |fd: std::os::fd::BorrowedFd<'_>, token: Token| {
@@ -182,7 +197,7 @@
         };
         use std::os::fd::AsFd;
         add(platform.as_fd(), PLATFORM)?;
-        add(signals.as_fd(), SIGNAL)?;
+        add(signals.woken.as_fd(), SIGNAL)?;
         if let Some((listener, _)) = &sse {
             add(listener.as_fd(), SSE)?;
         }
@@ -193,10 +208,7 @@
         let now = Core::clock_start();
         core.listed(now, &config.known, true);
         core.remind(now + SUMMARY, SUMMARY_TIMER);
-        // A connection may buffer a whole request and a whole answer: memory bounds their number as well.
-        let by_memory = (config.limits.memory_mb as usize * 1024 * 1024) / (2 * 96 * 1024);
-        let most_conns =
-            (config.limits.sockets as usize).saturating_sub(SPARE_FDS).max(16).min(by_memory.max(16));
+        let budget = Budget::of(config.limits);
         Ok(Server {
             classes,
             core,
@@ -211,9 +223,7 @@
             free: Vec::new(),
             live: 0,
             fronts: 0,
-            most_conns,
-            most_fronts: most_conns * 2 / 3,
-            last_fronts: most_conns * 5 / 6,
+            budget,
             accepting: true,
             idle_fronts: Default::default(),
             requests: HashMap::new(),
@@ -221,6 +231,7 @@
             pool: HashMap::new(),
             probes: HashMap::new(),
             watch: None,
+            whole_list_due: false,
             stopping: None,
             done: false,
             counts: Counts::default(),
@@ -290,6 +301,8 @@
                 Command::Tell { frontend, share } => self.tell(Token(frontend), share),
                 Command::Probe(worker) => self.probe(worker),
                 Command::Peers(bytes) => self.tell_peers(&bytes),
+                // One that a change of discovery has begun already is as good.
+                Command::Watch if self.watch.is_some() => {}
                 Command::Watch => self.call(true),
                 Command::Fetch => self.call(false),
                 Command::Due(SUMMARY_TIMER) => {
@@ -392,7 +405,7 @@
 
     /// Makes room for a new connection where the descriptors are used up, by closing an idle one.
     fn make_room(&mut self) -> bool {
-        self.live < self.most_conns || self.drop_idle_backend() || self.drop_idle_front()
+        self.live < self.budget.conns || self.drop_idle_backend() || self.drop_idle_front()
     }
 
     /// One line of figures, if anything has changed since the last.
--- /dev/null
+++ b/src/net/reload.rs
@@ -0,0 +1,77 @@
+//! Signals, and the new configuration that SIGHUP asks for.
+
+use super::{Budget, Role, Server, Token};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::{flag, low_level::pipe};
+use std::io::Read;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// What signals have asked for. Each raises its flag before it wakes the loop, so that two close together, in
+/// either order, are both seen.
+pub(super) struct Signals {
+    pub woken: UnixStream,
+    reload: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Signals {
+    pub fn register() -> std::io::Result<Signals> {
+        let (woken, waker) = UnixStream::pair()?;
+        woken.set_nonblocking(true)?;
+        let (reload, stop) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        for (signal, raised) in [(SIGHUP, &reload), (SIGTERM, &stop), (SIGINT, &stop)] {
+            flag::register(signal, raised.clone())?;
+            pipe::register(signal, waker.try_clone()?)?;
+        }
+        Ok(Signals { woken, reload, stop })
+    }
+}
+
+impl Server {
+    pub(super) fn signalled(&mut self) {
+        let mut buf = [0; 64];
+        while matches!(self.signals.woken.read(&mut buf), Ok(n) if n > 0) {}
+        if self.signals.stop.swap(false, Ordering::Relaxed) {
+            self.stop();
+        }
+        // Also while stopping: what discovery tells until the end still counts.
+        if self.signals.reload.swap(false, Ordering::Relaxed) {
+            self.reload();
+        }
+    }
+
+    /// Rereads the configuration. One that is out of order changes nothing.
+    fn reload(&mut self) {
+        let taken = self.config.reread(self.core.names()).map_err(|e| e.to_string()).and_then(|mut new| {
+            let names = std::mem::take(&mut new.names);
+            self.core.reconfigure(new.settings.clone(), names).map_err(|e| e.to_string())?;
+            Ok(new)
+        });
+        let new = match taken {
+            Ok(new) => new,
+            Err(why) => return eprintln!("reload: {why}; the old configuration stays"),
+        };
+        eprintln!("reloaded: discovery {}", new.discovery);
+        self.classes = new.settings.classes.clone();
+        self.budget = Budget::of(new.limits);
+        let moved = new.discovery != self.config.discovery;
+        self.config = new;
+        if moved {
+            self.leave_discovery();
+            self.core.discovery_moved();
+        }
+    }
+
+    /// Drops all calls to a service of discovery that no longer counts, and whatever it may still say.
+    fn leave_discovery(&mut self) {
+        self.watch = None;
+        for slot in 0..self.slots.len() {
+            if let Some((_, Role::Call(_))) = self.slots[slot].held {
+                self.close_token(Token::new(slot, self.slots[slot].used));
+            }
+        }
+        self.whole_list_due = true;
+    }
+}
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -2,7 +2,6 @@
 
 use super::{Role, STOP_TIMER, Server, Token};
 use crate::interface::Micros;
-use std::io::Read;
 
 /// New requests may arrive for this long after the signal.
 const ARRIVALS: Micros = 700_000;
@@ -13,9 +12,7 @@
 const STEP: Micros = 25_000;
 
 impl Server {
-    pub(super) fn signalled(&mut self) {
-        let mut buf = [0; 16];
-        while matches!(self.signals.read(&mut buf), Ok(n) if n > 0) {}
+    pub(super) fn stop(&mut self) {
         if self.stopping.is_none() {
             self.stopping = Some(self.now);
             eprintln!("stopping: asked to; open={}", self.core.ledger.open());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,6 +46,10 @@
 const LEAST_SPARE: f64 = 0.1;
 /// A worker of another zone whose load is not known counts as this many times as busy.
 const AWAY: f64 = 4.0;
+/// A service of the roster that has just taken over is asked again this soon, for this long: what the old one
+/// did not tell any more counts as told a few seconds later.
+const MOVED_ASK: Micros = 200_000;
+const MOVED_FOR: Micros = 5_000_000;
 const ROSTER_ALARM: u64 = 0; // and job n has alarm 1 + n
 
 /// The decision module of one node.
@@ -82,12 +86,29 @@
         Ok(Dispatcher { rng: fastrand::Rng::with_seed(seed), set, m })
     }
 
+    /// Goes on under other settings, with all that it has learned. Classes keep their places; more may follow.
+    pub fn reconfigure(&mut self, set: Settings) -> Result<(), SettingsError> {
+        set.check()?;
+        if set.classes.len() < self.set.classes.len() {
+            return Err(SettingsError::ClassGone);
+        }
+        self.m.class_work.resize(set.classes.len(), Mean::default());
+        self.m.class_sum.resize(set.classes.len(), (0.0, 0.0));
+        self.set = set;
+        self.m.index(self.set.zone, self.set.cold_time);
+        Ok(())
+    }
+
     /// Takes one event and adds to `acts` what must be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, acts: &mut Vec<Action>) {
         self.m.now = self.m.now.max(now);
         match event {
             Event::Roster(kind, entries) => self.roster(kind, &entries, acts),
             Event::RosterFailed => self.ask_later(1, acts),
+            Event::RosterMoved => {
+                (self.m.roster_failures, self.m.moved_until) = (0, self.m.now + MOVED_FOR);
+                acts.push(Action::Watch);
+            }
             Event::Arrived(new) => self.arrived(new, acts),
             Event::Begun { job, attempt }
             | Event::Started { job, attempt }
@@ -127,7 +148,8 @@
     fn ask_later(&mut self, failed: u32, acts: &mut Vec<Action>) {
         self.m.roster_failures = (self.m.roster_failures + failed).min(3);
         if let Some(within) = self.set.ask_within.filter(|_| self.set.roster_on_request) {
-            let span = (within / 8) << self.m.roster_failures;
+            let moved = self.m.now < self.m.moved_until;
+            let span = if moved { MOVED_ASK } else { (within / 8) << self.m.roster_failures };
             acts.push(Action::SetAlarm(AlarmId(ROSTER_ALARM), self.rng.u64(0..=span)));
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -97,7 +97,7 @@
 }
 
 /// Hands out numbers in order of appearance.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Interner {
     names: HashMap<String, u32>,
     next: u32,
@@ -118,6 +118,11 @@
         self.names.is_empty()
     }
 
+    /// Whether it gives every name of another its number there.
+    pub(crate) fn keeps(&self, older: &Interner) -> bool {
+        older.names.iter().all(|(name, id)| self.find(name) == Some(*id))
+    }
+
     /// The number of a name that already has one.
     pub(crate) fn find(&self, name: &str) -> Option<u32> {
         self.names.get(name).copied()
@@ -211,9 +216,11 @@
     }
 }
 
-/// Maps settings names to [`Settings`]; the names met on the way come back beside them.
-pub(crate) fn settings(p: &Profile) -> Parsed<(Settings, Names)> {
-    let mut names = Names::default();
+/// Maps settings names to [`Settings`]; the names met on the way come back beside them. Zones and kinds that
+/// already have a number in `known` keep it.
+pub(crate) fn settings(p: &Profile, known: &Names) -> Parsed<(Settings, Names)> {
+    let (zones, kinds) = (known.zones.clone(), known.kinds.clone());
+    let mut names = Names { zones, kinds, ..Names::default() };
     for zone in p.list("Zones") {
         names.zones.id(zone);
     }
@@ -325,7 +332,7 @@
 
 fn hello(f: &Fields) -> Parsed<Instance> {
     let profile = Profile(f.pairs.iter().copied().collect());
-    let (settings, names) = settings(&profile).map_err(|e| format!("hello: {e}"))?;
+    let (settings, names) = settings(&profile, &Names::default()).map_err(|e| format!("hello: {e}"))?;
     Ok(Instance {
         dispatcher: Dispatcher::new(settings, f.need("InitSeed")?).map_err(|e| format!("hello: {e}"))?,
         workers: Interner::default(),
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,165 @@
+//! SIGHUP: a new configuration under a running program, and signals close together.
+
+#[path = "common/site.rs"]
+mod site;
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
+
+use serde_json::{Value, json};
+use stand_ins::*;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+fn whole(nodes: &[&Arc<Node>]) -> Value {
+    let rows: Vec<Value> = nodes.iter().map(|n| n.row("up")).collect();
+    json!({"generation": 1, "reset": true, "instances": rows})
+}
+
+fn naming(program: &Program, discovery: &Discovery) -> String {
+    let mut config = program.config.clone();
+    config["discovery"] = json!(discovery.address.to_string());
+    config.to_string()
+}
+
+fn served(program: &Program, id: &str) {
+    let reply = send(program.platform, &job(id, "balance", "take started done=x", "")).expect("an answer");
+    assert_eq!(reply.status, 200);
+}
+
+/// SIGHUP used to end the program, and what it had taken was lost. `GW_DISCOVERY` still says the old address.
+#[test]
+fn the_newly_named_discovery_counts_and_what_is_under_way_goes_on() {
+    let (old, new) = (Node::start("s-1"), Node::start("s-2"));
+    let first = Discovery::start(whole(&[&old]));
+    let second = Discovery::start(whole(&[&new]));
+    let mut program = start(std::slice::from_ref(&old), Some(first.address), true);
+    new.calls_back_to(program.platform);
+    let request = |id| job(id, "redeem", "take started pause=500 done=kept", "");
+    let mut plain = connect(program.platform);
+    plain.write_all(request("a0").as_bytes()).expect("written");
+    let mut stream = connect(program.sse.expect("the SSE front is on"));
+    stream.write_all(request("a1").as_bytes()).expect("written");
+    until("both jobs arrive", || old.jobs.load(Ordering::SeqCst) == 2);
+    until("a watch", || first.calls.load(Ordering::SeqCst) > 0);
+    program.replace_config(&naming(&program, &second));
+    program.signal("-HUP");
+    assert_eq!(program.logged("reloaded"), format!("reloaded: discovery {}", second.address));
+    until("a watch of the new one", || second.calls.load(Ordering::SeqCst) > 0);
+    // Versions of another service need not compare: everything is asked for.
+    let asked = second.asked.lock().expect("a lock").clone();
+    assert_eq!(asked, ["GET /discovery/hosts?stream=1&index=0 HTTP/1.1"]);
+    let mut n = 0;
+    while new.jobs.load(Ordering::SeqCst) == 0 {
+        served(&program, &format!("b{n}"));
+        n += 1;
+    }
+    let before = old.jobs.load(Ordering::SeqCst);
+    (0..5).for_each(|n| served(&program, &format!("c{n}")));
+    assert_eq!(old.jobs.load(Ordering::SeqCst), before, "the new list does not name it");
+    // The old service may end its watches now: nothing of it counts, and the new one keeps its own.
+    first.cut();
+    let calls = first.calls.load(Ordering::SeqCst);
+    for stream in [&mut plain, &mut stream] {
+        assert_eq!(read_reply(stream).expect("an answer").body, "kept");
+    }
+    served(&program, "d0");
+    assert_eq!(first.calls.load(Ordering::SeqCst), calls);
+    let figures = program.figures();
+    assert_eq!((figures["open"], figures["failed"], figures["broken_invariants"]), (0, 0, 0));
+}
+
+/// A service may answer even a call from the start with changes: workers it does not know would stay for good.
+#[test]
+fn a_new_discovery_that_tells_changes_is_asked_for_its_whole_list() {
+    let (old, new) = (Node::start("s-1"), Node::start("s-2"));
+    let first = Discovery::start(whole(&[&old]));
+    let second = Discovery::start(json!({"generation": 9, "reset": false, "instances": [new.row("up")]}));
+    let mut program = start(std::slice::from_ref(&old), Some(first.address), false);
+    program.replace_config(&naming(&program, &second));
+    program.signal("-HUP");
+    program.logged("reloaded");
+    let whole = "GET /discovery/hosts HTTP/1.1";
+    until("the whole list is asked for", || {
+        second.asked.lock().expect("a lock").iter().any(|line| line == whole)
+    });
+}
+
+#[test]
+fn a_bad_or_missing_configuration_changes_nothing() {
+    let node = Node::start("s-1");
+    let discovery = Discovery::start(whole(&[&node]));
+    let mut program = start(std::slice::from_ref(&node), Some(discovery.address), false);
+    until("a watch", || discovery.calls.load(Ordering::SeqCst) > 0);
+    let good = program.config.clone();
+    let changed = |change: &dyn Fn(&mut Value)| {
+        let mut config = good.clone();
+        change(&mut config);
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), "not JSON"),
+        (changed(&|c| c["discovery"] = json!("nowhere")), "discovery is not an address"),
+        (changed(&|c| drop(c["settings"].take())), "settings"),
+        (changed(&|c| c["settings"]["Grades"].as_array_mut().expect("a list").reverse()), "out of its order"),
+        (changed(&|c| c["settings"]["Limits"]["MaxAttempts"] = json!(0)), "settings allow no attempt"),
+    ];
+    for (n, (text, why)) in cases.into_iter().enumerate() {
+        program.replace_config(&text);
+        program.signal("-HUP");
+        let line = program.logged("reload");
+        assert!(line.contains(why) && line.ends_with("the old configuration stays"), "{why}: {line}");
+        served(&program, &format!("e{n}"));
+    }
+    std::fs::remove_file(&program.config_file).expect("it was there");
+    program.signal("-HUP");
+    assert!(program.logged("reload").contains("cannot read"));
+    // The same file again names no other discovery: the watch stays, and the environment's address with it.
+    program.replace_config(&good.to_string());
+    program.signal("-HUP");
+    assert_eq!(program.logged("reloaded"), format!("reloaded: discovery {}", discovery.address));
+    served(&program, "f0");
+    assert_eq!(discovery.calls.load(Ordering::SeqCst), 1);
+}
+
+/// Limits and settings of the new file count as well: with few descriptors, idle connections give way.
+#[test]
+fn limits_and_settings_of_the_new_file_count() {
+    let node = Node::start("s-1");
+    let mut program = start(std::slice::from_ref(&node), None, false);
+    let mut config = program.config.clone();
+    config["limits"]["sockets"] = json!(80);
+    config["settings"]["Grades"].as_array_mut().expect("a list").push(json!(
+        {"Name": "check", "Semantics": "pure", "TargetMs": 250.0, "DeadlineMs": 7500.0, "Points": 1.0}));
+    let request = |id| job(id, "check", "take started done=x", "");
+    assert_eq!(send(program.platform, &request("g0")).expect("an answer").status, 400, "unknown so far");
+    program.replace_config(&config.to_string());
+    program.signal("-HUP");
+    program.logged("reloaded");
+    assert_eq!(send(program.platform, &request("g1")).expect("an answer").status, 200);
+    let idle: Vec<_> = (0..60).map(|_| connect(program.platform)).collect();
+    served(&program, "g2");
+    until("most of the idle ones are closed", || idle.iter().filter(|s| is_closed(s)).count() > 30);
+}
+
+/// Each signal raises its own flag: with one byte for both, the second would have been taken for the first.
+#[test]
+fn signals_close_together_are_both_seen() {
+    for order in [["-HUP", "-TERM"], ["-TERM", "-HUP"]] {
+        let node = Node::start("s-1");
+        let first = Discovery::start(whole(&[&node]));
+        let second = Discovery::start(whole(&[&node]));
+        let program = start(std::slice::from_ref(&node), Some(first.address), false);
+        let mut before = connect(program.platform);
+        before
+            .write_all(job("h0", "balance", "take started pause=300 done=x", "").as_bytes())
+            .expect("written");
+        until("a job arrives", || node.jobs.load(Ordering::SeqCst) > 0);
+        program.replace_config(&naming(&program, &second));
+        order.iter().for_each(|signal| program.signal(signal));
+        assert_eq!(read_reply(&mut before).expect("an answer").status, 200, "{order:?}");
+        let (clean, log) = program.wait();
+        let has = |start: &str| log.iter().any(|line| line.starts_with(start));
+        assert!(clean && has("reloaded: ") && has("stopped: open=0"), "{order:?}: {log:?}");
+    }
+}
