Give up a dispatch that is not taken within 0.4 s, so that it goes on elsewhere

Cause: src/net/backend.rs back_start() set no timer for a dispatch, and the module does not copy a job whose worker was heard of since: it takes it for queued there. Ruled out: lost call-backs (no job of them was ever answered 202). Test: a_dispatch_that_is_not_taken_goes_elsewhere; without the change its session ends at its deadline.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -10,6 +10,9 @@
 
 /// A cancel or a probe must be answered by then.
 const SIDE_TIME: Micros = 500_000;
+/// A worker answers a dispatch as soon as it has read it, the slowest seen after some 20 ms, and stands still for
+/// 270 ms at most. One that has said nothing for this long has a connection that fell silent: no reset comes.
+const TAKE_TIME: Micros = 400_000;
 /// Sends to a worker that drains or is gone may go on for 400 ms from being told. A connection that comes up
 /// this long after is not written to any more.
 const STOPPED_GRACE: Micros = 250_000;
@@ -23,6 +26,16 @@
     Probe,
 }
 
+impl Exchange {
+    /// How long its answer may take.
+    fn time(self) -> Micros {
+        match self {
+            Exchange::Dispatch { .. } => TAKE_TIME,
+            Exchange::Cancel | Exchange::Probe => SIDE_TIME,
+        }
+    }
+}
+
 enum State {
     Connecting(Exchange),
     /// The answer's head is awaited.
@@ -122,7 +135,7 @@
         let Some((mut conn, Role::Back(back))) = self.take(token) else { return };
         let time = match back.state {
             State::Connecting(_) => Some(self.config.connect_timeout),
-            State::Awaiting(Exchange::Cancel | Exchange::Probe) => Some(SIDE_TIME),
+            State::Awaiting(exchange) => Some(exchange.time()),
             _ => None,
         };
         self.set_timer(token, &mut conn, time.map(|t| self.now + t));
@@ -151,8 +164,7 @@
                 return self.back_broken(token, conn, back);
             }
             back.state = State::Awaiting(exchange);
-            let side = (!dispatch).then_some(self.now + SIDE_TIME);
-            self.set_timer(token, &mut conn, side);
+            self.set_timer(token, &mut conn, Some(self.now + exchange.time()));
         }
         if !conn.flush() {
             return self.back_broken(token, conn, back);
@@ -278,6 +290,9 @@
         if !conn.flush() {
             return self.back_broken(token, conn, back);
         }
+        if matches!(back.state, State::Stream { .. }) {
+            self.set_timer(token, &mut conn, None); // its session's deadline ends it
+        }
         if matches!(back.state, State::Idle) {
             // Workers close connections idle for this long; a request written to one then ends as a reset.
             let until = self.now + self.config.conn_idle / 2;
@@ -349,7 +364,16 @@
     }
 
     pub(super) fn back_due(&mut self, token: Token, conn: Conn, back: Back) {
-        self.back_broken(token, conn, back);
+        match back.state {
+            // The worker may have read it. Closing the connection gives it up, and the session goes on elsewhere
+            // instead of being waited for until its deadline.
+            State::Awaiting(exchange @ Exchange::Dispatch { .. }) if conn.outbox.is_empty() => {
+                self.counts.untaken += 1;
+                self.exchange_failed(Some(token), back.worker, exchange, Outcome::Timeout);
+                self.close(token, conn, Role::Back(back));
+            }
+            _ => self.back_broken(token, conn, back),
+        }
     }
 
     fn unpool(&mut self, worker: WorkerId, token: Token) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -124,6 +124,7 @@
     connects: u64,
     connect_failures: u64,
     resets: u64,
+    untaken: u64,
     rejects: u64,
     bad_datagrams: u64,
     bad_lists: u64,
@@ -418,7 +419,7 @@
         let (c, l) = state;
         eprintln!(
             "figures taken={} served={} denied={} failed={} gone={} open={} dispatches={} connects={} \
-             connect_failures={} resets={} rejects={} stale_news={} bad_rows={} bad_lists={} \
+             connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} \
              bad_datagrams={} accept_pauses={} connections={} workers={} broken_invariants={}",
             l.taken,
             l.served,
@@ -430,6 +431,7 @@
             c.connects,
             c.connect_failures,
             c.resets,
+            c.untaken,
             c.rejects,
             self.core.stale_news,
             self.core.servers.bad_rows,
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -229,6 +229,11 @@
                     self.seen.lock().expect("a lock").push("flooded".to_owned());
                     continue;
                 }
+                "mute" if value != self.name => continue,
+                "mute" => {
+                    let _ = stream.read(&mut [0; 64]); // silent, whatever comes
+                    return false;
+                }
                 "hang" if taken => return true, // nothing more is told
                 "hang" => {
                     // Silent until the other side gives up.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -133,6 +133,25 @@
     assert_eq!(bodies, ["1", "2"]);
 }
 
+/// A connection that fell silent, of a worker that lives: its jobs were waited for until their deadlines.
+#[test]
+fn a_dispatch_that_is_not_taken_goes_elsewhere() {
+    let nodes = [Node::start("s-1"), Node::start("s-2")];
+    let no_copies =
+        |config: &mut serde_json::Value| config["settings"]["Limits"]["SecondCopies"] = json!(false);
+    let program = start_with(&nodes, None, false, no_copies);
+    let mut n = 0;
+    while n == 0 || !nodes[0].saw(&format!("m{n}")) {
+        n += 1;
+        let reply =
+            send(program.platform, &job(&format!("m{n}"), "balance", "mute=s-1 take started done=x", ""));
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    assert!(nodes[1].saw(&format!("m{n}")), "the other one has served it");
+    let figures = program.figures();
+    assert_eq!((figures["untaken"], figures["served"]), (1, n as u64));
+}
+
 #[test]
 fn a_client_that_leaves_is_gone() {
     let node = Node::start("s-1");
