Give bad clients an error or a close within 2.5 s, and let half requests give way

Causes: src/net/frontend.rs REQUEST_TIME 20 s and IDLE 120 s for a connection that never asked; accept() closed only idle connections, so that half requests held their descriptors; src/front/platform.rs read the deadline as any floating-point number. Also guarded: bytes after a body that cannot begin a request mean that the length was wrong. Accepted sockets take their options from the listener: two calls less for each.

--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -154,6 +154,13 @@
             _ => Err(Reject::Bad),
         },
     };
+    // Whole milliseconds, and no more than the 49 days that no client waits for.
+    let time_left = match text(names::TIME_LEFT) {
+        Some(digits) if !digits.bytes().all(|b| b.is_ascii_digit()) => return Err(Reject::Bad),
+        Some(digits) => Some(digits.parse::<u32>().map_err(|_| Reject::Bad)?),
+        None => None,
+    };
+    let deadline = set[class].deadline;
     let facts: Vec<(&str, f64)> = text(names::FACTS).map_or(Vec::new(), |t| http::load::pairs(t).collect());
     let fact = |names: [&str; 2]| facts.iter().find(|(n, _)| names.contains(n)).map(|(_, v)| *v);
     Ok(Route::Session(Arrival {
@@ -162,7 +169,7 @@
         class: ClassId(class as u16),
         tenant: tenant.map(|t| TenantId(t as u16)),
         key: cookie(text("cookie").unwrap_or("")).map(|k| KeyId(tag(k) as u32)),
-        patience: number(names::TIME_LEFT)?.map_or(set[class].deadline, to_micros).min(set[class].deadline),
+        patience: time_left.map_or(deadline, |ms| Micros::from(ms) * 1000).min(deadline),
         hint: number(names::HINT)?.or(fact(["hint", "HintMs"])).map(to_micros).filter(|h| *h > 0),
         slots: fact(["slots", "Needs"]).unwrap_or(1.0),
         memory: fact(["memory", "MemNeeded"]),
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -204,6 +204,16 @@
     }
 }
 
+/// Whether bytes that follow a request can be the beginning of another. Where they cannot, its length was wrong.
+pub fn may_begin_request(buf: &[u8]) -> bool {
+    let rest = &buf[buf.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count().min(4)..];
+    let methods = ["GET", "HEAD", "POST", "PUT", "DELETE", "CONNECT", "OPTIONS", "TRACE", "PATCH"];
+    methods.iter().any(|method| {
+        let word = rest.iter().zip(method.bytes().chain([b' ']));
+        word.into_iter().all(|(a, b)| *a == b)
+    })
+}
+
 /// Reads the head of a request; `None` if it is not complete yet.
 pub fn read_request(buf: &[u8]) -> Result<Option<Request>, HeadError> {
     // Blank lines before a request are passed over, as RFC 9112 asks.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -11,5 +11,7 @@
 pub use body::Body;
 pub use chunked::Chunked;
 pub use events::{EventStream, StreamEvent};
-pub use head::{Framing, HeadError, MAX_BODY, MAX_HEAD, Request, Response, read_request, read_response};
+pub use head::{
+    Framing, HeadError, MAX_BODY, MAX_HEAD, Request, Response, may_begin_request, read_request, read_response,
+};
 pub use piece::Piece;
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -88,9 +88,14 @@
 }
 
 impl Conn {
-    /// A connection over a socket that does not block.
+    /// A connection to elsewhere, over a socket that does not block.
     pub fn new(stream: TcpStream) -> Conn {
         let _ = stream.set_nodelay(true); // a slower connection is no reason to lose it
+        Conn::accepted(stream)
+    }
+
+    /// A connection that was accepted; it has its options from the listener.
+    pub fn accepted(stream: TcpStream) -> Conn {
         let interest = EventFlags::empty();
         Conn { stream, inbox: Vec::new(), outbox: Outbox::default(), interest, timer: None }
     }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -8,10 +8,16 @@
 use crate::http::{self, Chunked, Framing, MAX_BODY, MAX_HEAD, Piece};
 use crate::interface::Micros;
 use rustix::event::epoll::EventFlags;
+use rustix::io::Errno;
+use rustix::net::SocketFlags;
+use std::net::TcpStream;
 use std::rc::Rc;
 
-/// A request must be complete this long after its first byte.
-const REQUEST_TIME: Micros = 20_000_000;
+/// A client that sends what cannot be read, or nothing, is owed an error or a close within 3 s of connecting. Its
+/// first request must be complete this long after it connected, later ones this long after their first byte.
+const REQUEST_TIME: Micros = 2_500_000;
+/// A connection that has asked for nothing whole this long after it came gives way before those that have.
+const UNASKED_GRACE: Micros = 300_000;
 /// An idle connection is closed after this.
 const IDLE: Micros = 120_000_000;
 /// A client that reads nothing of a finished answer for this long is given up.
@@ -56,6 +62,8 @@
     sse: bool,
     state: State,
     idle_since: Option<Micros>,
+    /// When it was accepted, until its first whole request.
+    unasked_since: Option<Micros>,
 }
 
 impl Front {
@@ -68,39 +76,35 @@
 impl Server {
     pub(super) fn accept(&mut self, sse: bool) {
         for _ in 0..ACCEPTS {
-            // Idle connections give way before accepting fails; a client with nothing to say loses nothing.
-            if self.fronts >= self.budget.fronts
-                && !self.drop_idle_front()
-                && self.fronts >= self.budget.last_fronts
-                || !self.make_room()
-            {
+            // Idle connections give way before accepting fails; a client with nothing to say loses nothing. Those
+            // that never asked for anything go first, or they would use up what usual clients need.
+            let full = self.fronts >= self.budget.fronts && !self.drop_unasked() && !self.drop_idle_front();
+            if full && self.fronts >= self.budget.last_fronts || !self.make_room() {
                 return self.pause_accepting();
             }
-            let accepted = match (sse, &self.sse) {
-                (false, _) => self.platform.accept(),
-                (true, Some((listener, _))) => listener.accept(),
+            let listener = match (sse, &self.sse) {
+                (false, _) => &self.platform,
+                (true, Some((listener, _))) => listener,
                 (true, None) => return,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
-                Err(error) if matches!(error.raw_os_error(), Some(23 | 24)) => {
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            let stream = match rustix::net::accept_with(listener, flags) {
+                Ok(fd) => TcpStream::from(fd),
+                Err(Errno::AGAIN) => return,
+                Err(Errno::MFILE | Errno::NFILE) => {
                     return self.pause_accepting(); // no descriptors left, here or on the machine
                 }
                 Err(_) => continue,
             };
-            if stream.set_nonblocking(true).is_err() {
-                continue;
-            }
             if sse {
                 // Progress that waits in the kernel for a slow reader is stale when it is read, and it holds
                 // memory; without a bound it grows to megabytes. Where it cannot be set, only that is lost.
                 let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SLOW_READER);
             }
-            let (state, conn) = (State::Reading, Conn::new(stream));
-            let Some(token) = self.add(conn, |_| Role::Front(Front { sse, state, idle_since: None })) else {
-                continue;
-            };
+            let (now, conn) = (self.now, Conn::accepted(stream));
+            let front = Front { sse, state: State::Reading, idle_since: None, unasked_since: Some(now) };
+            let Some(token) = self.add(conn, |_| Role::Front(front)) else { continue };
+            self.unasked_fronts.insert((now, token));
             // Often the request is there already.
             if let Some((conn, Role::Front(front))) = self.take(token) {
                 self.front_ready(token, conn, front, EventFlags::IN);
@@ -221,8 +225,16 @@
     }
 
     fn requested(&mut self, token: Token, conn: &mut Conn, front: &mut Front, raw: Raw) {
+        if let Some(since) = front.unasked_since.take() {
+            self.unasked_fronts.remove(&(since, token));
+            self.set_timer(token, conn, None);
+        }
         let keep_alive = raw.head.keep_alive && self.stopping.is_none();
         front.state = if keep_alive { State::Reading } else { State::Ending { lingers: false } };
+        // A body longer than its stated length: what was cut off of it must not run as though it were whole.
+        if !http::may_begin_request(&conn.inbox) {
+            return self.reject(conn, front, Reject::Bad);
+        }
         let refused = match platform::route(self.core.names(), &self.classes, &raw, !front.sse) {
             Ok(Route::Ready) if self.stopping.is_some() => Some(Reject::NotReady),
             Ok(Route::Ready) => {
@@ -239,7 +251,7 @@
             },
             // All descriptors for frontends are at work: this one is turned away before anything has run, since
             // one left in the queue of connections would be lost at its deadline.
-            Ok(Route::Session(_)) if self.fronts > self.budget.fronts => Some(Reject::NoRoom),
+            Ok(Route::Session(_)) if !self.front_fits() => Some(Reject::NoRoom),
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
                 let stream =
@@ -280,6 +292,9 @@
         let at = match &front.state {
             State::Ending { lingers: true } => conn.timer,
             State::Ending { .. } => Some(conn.timer.unwrap_or(self.now + STALL)),
+            State::Reading | State::Chunks { .. } if front.unasked_since.is_some() => {
+                Some(front.unasked_since.unwrap_or(self.now) + REQUEST_TIME)
+            }
             State::Reading if conn.inbox.is_empty() && written => Some(self.now + IDLE),
             State::Reading | State::Chunks { .. } => Some(conn.timer.unwrap_or(self.now + REQUEST_TIME)),
             State::Waiting { stream: Some(stream), .. } if stream.begun => Some(stream.last + heartbeat),
@@ -305,6 +320,9 @@
             self.requests.remove(&session);
             self.core.hung_up(session);
         }
+        if let Some(since) = front.unasked_since {
+            self.unasked_fronts.remove(&(since, token));
+        }
         self.close(token, conn, Role::Front(front));
     }
 
@@ -322,6 +340,41 @@
         !arrived
     }
 
+    /// Whether the connections of frontends keep within their budget, once those that wait for nothing are closed.
+    fn front_fits(&mut self) -> bool {
+        while self.fronts > self.budget.fronts {
+            if !self.drop_unasked() && !self.drop_idle_front() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Closes the oldest connection that has had its time to ask and sent nothing whole.
+    pub(super) fn drop_unasked(&mut self) -> bool {
+        while let Some((since, token)) = self.unasked_fronts.first().copied() {
+            if self.now < since + UNASKED_GRACE {
+                return false;
+            }
+            match self.take(token) {
+                Some((conn, Role::Front(front))) if front.idle_since.is_some() => {
+                    if self.close_idle(token, conn, front) {
+                        return true;
+                    }
+                }
+                Some((conn, Role::Front(front))) => {
+                    self.front_gone(token, conn, front);
+                    return true;
+                }
+                _ => {
+                    crate::invariant!(false, "a connection that asked for nothing is none");
+                    self.unasked_fronts.pop_first();
+                }
+            }
+        }
+        false
+    }
+
     pub(super) fn front_due(&mut self, token: Token, mut conn: Conn, mut front: Front) {
         if front.idle_since.is_some() {
             self.close_idle(token, conn, front);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -151,6 +151,8 @@
     accepting: bool,
     /// Connections of frontends without a session, by the time since which they are idle.
     idle_fronts: std::collections::BTreeSet<(Micros, Token)>,
+    /// Connections of frontends that have not sent a whole request yet, by the time at which they came.
+    unasked_fronts: std::collections::BTreeSet<(Micros, Token)>,
     /// Requests of open sessions.
     requests: HashMap<SessionId, crate::front::platform::Raw>,
     /// Connections on which a dispatch awaits its first answer, or streams.
@@ -175,6 +177,8 @@
     let failed = |error| NetError::Listen(at, error);
     let listener = TcpListener::bind(at).map_err(failed)?;
     listener.set_nonblocking(true).map_err(failed)?;
+    // What is accepted inherits it: one call less for each connection when hundreds come at once.
+    let _ = rustix::net::sockopt::set_tcp_nodelay(&listener, true);
     Ok(listener)
 }
 
@@ -227,6 +231,7 @@
             budget,
             accepting: true,
             idle_fronts: Default::default(),
+            unasked_fronts: Default::default(),
             requests: HashMap::new(),
             dispatching: HashMap::new(),
             pool: HashMap::new(),
@@ -406,7 +411,8 @@
 
     /// Makes room for a new connection where the descriptors are used up, by closing an idle one.
     fn make_room(&mut self) -> bool {
-        self.live < self.budget.conns || self.drop_idle_backend() || self.drop_idle_front()
+        let room = self.live < self.budget.conns;
+        room || self.drop_unasked() || self.drop_idle_backend() || self.drop_idle_front()
     }
 
     /// One line of figures, if anything has changed since the last.
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -26,6 +26,16 @@
     (0..1 + usize::arbitrary(g) % 12).filter_map(|_| g.choose(&letters).copied()).collect()
 }
 
+#[test]
+fn what_follows_a_request_is_another_or_its_length_was_wrong() {
+    for text in ["", "P", "POST", "POST /x", "\r\nGET /", "DELETE /jobs/1 HTTP/1.1\r\n"] {
+        assert!(http::may_begin_request(text.as_bytes()), "{text}");
+    }
+    for text in ["yyyy", "PO ST", "post /x", "POSTER /x", "{\"id\":1}", "\r\n\r\n\r\nGET /"] {
+        assert!(!http::may_begin_request(text.as_bytes()), "{text}");
+    }
+}
+
 #[test]
 fn a_request_head_reads_the_same_however_it_is_cut() {
     each_round(|g| {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -98,6 +98,15 @@
         (good.replace("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"), 400),
         (good.replace("Content-Length: 6", "Content-Length: 6\r\nContent-Length: 6"), 400),
         (job("d3", "redeem", "done=x", "").replace("Idempotency-Key: key-d3\r\n", ""), 400),
+        // A deadline that is no number of milliseconds; the last of these used to reach a worker.
+        (job("d4", "balance", "done=x", "X-Time-Left-Ms: soon\r\n"), 400),
+        (job("d5", "balance", "done=x", "X-Time-Left-Ms: -5\r\n"), 400),
+        (job("d6", "balance", "done=x", "X-Time-Left-Ms: 1e3\r\n"), 400),
+        (job("d7", "balance", "done=x", "X-Time-Left-Ms: 99999999999999999999999\r\n"), 400),
+        // A body longer than its length: the rest cannot be another request.
+        (job("d8", "balance", "done=x", "") + "yyyy", 400),
+        (good.replace("Content-Length: 6", "Content-Length: -6"), 400),
+        (good.replace("Content-Length: 6", "Content-Length: 60000000"), 413),
         ("POST /_jobs/news HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}".to_owned(), 400),
     ];
     for (request, status) in cases {
