--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -232,7 +232,7 @@
         let keep_alive = raw.head.keep_alive && self.stopping.is_none();
         front.state = if keep_alive { State::Reading } else { State::Ending { lingers: false } };
         // A body longer than its stated length: what was cut off of it must not run as though it were whole.
-        if !http::may_begin_request(&conn.inbox) {
+        if raw.head.framing != Framing::Absent && !http::may_begin_request(&conn.inbox) {
             return self.reject(conn, front, Reject::Bad);
         }
         let refused = match platform::route(self.core.names(), &self.classes, &raw, !front.sse) {
