Keep clients at a stop while no other dispatcher serves, told by one-byte datagrams

The logs: n1 stopping from 12.98, back at 17.39; n0 stopping from 15.98; so nobody took new clients from 16.0 to 17.4, and n0 sent its own away after 0.45 s (src/net/stop.rs CLOSE_IDLE, and Connection: close on every answer). Ruled out: the reloads, the server table (nothing went to a wrong worker), worker load. Now dispatchers tell their peers that they serve or stop; one whose peers have all stopped keeps its clients' connections for up to 2 s. Tests: tests/handover.rs; the first fails without the change, the second guards the usual stop.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -229,7 +229,7 @@
             self.unasked_fronts.remove(&(since, token));
             self.set_timer(token, conn, None);
         }
-        let keep_alive = raw.head.keep_alive && self.stopping.is_none();
+        let keep_alive = raw.head.keep_alive && self.keeps_clients();
         front.state = if keep_alive { State::Reading } else { State::Ending { lingers: false } };
         // A body longer than its stated length: what was cut off of it must not run as though it were whole.
         if raw.head.framing != Framing::Absent && !http::may_begin_request(&conn.inbox) {
@@ -412,7 +412,7 @@
             return self.put(token, conn, Role::Front(front));
         };
         crate::invariant!(waiting == session, "an answer for another session");
-        let keep_alive = keep_alive && (self.stopping.is_none() || stream.is_some_and(|s| s.begun));
+        let keep_alive = keep_alive && (self.keeps_clients() || stream.is_some_and(|s| s.begun));
         match (stream, &answer) {
             (Some(stream), _) if stream.begun => conn.outbox.push(sse::last(answer)),
             (Some(_), Answer::Served(_)) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -53,6 +53,7 @@
 const SUMMARY_TIMER: u64 = u64::MAX - 4;
 const STOP_TIMER: u64 = u64::MAX - 5;
 const ACCEPT_TIMER: u64 = u64::MAX - 6;
+const PEER_TIMER: u64 = u64::MAX - 7;
 
 /// What a connection is for.
 enum Role {
@@ -164,6 +165,10 @@
     /// A new service of discovery has not told its whole list yet.
     whole_list_due: bool,
     stopping: Option<Micros>,
+    /// The other dispatchers that have said they stop, by number.
+    stopped_peers: std::collections::BTreeSet<u32>,
+    /// How often this one's own state is still to be said.
+    state_repeats: u32,
     done: bool,
     counts: Counts,
     reported: (Counts, crate::core::ledger::Ledger),
@@ -239,6 +244,8 @@
             watch: None,
             whole_list_due: false,
             stopping: None,
+            stopped_peers: Default::default(),
+            state_repeats: 0,
             done: false,
             counts: Counts::default(),
             reported: Default::default(),
@@ -259,6 +266,8 @@
     /// Serves until a stop signal has been seen through.
     pub fn serve(&mut self) -> Result<(), NetError> {
         let mut events = Vec::with_capacity(EVENTS);
+        self.clock();
+        self.tell_state();
         while !self.done {
             self.clock();
             self.core.turn(self.now);
@@ -316,6 +325,7 @@
                     self.core.remind(self.now + SUMMARY, SUMMARY_TIMER);
                 }
                 Command::Due(STOP_TIMER) => self.stop_step(),
+                Command::Due(PEER_TIMER) => self.tell_state_again(),
                 Command::Due(ACCEPT_TIMER) => self.accept_again(),
                 Command::Due(token) => self.due(Token(token)),
             }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,9 +1,17 @@
-//! Datagrams between dispatchers.
+//! Datagrams between dispatchers: the module's own, and whether each of them serves or is about to stop.
 
-use super::Server;
+use super::{PEER_TIMER, Server};
+use crate::interface::Micros;
 
 /// The longest datagram that may be sent.
 const MOST: usize = 256;
+/// A datagram of this one byte says that its sender serves from now on ...
+const SERVING: u8 = b'U';
+/// ... or that it takes its leave. All others belong to the module.
+const STOPPING: u8 = b'S';
+/// Datagrams get lost: each of these is said again so often, and so long after.
+const REPEATS: u32 = 2;
+const REPEAT_AFTER: Micros = 150_000;
 
 impl Server {
     pub(super) fn tell_peers(&mut self, bytes: &[u8]) {
@@ -19,14 +27,54 @@
         }
     }
 
+    /// Says whether this dispatcher serves or stops, now and a few times more.
+    pub(super) fn tell_state(&mut self) {
+        if self.peers.is_some() && self.config.settings.may_tell {
+            self.state_repeats = REPEATS;
+            self.tell_state_once();
+        }
+    }
+
+    fn tell_state_once(&mut self) {
+        self.tell_peers(&[if self.stopping.is_some() { STOPPING } else { SERVING }]);
+        self.core.remind(self.now + REPEAT_AFTER, PEER_TIMER);
+    }
+
+    pub(super) fn tell_state_again(&mut self) {
+        if self.state_repeats > 0 {
+            self.state_repeats -= 1;
+            self.tell_state_once();
+        }
+    }
+
+    /// Whether every other dispatcher has said that it stops and none that it serves again.
+    pub(super) fn peers_stopped(&self) -> bool {
+        let me = self.config.settings.me;
+        let mut others = (0..self.config.peers.len() as u32).filter(|n| *n != me).peekable();
+        others.peek().is_some() && others.all(|n| self.stopped_peers.contains(&n))
+    }
+
     pub(super) fn hear_peers(&mut self) {
-        let Some(socket) = &self.peers else { return };
         let mut buf = [0; MOST + 1];
         for _ in 0..super::ACCEPTS {
-            let Ok((len, from)) = socket.recv_from(&mut buf) else { return };
-            match self.config.peers.iter().position(|peer| *peer == from) {
-                Some(peer) if len <= MOST => self.core.mail(peer as u32, buf[..len].to_vec()),
-                _ => self.counts.bad_datagrams += 1,
+            let Some(Ok((len, from))) = self.peers.as_ref().map(|socket| socket.recv_from(&mut buf)) else {
+                return;
+            };
+            let peer = self.config.peers.iter().position(|peer| *peer == from);
+            let Some(peer) = peer.filter(|_| len <= MOST).map(|n| n as u32) else {
+                self.counts.bad_datagrams += 1;
+                continue;
+            };
+            match buf[..len] {
+                [SERVING] => {
+                    self.stopped_peers.remove(&peer);
+                    // One that has just started cannot know who is about to stop.
+                    if self.stopping.is_some() {
+                        self.tell_peers(&[STOPPING]);
+                    }
+                }
+                [STOPPING] => drop(self.stopped_peers.insert(peer)),
+                _ => self.core.mail(peer, buf[..len].to_vec()),
             }
         }
     }
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -7,6 +7,9 @@
 const ARRIVALS: Micros = 700_000;
 /// Idle connections of frontends are closed after this, so that their clients turn elsewhere.
 const CLOSE_IDLE: Micros = 450_000;
+/// While every other dispatcher is stopping too or gone, clients have nowhere to turn: their connections are kept for
+/// this long at most. What comes later could hardly end in time.
+const HOLD: Micros = 2_000_000;
 /// The machine may be taken away this long after the signal: what is open by then is answered as failed.
 const LAST: Micros = 3_400_000;
 const STEP: Micros = 25_000;
@@ -17,20 +20,28 @@
             self.stopping = Some(self.now);
             eprintln!("stopping: asked to; open={}", self.core.ledger.open());
             self.core.remind(self.now + STEP, STOP_TIMER);
+            self.tell_state();
         }
     }
 
+    /// Whether clients keep their connections: all the time while serving, and while stopping as long as no other
+    /// dispatcher could take them.
+    pub(super) fn keeps_clients(&self) -> bool {
+        self.stopping.is_none_or(|since| self.now < since + HOLD && self.peers_stopped())
+    }
+
     pub(super) fn stop_step(&mut self) {
         let Some(since) = self.stopping else { return };
         let age = self.now.saturating_sub(since);
-        if age >= CLOSE_IDLE {
+        let keeps = self.keeps_clients();
+        if age >= CLOSE_IDLE && !keeps {
             while self.drop_idle_front() {}
         }
         if age >= LAST {
             self.core.fail_all();
             self.run_commands();
         }
-        if age >= ARRIVALS {
+        if age >= ARRIVALS && !keeps {
             // What the kernel has accepted is taken too.
             self.accept(false);
             self.accept(true);
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,72 @@
+//! Two dispatchers stopping at once: clients are let go only where another one can take them.
+
+#[path = "common/site.rs"]
+mod site;
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::*;
+use std::io::Write;
+use std::net::{SocketAddr, UdpSocket};
+
+/// The program with a stand-in for the other dispatcher, and where its datagrams come from.
+fn beside_a_peer(nodes: &[std::sync::Arc<Node>]) -> (Program, UdpSocket, SocketAddr) {
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    peer.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    let program = start_with(nodes, None, false, |config| {
+        config["peer_listen"] = json!("127.0.0.1:0");
+        config["peers"] = json!(["127.0.0.1:9", peer.local_addr().expect("an address").to_string()]);
+        config["settings"]["Siblings"] = json!(2);
+        config["settings"]["Limits"]["Peers"] = json!(true);
+    });
+    let mut buf = [0; 16];
+    let (len, home) = peer.recv_from(&mut buf).expect("a datagram");
+    assert_eq!(&buf[..len], b"U", "it says that it serves");
+    (program, peer, home)
+}
+
+fn hears(peer: &UdpSocket, what: &[u8]) {
+    let mut buf = [0; 16];
+    while !matches!(peer.recv_from(&mut buf).expect("a datagram"), (len, _) if &buf[..len] == what) {}
+}
+
+/// Both closed their clients' connections although neither could take the other's: those clients found nobody.
+#[test]
+fn clients_are_kept_until_another_dispatcher_serves() {
+    let node = Node::start("s-1");
+    let (program, peer, home) = beside_a_peer(std::slice::from_ref(&node));
+    let mut client = connect(program.platform);
+    let mut ask = |id: String| {
+        client
+            .write_all(job(&id, "balance", "take started pause=150 done=x", "").as_bytes())
+            .expect("written");
+        read_reply(&mut client).expect("an answer on a kept connection")
+    };
+    assert_eq!(ask("a0".into()).status, 200);
+    peer.send_to(b"S", home).expect("sent");
+    program.terminate();
+    hears(&peer, b"S");
+    for n in 0..6 {
+        let reply = ask(format!("b{n}"));
+        assert_eq!((reply.status, reply.field("Connection")), (200, None));
+    }
+    peer.send_to(b"U", home).expect("sent");
+    hears(&peer, b"S"); // the one that has come back is told
+    assert_eq!(ask("c0".into()).field("Connection"), Some("close"));
+    let (clean, log) = program.wait();
+    assert!(clean && log.iter().any(|l| l == "stopped: open=0"), "{log:?}");
+}
+
+#[test]
+fn clients_are_let_go_while_the_other_dispatcher_serves() {
+    let node = Node::start("s-1");
+    let (program, peer, home) = beside_a_peer(std::slice::from_ref(&node));
+    peer.send_to(b"S", home).expect("sent");
+    peer.send_to(b"U", home).expect("sent");
+    program.terminate();
+    hears(&peer, b"S");
+    let reply = send(program.platform, &job("d0", "balance", "take started done=x", "")).expect("an answer");
+    assert_eq!((reply.status, reply.field("Connection")), (200, Some("close")));
+    assert!(program.wait().0);
+}
