--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -83,7 +83,9 @@
         let pieces = platform::dispatch(raw, left);
         self.counts.dispatches += 1;
         let exchange = Exchange::Dispatch { session, dispatch };
-        if let Some(token) = self.exchange(worker, exchange, pieces) {
+        // A session has few attempts: once a kept connection has cost it one, the others go out on new ones.
+        let fresh = self.broken.contains(&session);
+        if let Some(token) = self.exchange(worker, exchange, pieces, fresh) {
             self.dispatching.insert((session, dispatch), token);
             self.back_start(token);
         }
@@ -95,7 +97,7 @@
             Some(token) => self.close_token(token),
             None if self.core.servers.get(worker).is_none_or(|s| s.removed) => {}
             None => {
-                if let Some(token) = self.exchange(worker, Exchange::Cancel, platform::give_up(name)) {
+                if let Some(token) = self.exchange(worker, Exchange::Cancel, platform::give_up(name), false) {
                     self.back_start(token);
                 }
             }
@@ -103,15 +105,21 @@
     }
 
     pub(super) fn probe(&mut self, worker: WorkerId) {
-        if let Some(token) = self.exchange(worker, Exchange::Probe, platform::probe()) {
+        if let Some(token) = self.exchange(worker, Exchange::Probe, platform::probe(), false) {
             self.probes.insert(token, Probe { worker, at: self.now });
             self.back_start(token);
         }
     }
 
     /// Hands a message to an idle connection, or to a new one. None if there can be none: that is told already.
-    fn exchange(&mut self, worker: WorkerId, exchange: Exchange, pieces: Vec<Piece>) -> Option<Token> {
-        while let Some(token) = self.pool.get_mut(&worker).and_then(Vec::pop) {
+    fn exchange(
+        &mut self,
+        worker: WorkerId,
+        exchange: Exchange,
+        pieces: Vec<Piece>,
+        fresh: bool,
+    ) -> Option<Token> {
+        while let Some(token) = self.pool.get_mut(&worker).filter(|_| !fresh).and_then(Vec::pop) {
             if let Some((mut conn, Role::Back(mut back))) = self.take(token) {
                 conn.outbox.push(pieces);
                 (back.state, back.reused) = (State::Awaiting(exchange), true);
@@ -332,6 +340,11 @@
             }
             State::Awaiting(exchange) => {
                 // Before its last byte is written a request has not begun anywhere.
+                if let Exchange::Dispatch { session, .. } = exchange
+                    && back.reused
+                {
+                    self.note_broken(*session);
+                }
                 // A kept connection that breaks under the next request was closed in the meantime, which shows nothing
                 // of the worker: not held against it. If its process died, new connections are refused, which is.
                 let outcome = match (written, back.reused) {
@@ -381,6 +394,9 @@
                 // That is no fault of the worker, whose other connections serve: it is not held against it. If its
                 // machine is gone, new connections to it will not come up, which is.
                 self.counts.untaken += 1;
+                if let Exchange::Dispatch { session, .. } = exchange {
+                    self.note_broken(session);
+                }
                 self.exchange_failed(Some(token), back.worker, exchange, Outcome::Cancelled);
                 self.close(token, conn, Role::Back(back));
             }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -317,7 +317,7 @@
     /// The connection is over; a session it waited for has lost its client.
     fn front_gone(&mut self, token: Token, conn: Conn, front: Front) {
         if let State::Waiting { session, .. } = front.state {
-            self.requests.remove(&session);
+            self.drop_request(session);
             self.core.hung_up(session);
         }
         if let Some(since) = front.unasked_since {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,7 +18,7 @@
 use frontend::Front;
 use reload::Signals;
 use rustix::event::epoll::{self, EventData, EventFlags};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -156,6 +156,8 @@
     unasked_fronts: std::collections::BTreeSet<(Micros, Token)>,
     /// Requests of open sessions.
     requests: HashMap<SessionId, crate::front::platform::Raw>,
+    /// Open sessions that have lost a dispatch with its connection.
+    broken: HashSet<SessionId>,
     /// Connections on which a dispatch awaits its first answer, or streams.
     dispatching: HashMap<(SessionId, u32), Token>,
     /// Idle connections to workers, the freshest last.
@@ -238,6 +240,7 @@
             idle_fronts: Default::default(),
             unasked_fronts: Default::default(),
             requests: HashMap::new(),
+            broken: HashSet::new(),
             dispatching: HashMap::new(),
             pool: HashMap::new(),
             probes: HashMap::new(),
@@ -310,7 +313,7 @@
                     self.give_up(session, dispatch, worker, &name);
                 }
                 Command::Answer { session, frontend, answer } => {
-                    self.requests.remove(&session);
+                    self.drop_request(session);
                     self.answer(Token(frontend), session, answer);
                 }
                 Command::Tell { frontend, share } => self.tell(Token(frontend), share),
@@ -332,6 +335,19 @@
         }
     }
 
+    /// Notes that an open session has lost a dispatch with its connection.
+    fn note_broken(&mut self, session: SessionId) {
+        if self.requests.contains_key(&session) {
+            self.broken.insert(session);
+        }
+    }
+
+    /// Forgets the request of a session that is over.
+    fn drop_request(&mut self, session: SessionId) {
+        self.requests.remove(&session);
+        self.broken.remove(&session);
+    }
+
     /// Takes a connection out of its slot, to be put back or closed.
     fn take(&mut self, token: Token) -> Option<(Conn, Role)> {
         let slot = self.slots.get_mut(token.slot())?;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -176,6 +176,18 @@
     assert_eq!(program.figures()["served"], 40);
 }
 
+/// A session's few attempts used to go on one stale connection after the other, within milliseconds.
+#[test]
+fn a_session_that_lost_a_connection_goes_on_over_new_ones() {
+    let nodes = [Node::start("s-1"), Node::start("s-2")];
+    let program = start(&nodes, None, false);
+    for n in 0..20 {
+        let request = job(&format!("o{n}"), "balance", "stale=s-1 stale=s-2 take started done=x", "");
+        assert_eq!(send(program.platform, &request).expect("an answer").status, 200, "job {n}");
+    }
+    assert!(program.figures()["resets"] > 0);
+}
+
 #[test]
 fn a_client_that_leaves_is_gone() {
     let node = Node::start("s-1");
