Go on telling peers of a stop until its end

A replay with a probe: 28 requests arrive over kept connections between 16.2 and 17.3 s, so the handover works once it is known; three datagrams within 0.3 s can all be lost (src/net/peers.rs REPEATS). Now a stop is repeated every 0.15 s until its end.

--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -9,8 +9,9 @@
 const SERVING: u8 = b'U';
 /// ... or that it takes its leave. All others belong to the module.
 const STOPPING: u8 = b'S';
-/// Datagrams get lost: each of these is said again so often, and so long after.
-const REPEATS: u32 = 2;
+/// Datagrams get lost, now and then all for a while: serving is said again so often, stopping until the end, and each
+/// time so long after.
+const REPEATS: u32 = 4;
 const REPEAT_AFTER: Micros = 150_000;
 
 impl Server {
@@ -41,8 +42,8 @@
     }
 
     pub(super) fn tell_state_again(&mut self) {
-        if self.state_repeats > 0 {
-            self.state_repeats -= 1;
+        if self.stopping.is_some() || self.state_repeats > 0 {
+            self.state_repeats = self.state_repeats.saturating_sub(1);
             self.tell_state_once();
         }
     }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -54,6 +54,8 @@
     peer.send_to(b"U", home).expect("sent");
     hears(&peer, b"S"); // the one that has come back is told
     assert_eq!(ask("c0".into()).field("Connection"), Some("close"));
+    // Datagrams get lost: it goes on saying that it stops.
+    (0..3).for_each(|_| hears(&peer, b"S"));
     let (clean, log) = program.wait();
     assert!(clean && log.iter().any(|l| l == "stopped: open=0"), "{log:?}");
 }
