--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,7 +86,7 @@
         Ok(Dispatcher { rng: fastrand::Rng::with_seed(seed), set, m })
     }
 
-    /// Goes on under other settings, with all that it has learned. Classes keep their places; more may follow.
+    /// Goes on under other settings, with all that it has learned. Classes keep their places.
     pub fn reconfigure(&mut self, set: Settings) -> Result<(), SettingsError> {
         set.check()?;
         if set.classes.len() < self.set.classes.len() {
