--- a/src/config.rs
+++ b/src/config.rs
@@ -143,6 +143,8 @@
     pub limits: MachineLimits,
     /// Where datagrams of other dispatchers arrive.
     pub peer_listen: Option<SocketAddr>,
+    /// The second address, for the staff and the platform; without it there is none.
+    pub admin: Option<SocketAddr>,
     /// The dispatchers of the tier, this one included, by number.
     pub peers: Vec<SocketAddr>,
     /// An address that reaches all of them.
@@ -205,7 +207,8 @@
 }
 
 impl Config {
-    /// Reads the file that `GW_CONFIG` names. `GW_NAME`, `GW_LISTEN` and `GW_DISCOVERY` win over its values.
+    /// Reads the file that `GW_CONFIG` names. `GW_NAME`, `GW_LISTEN`, `GW_DISCOVERY` and
+    /// `GW_ADMIN_ADDR` win over its values.
     pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let file = env("GW_CONFIG").ok_or(ConfigError::Missing("the environment variable GW_CONFIG"))?;
         Config::read(&read_file(Path::new(&file))?, &file, env)
@@ -219,6 +222,7 @@
             "GW_NAME" => Some(self.name.clone()),
             "GW_LISTEN" => Some(self.listen.to_string()),
             "GW_DISCOVERY" => Some(self.discovery.to_string()),
+            "GW_ADMIN_ADDR" => self.admin.map(|at| at.to_string()),
             _ => None,
         };
         let text = read_file(Path::new(&self.file))?;
@@ -289,6 +293,7 @@
             seed: seed.ok_or_else(|| malformed("seed is not a hexadecimal number".into()))?,
             limits,
             peer_listen: optional("peer_listen")?,
+            admin: either("GW_ADMIN_ADDR", "admin_addr").map(|t| address("admin_addr", &t)).transpose()?,
             peers,
             peers_all: optional("peers_all")?,
             known,
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -15,6 +15,29 @@
     Gone,
 }
 
+/// What became of the sessions of one class. Those that their clients left are in none of these.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Served.
+    pub served: u64,
+    /// Turned away.
+    pub denied: u64,
+    /// Failed.
+    pub failed: u64,
+}
+
+impl Tally {
+    /// Counts the end of a session of this class.
+    pub fn count(&mut self, entry: Entry) {
+        match entry {
+            Entry::Served => self.served += 1,
+            Entry::Denied => self.denied += 1,
+            Entry::Failed => self.failed += 1,
+            Entry::Gone => {}
+        }
+    }
+}
+
 /// Counts of sessions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,7 +10,7 @@
 use crate::interface::*;
 use crate::invariant;
 use deadlines::{Deadline, Deadlines};
-use ledger::{Entry, Ledger};
+use ledger::{Entry, Ledger, Tally};
 use servers::ServerTable;
 use std::collections::{HashMap, VecDeque};
 
@@ -150,8 +150,11 @@
 
 struct Session {
     name: String,
+    class: ClassId,
     frontend: u64,
     deadline: Micros,
+    /// When the core answers by itself, once its deadline has passed.
+    backstop: Option<Micros>,
     /// Its final answer is still owed.
     open: bool,
     told_started: bool,
@@ -167,6 +170,8 @@
     pub servers: ServerTable,
     /// The ledger.
     pub ledger: Ledger,
+    /// The same by class.
+    tallies: Vec<Tally>,
     sessions: HashMap<SessionId, Session>,
     by_name: HashMap<String, SessionId>,
     finished: Vec<SessionId>,
@@ -196,6 +201,7 @@
             names,
             servers: ServerTable::default(),
             ledger: Ledger::default(),
+            tallies: Vec::new(),
             sessions: HashMap::new(),
             by_name: HashMap::new(),
             finished: Vec::new(),
@@ -268,8 +274,10 @@
         self.by_name.insert(new.name.clone(), id);
         let session = Session {
             name: new.name,
+            class: new.class,
             frontend: new.frontend,
             deadline,
+            backstop: None,
             open: true,
             told_started: false,
             dispatches: Vec::new(),
@@ -445,11 +453,42 @@
         invariant!(session.open, "session {id} got a second final answer");
         session.open = false;
         self.deadlines.drop(session.deadline, Deadline::Session(id));
-        self.deadlines.drop(session.deadline + BACKSTOP, Deadline::Backstop(id));
+        if let Some(at) = session.backstop.take() {
+            self.deadlines.drop(at, Deadline::Backstop(id));
+        }
+        let class = session.class;
         self.ledger.enter(entry);
+        self.tally(class, entry);
         self.forget(id);
     }
 
+    fn tally(&mut self, class: ClassId, entry: Entry) {
+        let class = usize::from(class.0);
+        if self.tallies.len() <= class {
+            self.tallies.resize(class + 1, Tally::default());
+        }
+        self.tallies[class].count(entry);
+    }
+
+    /// A session was turned away before it was taken, for want of descriptors: its client sees a refusal like any other.
+    pub fn turned_away(&mut self, class: ClassId) {
+        self.tally(class, Entry::Denied);
+    }
+
+    /// What became of the sessions of each class, by its name; of those without sessions too.
+    pub fn tallies(&self) -> impl Iterator<Item = (&str, Tally)> {
+        let names = self.names.0.classes.names();
+        names
+            .into_iter()
+            .enumerate()
+            .map(|(n, name)| (name, self.tallies.get(n).copied().unwrap_or_default()))
+    }
+
+    /// How many listed workers the module is avoiding.
+    pub fn avoided(&self, now: Micros) -> usize {
+        self.dispatcher.avoided(now)
+    }
+
     /// Notes a session that may be over. It is dropped only after the next batch: until the module has been
     /// told, it may still send for it, and that dispatch must get the number that the module gives it.
     fn forget(&mut self, id: SessionId) {
@@ -487,8 +526,10 @@
                     at_once = true;
                     let out = self.sessions.get(&id).map_or(0, |s| s.dispatches.len() as u32);
                     (0..out).for_each(|dispatch| self.time_out(now, id, dispatch));
-                    if let Some(session) = self.sessions.get(&id) {
-                        self.deadlines.set(session.deadline + BACKSTOP, Deadline::Backstop(id));
+                    if let Some(session) = self.sessions.get_mut(&id) {
+                        // Counted from now: after a turn that came late the module is still to be asked first.
+                        session.backstop = Some(now + BACKSTOP);
+                        self.deadlines.set(now + BACKSTOP, Deadline::Backstop(id));
                     }
                 }
                 Deadline::Backstop(id) => {
--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -46,6 +46,11 @@
         self.servers.iter().filter(|s| s.stopped.is_none()).count()
     }
 
+    /// How many workers are in discovery's list.
+    pub fn listed(&self) -> usize {
+        self.servers.iter().filter(|s| !s.removed).count()
+    }
+
     /// Every worker ever named, by number.
     pub fn iter(&self) -> impl Iterator<Item = (WorkerId, &Server)> {
         self.servers.iter().enumerate().map(|(n, s)| (WorkerId(n as u32), s))
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts: requests to core events, core answers to bytes, and no more.
 
+pub mod admin;
 pub mod platform;
 pub mod sse;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,9 +26,9 @@
     let sse = SseConfig::load(&sse.clone().unwrap_or("deploy/sse.toml".into()), sse.is_some())?;
     let name = config.name.clone();
     let mut server = Server::open(config, sse)?;
-    let (platform, sse) = server.addresses();
+    let (platform, sse, admin) = server.addresses();
     let shown = |at: Option<std::net::SocketAddr>| at.map_or("off".to_owned(), |at| at.to_string());
-    eprintln!("serving: {name} on {}, SSE {}", shown(platform), shown(sse));
+    eprintln!("serving: {name} on {}, SSE {}, control {}", shown(platform), shown(sse), shown(admin));
     server.serve()
 }
 
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,130 @@
+//! Connections to the second address. They have descriptors of their own and are served before anything else of a turn, so
+//! that neither a crowd of clients nor callers that stop half way keep a call waiting.
+
+use super::conn::{Conn, ReadEnd};
+use super::{ADMIN, Role, Server, Token};
+use crate::front::admin::{self, Call, ClassFigures, Figures};
+use crate::front::platform::{self, Reject};
+use crate::http::{self, Framing};
+use crate::interface::Micros;
+use rustix::event::epoll::EventFlags;
+use rustix::net::SocketFlags;
+use std::net::TcpStream;
+
+/// Connections held at most, out of the descriptors that no other connection may use. The oldest half call gives way.
+const MOST: usize = 16;
+/// A call must be complete by then, and its answer read.
+const CALL_TIME: Micros = 5_000_000;
+/// The largest call: its head, and a body that nobody reads.
+const MOST_BYTES: usize = 16 * 1024;
+
+/// A connection to the second address.
+pub(super) struct Caller {
+    /// Its answer is being written.
+    answered: bool,
+}
+
+impl Server {
+    pub(super) fn accept_admin(&mut self) {
+        for _ in 0..super::ACCEPTS {
+            let Some(listener) = &self.admin else { return };
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            let Ok(fd) = rustix::net::accept_with(listener, flags) else { return };
+            if self.callers.len() >= MOST
+                && let Some(oldest) = self.callers.pop_front()
+            {
+                self.close_token(oldest);
+            }
+            let conn = Conn::accepted(TcpStream::from(fd));
+            let Some(token) = self.add(conn, |_| Role::Admin(Caller { answered: false })) else { continue };
+            self.callers.push_back(token);
+            if let Some((mut conn, Role::Admin(caller))) = self.take(token) {
+                self.set_timer(token, &mut conn, Some(self.now + CALL_TIME));
+                self.admin_ready(token, conn, caller, EventFlags::IN);
+            }
+        }
+    }
+
+    /// Whether this event is the second address's.
+    pub(super) fn is_admin(&self, token: Token) -> bool {
+        token == ADMIN || self.callers.contains(&token)
+    }
+
+    pub(super) fn admin_ready(
+        &mut self,
+        token: Token,
+        mut conn: Conn,
+        mut caller: Caller,
+        flags: EventFlags,
+    ) {
+        if !caller.answered && flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP) {
+            let end = conn.fill(MOST_BYTES);
+            if let Some(answer) = self.admin_call(&conn, end) {
+                conn.outbox.push(answer);
+                caller.answered = true;
+            } else if end != ReadEnd::Dry {
+                return self.close(token, conn, Role::Admin(caller));
+            }
+        }
+        let broken = !conn.flush() || flags.intersects(EventFlags::HUP | EventFlags::ERR);
+        if broken || caller.answered && conn.outbox.is_empty() {
+            return self.close(token, conn, Role::Admin(caller));
+        }
+        self.watch_for(token, &mut conn, !caller.answered);
+        self.put(token, conn, Role::Admin(caller));
+    }
+
+    /// The answer to what has been read, once it is a whole call or can be none.
+    fn admin_call(&mut self, conn: &Conn, end: ReadEnd) -> Option<Vec<http::Piece>> {
+        let refused = |why: Reject| Some(platform::reject(why, false));
+        let head = match http::read_request(&conn.inbox) {
+            Ok(Some(head)) => head,
+            Ok(None) if end == ReadEnd::Enough => return refused(Reject::HeadTooLarge),
+            Ok(None) => return None,
+            Err(error) => return refused(error.into()),
+        };
+        let length = match head.framing {
+            Framing::Length(length) => head.len + length,
+            Framing::Absent => head.len,
+            Framing::Chunked => return refused(Reject::Bad), // no call has a body to speak of
+        };
+        if length > MOST_BYTES {
+            return refused(Reject::BodyTooLarge);
+        }
+        if conn.inbox.len() < length {
+            return None;
+        }
+        Some(match admin::route(&conn.inbox, &head) {
+            Ok(Call::Ready) => admin::yes(),
+            Ok(Call::Counters) => admin::figures(&self.figures()),
+            Ok(Call::OutOfService) => {
+                self.drain(true);
+                admin::yes()
+            }
+            Ok(Call::InService) => {
+                self.drain(false);
+                admin::yes()
+            }
+            Err(why) => platform::reject(why, false),
+        })
+    }
+
+    fn figures(&self) -> Figures {
+        let tallies = self.core.tallies();
+        let classes = tallies.map(|(name, tally)| ClassFigures {
+            name: name.to_owned(),
+            served: tally.served,
+            denied: tally.denied,
+            failed: tally.failed,
+        });
+        Figures {
+            classes: classes.collect(),
+            dispatches_written: self.counts.dispatches_written,
+            open: self.core.ledger.open(),
+            listed: self.core.servers.listed(),
+            avoided: self.core.avoided(self.now),
+            reloads: self.counts.reloads,
+            bad_reloads: self.counts.bad_reloads,
+        }
+    }
+}
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -28,6 +28,10 @@
 }
 
 impl Exchange {
+    fn is_dispatch(self) -> bool {
+        matches!(self, Exchange::Dispatch { .. })
+    }
+
     /// How long its answer may take.
     fn time(self) -> Micros {
         match self {
@@ -64,6 +68,8 @@
     state: State,
     /// It has carried an exchange before.
     reused: bool,
+    /// Its dispatch's last byte is not written yet.
+    unwritten: bool,
 }
 
 /// When a probe was sent.
@@ -123,6 +129,7 @@
             if let Some((mut conn, Role::Back(mut back))) = self.take(token) {
                 conn.outbox.push(pieces);
                 (back.state, back.reused) = (State::Awaiting(exchange), true);
+                back.unwritten = exchange.is_dispatch();
                 self.put(token, conn, Role::Back(back));
                 return Some(token);
             }
@@ -132,7 +139,8 @@
         self.counts.connects += 1;
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(pieces);
-            self.add(conn, |_| Role::Back(Back { worker, state: State::Connecting(exchange), reused: false }))
+            let (state, unwritten) = (State::Connecting(exchange), exchange.is_dispatch());
+            self.add(conn, |_| Role::Back(Back { worker, state, reused: false, unwritten }))
         });
         if token.is_none() {
             self.counts.connect_failures += 1;
@@ -170,14 +178,13 @@
             // A connection that took long to come up must not carry work to a worker that has since been told
             // to stop: the drain's 400 ms count from being told, not from the decision.
             let told = self.core.servers.get(back.worker).and_then(|s| s.stopped);
-            let dispatch = matches!(exchange, Exchange::Dispatch { .. });
-            if dispatch && told.is_some_and(|at| self.now > at + STOPPED_GRACE) {
+            if exchange.is_dispatch() && told.is_some_and(|at| self.now > at + STOPPED_GRACE) {
                 return self.back_broken(token, conn, back);
             }
             back.state = State::Awaiting(exchange);
             self.set_timer(token, &mut conn, Some(self.now + exchange.time()));
         }
-        if !conn.flush() {
+        if !self.back_flush(&mut conn, &mut back) {
             return self.back_broken(token, conn, back);
         }
         if !flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
@@ -296,9 +303,18 @@
         }
     }
 
+    /// Writes what it can, and counts a dispatch at its last byte.
+    fn back_flush(&mut self, conn: &mut Conn, back: &mut Back) -> bool {
+        let whole = conn.flush();
+        if whole && conn.outbox.is_empty() && std::mem::take(&mut back.unwritten) {
+            self.counts.dispatches_written += 1;
+        }
+        whole
+    }
+
     /// Writes what is there to write and settles what to wait for.
-    fn back_settle(&mut self, token: Token, mut conn: Conn, back: Back) {
-        if !conn.flush() {
+    fn back_settle(&mut self, token: Token, mut conn: Conn, mut back: Back) {
+        if !self.back_flush(&mut conn, &mut back) {
             return self.back_broken(token, conn, back);
         }
         if matches!(back.state, State::Stream { .. }) {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -64,6 +64,8 @@
     idle_since: Option<Micros>,
     /// When it was accepted, until its first whole request.
     unasked_since: Option<Micros>,
+    /// A worker tells of its jobs on it.
+    pub(super) calls_back: bool,
 }
 
 impl Front {
@@ -102,7 +104,13 @@
                 let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SLOW_READER);
             }
             let (now, conn) = (self.now, Conn::accepted(stream));
-            let front = Front { sse, state: State::Reading, idle_since: None, unasked_since: Some(now) };
+            let front = Front {
+                sse,
+                state: State::Reading,
+                idle_since: None,
+                unasked_since: Some(now),
+                calls_back: false,
+            };
             let Some(token) = self.add(conn, |_| Role::Front(front)) else { continue };
             self.unasked_fronts.insert((now, token));
             // Often the request is there already.
@@ -236,13 +244,18 @@
             return self.reject(conn, front, Reject::Bad);
         }
         let refused = match platform::route(self.core.names(), &self.classes, &raw, !front.sse) {
-            Ok(Route::Ready) if self.stopping.is_some() => Some(Reject::NotReady),
+            Ok(Route::Ready) if self.takes_leave() => Some(Reject::NotReady),
             Ok(Route::Ready) => {
                 conn.outbox.push(platform::ready());
                 None
             }
             Ok(Route::News) => match platform::read_news(self.core.names(), raw.body.bytes(), None) {
                 Some(told) => {
+                    front.calls_back = true;
+                    let keep_alive = raw.head.keep_alive && (keep_alive || self.stopping.is_none());
+                    if keep_alive {
+                        front.state = State::Reading;
+                    }
                     self.core.news(self.now, &told.id, &told.from, told.news, told.report);
                     conn.outbox.push(platform::heard(keep_alive));
                     None
@@ -251,7 +264,10 @@
             },
             // All descriptors for frontends are at work: this one is turned away before anything has run, since
             // one left in the queue of connections would be lost at its deadline.
-            Ok(Route::Session(_)) if !self.front_fits() => Some(Reject::NoRoom),
+            Ok(Route::Session(arrival)) if !self.front_fits() => {
+                self.core.turned_away(arrival.class);
+                Some(Reject::NoRoom)
+            }
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
                 let stream =
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets: one epoll loop that turns what arrives into events of the core and its commands into bytes.
 
+mod admin;
 mod backend;
 mod conn;
 mod discovery;
@@ -12,6 +13,7 @@
 use crate::core::{Command, Core, SessionId};
 use crate::interface::{Class, Micros, WorkerId};
 use crate::invariant;
+use admin::Caller;
 use backend::{Back, Probe};
 use conn::Conn;
 use discovery::Call;
@@ -50,16 +52,19 @@
 const SSE: Token = Token(u64::MAX - 1);
 const SIGNAL: Token = Token(u64::MAX - 2);
 const PEERS: Token = Token(u64::MAX - 3);
-const SUMMARY_TIMER: u64 = u64::MAX - 4;
-const STOP_TIMER: u64 = u64::MAX - 5;
-const ACCEPT_TIMER: u64 = u64::MAX - 6;
-const PEER_TIMER: u64 = u64::MAX - 7;
+const ADMIN: Token = Token(u64::MAX - 4);
+const SUMMARY_TIMER: u64 = u64::MAX - 5;
+const STOP_TIMER: u64 = u64::MAX - 6;
+const ACCEPT_TIMER: u64 = u64::MAX - 7;
+const PEER_TIMER: u64 = u64::MAX - 8;
+const DRAIN_TIMER: u64 = u64::MAX - 9;
 
 /// What a connection is for.
 enum Role {
     Front(Front),
     Back(Back),
     Call(Call),
+    Admin(Caller),
 }
 
 struct Slot {
@@ -122,6 +127,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Counts {
     dispatches: u64,
+    dispatches_written: u64,
+    reloads: u64,
+    bad_reloads: u64,
     connects: u64,
     connect_failures: u64,
     resets: u64,
@@ -142,6 +150,9 @@
     epoll: OwnedFd,
     platform: TcpListener,
     sse: Option<(TcpListener, Micros)>,
+    admin: Option<TcpListener>,
+    /// Connections to it, the oldest first.
+    callers: std::collections::VecDeque<Token>,
     signals: Signals,
     peers: Option<UdpSocket>,
     slots: Vec<Slot>,
@@ -167,6 +178,10 @@
     /// A new service of discovery has not told its whole list yet.
     whole_list_due: bool,
     stopping: Option<Micros>,
+    /// Since when clients are sent elsewhere while the program goes on.
+    drained: Option<Micros>,
+    /// Whether the next look at them is due by a timer.
+    drain_due: bool,
     /// The other dispatchers that have said they stop, by number.
     stopped_peers: std::collections::BTreeSet<u32>,
     /// How often this one's own state is still to be said.
@@ -202,6 +217,7 @@
             Core::new(config.settings.clone(), names, config.seed, unix_now).map_err(NetError::Settings)?;
         let platform = listen(config.listen)?;
         let sse = sse.map(|(at, heartbeat)| listen(at).map(|l| (l, heartbeat))).transpose()?;
+        let admin = config.admin.map(listen).transpose()?;
         let peers = config.peer_listen.map(UdpSocket::bind).transpose().map_err(io("peer socket"))?;
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(system("epoll"))?;
         let add = |fd: std::os::fd::BorrowedFd<'_>, token: Token| {
@@ -213,6 +229,9 @@
         if let Some((listener, _)) = &sse {
             add(listener.as_fd(), SSE)?;
         }
+        if let Some(listener) = &admin {
+            add(listener.as_fd(), ADMIN)?;
+        }
         if let Some(peers) = &peers {
             peers.set_nonblocking(true).map_err(io("peer socket"))?;
             add(peers.as_fd(), PEERS)?;
@@ -229,6 +248,8 @@
             epoll,
             platform,
             sse,
+            admin,
+            callers: Default::default(),
             signals,
             peers,
             slots: Vec::new(),
@@ -247,6 +268,8 @@
             watch: None,
             whole_list_due: false,
             stopping: None,
+            drained: None,
+            drain_due: false,
             stopped_peers: Default::default(),
             state_repeats: 0,
             done: false,
@@ -256,10 +279,10 @@
         })
     }
 
-    /// Where the program listens: the platform's front, and the SSE front where it is on.
-    pub fn addresses(&self) -> (Option<SocketAddr>, Option<SocketAddr>) {
-        let sse = self.sse.as_ref().and_then(|(listener, _)| listener.local_addr().ok());
-        (self.platform.local_addr().ok(), sse)
+    /// Where the program listens: the platform's front, the SSE front and the second address, where they are on.
+    pub fn addresses(&self) -> (Option<SocketAddr>, Option<SocketAddr>, Option<SocketAddr>) {
+        let of = |listener: &TcpListener| listener.local_addr().ok();
+        (of(&self.platform), self.sse.as_ref().and_then(|(l, _)| of(l)), self.admin.as_ref().and_then(of))
     }
 
     fn clock(&mut self) {
@@ -288,9 +311,18 @@
                 Err(error) => return Err(system("epoll")(error)),
             }
             self.clock();
+            // A call to the second address does not wait for what the clients of this turn ask.
+            for event in &events {
+                match (Token(event.data.u64()), event.flags) {
+                    (ADMIN, _) => self.accept_admin(),
+                    (token, flags) if self.is_admin(token) => self.ready(token, flags),
+                    _ => {}
+                }
+            }
             for event in events.drain(..) {
                 let (data, flags) = (event.data, event.flags);
                 match Token(data.u64()) {
+                    token if self.is_admin(token) => {}
                     PLATFORM => self.accept(false),
                     SSE => self.accept(true),
                     SIGNAL => self.signalled(),
@@ -328,6 +360,7 @@
                     self.core.remind(self.now + SUMMARY, SUMMARY_TIMER);
                 }
                 Command::Due(STOP_TIMER) => self.stop_step(),
+                Command::Due(DRAIN_TIMER) => self.drain_step(),
                 Command::Due(PEER_TIMER) => self.tell_state_again(),
                 Command::Due(ACCEPT_TIMER) => self.accept_again(),
                 Command::Due(token) => self.due(Token(token)),
@@ -370,8 +403,8 @@
             self.free.push(slot);
             return None;
         }
-        self.live += 1;
         let role = role(token);
+        self.live += usize::from(!matches!(role, Role::Admin(_)));
         self.fronts += usize::from(matches!(role, Role::Front(_)));
         self.slots[slot].held = Some((conn, role));
         Some(token)
@@ -386,10 +419,12 @@
         invariant!(slot.held.is_none(), "a connection closed while in its slot");
         slot.used = slot.used.wrapping_add(1) & 0x7fff_ffff;
         self.free.push(token.slot());
-        self.live -= 1;
-        if matches!(role, Role::Front(_)) {
-            self.fronts -= 1;
+        match role {
+            Role::Admin(_) => return self.callers.retain(|t| *t != token), // outside the budget of the others
+            Role::Front(_) => self.fronts -= 1,
+            _ => {}
         }
+        self.live -= 1;
         drop(conn); // closing the socket takes it out of epoll as well
     }
 
@@ -422,6 +457,7 @@
             Role::Front(front) => self.front_ready(token, conn, front, flags),
             Role::Back(back) => self.back_ready(token, conn, back, flags),
             Role::Call(call) => self.call_ready(token, conn, call, flags),
+            Role::Admin(caller) => self.admin_ready(token, conn, caller, flags),
         }
     }
 
@@ -432,6 +468,7 @@
             Role::Front(front) => self.front_due(token, conn, front),
             Role::Back(back) => self.back_due(token, conn, back),
             Role::Call(call) => self.call_failed(token, conn, call, "no answer in time"),
+            Role::Admin(caller) => self.close(token, conn, Role::Admin(caller)),
         }
     }
 
@@ -450,9 +487,9 @@
         self.reported = state;
         let (c, l) = state;
         eprintln!(
-            "figures taken={} served={} denied={} failed={} gone={} open={} dispatches={} connects={} \
+            "figures taken={} served={} denied={} failed={} gone={} open={} dispatches={} written={} connects={} \
              connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} \
-             bad_datagrams={} accept_pauses={} connections={} workers={} broken_invariants={}",
+             bad_datagrams={} accept_pauses={} reloads={} bad_reloads={} connections={} workers={} broken_invariants={}",
             l.taken,
             l.served,
             l.denied,
@@ -460,6 +497,7 @@
             l.gone,
             l.open(),
             c.dispatches,
+            c.dispatches_written,
             c.connects,
             c.connect_failures,
             c.resets,
@@ -470,6 +508,8 @@
             c.bad_lists,
             c.bad_datagrams,
             c.accept_pauses,
+            c.reloads,
+            c.bad_reloads,
             self.live,
             self.core.servers.ready(),
             invariant::broken(),
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -37,7 +37,7 @@
     }
 
     fn tell_state_once(&mut self) {
-        self.tell_peers(&[if self.stopping.is_some() { STOPPING } else { SERVING }]);
+        self.tell_peers(&[if self.takes_leave() { STOPPING } else { SERVING }]);
         self.core.remind(self.now + REPEAT_AFTER, PEER_TIMER);
     }
 
@@ -70,7 +70,7 @@
                 [SERVING] => {
                     self.stopped_peers.remove(&peer);
                     // One that has just started cannot know who is about to stop.
-                    if self.stopping.is_some() {
+                    if self.takes_leave() {
                         self.tell_peers(&[STOPPING]);
                     }
                 }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -51,8 +51,12 @@
         });
         let new = match taken {
             Ok(new) => new,
-            Err(why) => return eprintln!("reload: {why}; the old configuration stays"),
+            Err(why) => {
+                self.counts.bad_reloads += 1;
+                return eprintln!("reload: {why}; the old configuration stays");
+            }
         };
+        self.counts.reloads += 1;
         eprintln!("reloaded: discovery {}", new.discovery);
         self.classes = new.settings.classes.clone();
         self.budget = Budget::of(new.limits);
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -1,6 +1,6 @@
 //! A planned stop. Connections keep arriving for a while after the signal, and what arrives is owed an answer.
 
-use super::{Role, STOP_TIMER, Server, Token};
+use super::{DRAIN_TIMER, Role, STOP_TIMER, Server, Token};
 use crate::interface::Micros;
 
 /// New requests may arrive for this long after the signal.
@@ -12,6 +12,8 @@
 const HOLD: Micros = 2_000_000;
 /// The machine may be taken away this long after the signal: what is open by then is answered as failed.
 const LAST: Micros = 3_400_000;
+/// Out of service, a connection is closed once it has been idle for this long.
+const DRAIN_IDLE: Micros = 250_000;
 const STEP: Micros = 25_000;
 
 impl Server {
@@ -24,10 +26,50 @@
         }
     }
 
+    /// Sends clients elsewhere while the program goes on, or takes them again. Whatever comes is still served.
+    pub(super) fn drain(&mut self, on: bool) {
+        if on == self.drained.is_some() {
+            return; // asked for again: nothing starts anew
+        }
+        self.drained = on.then_some(self.now);
+        eprintln!("{}: open={}", if on { "out of service" } else { "in service" }, self.core.ledger.open());
+        if !std::mem::replace(&mut self.drain_due, true) {
+            self.core.remind(self.now + STEP, DRAIN_TIMER);
+        }
+        self.tell_state();
+    }
+
+    /// While out of service, closes connections of clients that have asked for nothing since the front could know.
+    pub(super) fn drain_step(&mut self) {
+        self.drain_due = false;
+        let Some(since) = self.drained.filter(|_| self.stopping.is_none()) else { return };
+        if self.now >= since + CLOSE_IDLE {
+            let quiet = self.idle_fronts.iter().take_while(|(idle, _)| idle + DRAIN_IDLE <= self.now);
+            for token in quiet.map(|(_, token)| *token).collect::<Vec<_>>() {
+                match self.take(token) {
+                    // Workers tell of their jobs until the last one is done.
+                    Some((conn, Role::Front(front))) if !front.calls_back => {
+                        self.close_idle(token, conn, front);
+                    }
+                    Some((conn, role)) => self.put(token, conn, role),
+                    None => {}
+                }
+            }
+        }
+        self.drain_due = true;
+        self.core.remind(self.now + STEP, DRAIN_TIMER);
+    }
+
+    /// Whether clients are to turn to other dispatchers.
+    pub(super) fn takes_leave(&self) -> bool {
+        self.stopping.is_some() || self.drained.is_some()
+    }
+
     /// Whether clients keep their connections: all the time while serving, and while stopping as long as no other
-    /// dispatcher could take them.
+    /// dispatcher could take them. Out of service they are let go in any case.
     pub(super) fn keeps_clients(&self) -> bool {
-        self.stopping.is_none_or(|since| self.now < since + HOLD && self.peers_stopped())
+        self.drained.is_none()
+            && self.stopping.is_none_or(|since| self.now < since + HOLD && self.peers_stopped())
     }
 
     pub(super) fn stop_step(&mut self) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -122,6 +122,16 @@
         }
     }
 
+    /// How many listed workers get no work now: those that drain or start no connection or job of ours.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let cut = |zone| self.m.zones.get(&zone).is_some_and(|z| now < z.until);
+        let struck = |w: &Worker| w.trust.strikes > 0 && now < w.trust.until;
+        let avoids = |w: &Worker, k: RosterEntry| {
+            k.status != Status::Ready || struck(w) || (k.zone != self.set.zone && cut(k.zone))
+        };
+        self.m.workers.iter().filter(|w| w.known.is_some_and(|k| avoids(w, k))).count()
+    }
+
     fn class(&self, job: &Job) -> &Class {
         &self.set.classes[usize::from(job.new.class.0)]
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -114,6 +114,13 @@
         id
     }
 
+    /// The names by number.
+    pub(crate) fn names(&self) -> Vec<&str> {
+        let mut names: Vec<(&str, u32)> = self.names.iter().map(|(name, id)| (name.as_str(), *id)).collect();
+        names.sort_unstable_by_key(|(_, id)| *id);
+        names.into_iter().map(|(name, _)| name).collect()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.names.is_empty()
     }
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -341,6 +341,7 @@
     pub config: Value,
     pub platform: SocketAddr,
     pub sse: Option<SocketAddr>,
+    pub control: Option<SocketAddr>,
     lines: Receiver<String>,
     log: Vec<String>,
 }
@@ -372,6 +373,7 @@
         .arg(&sse_file)
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
+        .env_remove("GW_ADMIN_ADDR")
         .env("GW_DISCOVERY", &discovery) // as on the platform, where it says what the file says
         .env("GW_CONFIG", &config_file)
         .stderr(Stdio::piped())
@@ -383,12 +385,22 @@
     let first = lines.recv_timeout(PATIENCE).expect("a first line");
     let _ = std::fs::remove_file(sse_file);
     let rest = first.strip_prefix("serving: n0 on ").unwrap_or_else(|| panic!("{first}"));
-    let (platform, sse) = rest.split_once(", SSE ").expect("two addresses");
+    let (platform, rest) = rest.split_once(", SSE ").expect("addresses");
+    let (sse, control) = rest.split_once(", control ").expect("addresses");
     let platform: SocketAddr = platform.parse().expect("an address");
     for node in nodes {
         node.calls_back_to(platform);
     }
-    Program { child, config_file, config, platform, sse: sse.parse().ok(), lines, log: vec![first] }
+    Program {
+        child,
+        config_file,
+        config,
+        platform,
+        sse: sse.parse().ok(),
+        control: control.parse().ok(),
+        lines,
+        log: vec![first],
+    }
 }
 
 impl Program {
@@ -444,6 +456,10 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.log.extend(self.lines.iter());
+            eprintln!("the program's log:\n{}", self.log.join("\n"));
+        }
         let _ = std::fs::remove_file(&self.config_file);
     }
 }
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,154 @@
+//! The second address: readiness, figures and drain, also while callers and clients keep it busy.
+
+#[path = "common/site.rs"]
+mod site;
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::*;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+fn with_control(nodes: &[Arc<Node>], sse: bool) -> (Program, SocketAddr) {
+    let program = start_with(nodes, None, sse, |config| config["admin_addr"] = json!("127.0.0.1:0"));
+    let control = program.control.expect("a second address");
+    (program, control)
+}
+
+fn call(control: SocketAddr, method: &str, path: &str) -> Reply {
+    send(control, &format!("{method} {path} HTTP/1.1\r\nHost: n0\r\n\r\n")).expect("an answer")
+}
+
+fn counters(control: SocketAddr) -> BTreeMap<String, (u64, char)> {
+    let reply = call(control, "GET", "/control/counters");
+    assert_eq!((reply.status, reply.field("Connection")), (200, Some("close")));
+    let line = |line: &str| {
+        let (name, rest) = line.strip_prefix("dispatcher.")?.split_once(':')?;
+        let (value, kind) = rest.split_once('|')?;
+        Some((name.to_owned(), (value.parse().ok()?, kind.parse().ok()?)))
+    };
+    reply.body.lines().map(|text| line(text).unwrap_or_else(|| panic!("{text}"))).collect()
+}
+
+fn ask(to: SocketAddr, id: &str, class: &str, body: &str) -> Reply {
+    send(to, &job(id, class, body, "")).expect("an answer")
+}
+
+fn up(program: &Program) -> u16 {
+    send(program.platform, "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n").expect("an answer").status
+}
+
+/// Figures that count a job twice, or before it has ended, are untrue to what its client saw.
+#[test]
+fn figures_are_what_peers_saw() {
+    let node = Node::start("s-1");
+    let (program, control) = with_control(std::slice::from_ref(&node), true);
+    let before = counters(control);
+    for name in ["success.balance", "busy.balance", "failure.redeem", "backend_calls", "reconfig_failed"] {
+        assert_eq!(before.get(name), Some(&(0, 'c')), "{name}");
+    }
+    assert_eq!(before["hosts_listed"], (1, 'g'));
+    assert_eq!(before["hosts_down"], (0, 'g'));
+    for n in 0..3 {
+        assert_eq!(ask(program.platform, &format!("a{n}"), "balance", "take started done=x").status, 200);
+    }
+    // It may have run and nobody else can repeat it: it fails once its client gives up.
+    let failing = job("b0", "redeem", "take started failed", "X-Time-Left-Ms: 300\r\n");
+    assert!(send(program.platform, &failing).expect("an answer").status >= 500);
+    assert_eq!(ask(program.platform, "b1", "nothing", "take").status, 400);
+    let mut open = connect(program.sse.expect("the SSE front is on"));
+    open.write_all(job("c0", "redeem", "take started pause=400 done=x", "").as_bytes()).expect("written");
+    until("the open job is counted", || counters(control)["inflight"] == (1, 'g'));
+    assert_eq!(read_reply(&mut open).expect("an answer").status, 200);
+    let after = counters(control);
+    let expected =
+        [("success.balance", 3), ("success.redeem", 1), ("failure.redeem", 1), ("failure.balance", 0)];
+    for (name, value) in expected {
+        assert_eq!(after[name].0, value, "{name}");
+    }
+    assert_eq!(
+        (after["backend_calls"].0, after["inflight"].0),
+        (node.jobs.load(std::sync::atomic::Ordering::SeqCst), 0)
+    );
+    assert!(after["hosts_down"].0 <= after["hosts_listed"].0);
+}
+
+/// Callers that stop half way, more of them than there are descriptors for, must not keep a call waiting.
+#[test]
+fn half_calls_and_crowds_of_clients_do_not_keep_calls_waiting() {
+    let node = Node::start("s-1");
+    let program = start_with(std::slice::from_ref(&node), None, false, |config| {
+        config["admin_addr"] = json!("127.0.0.1:0");
+        config["limits"]["sockets"] = json!(80);
+    });
+    let control = program.control.expect("a second address");
+    let mut half: Vec<_> = (0..40).map(|_| connect(control)).collect();
+    half.iter_mut().for_each(|stream| stream.write_all(b"GET /control/rea").expect("written"));
+    let mut crowd: Vec<_> = (0..100).map(|_| connect(program.platform)).collect();
+    crowd.iter_mut().for_each(|stream| drop(stream.write_all(b"POST /balance HTTP/1.1\r\nHo")));
+    for _ in 0..5 {
+        assert_eq!(call(control, "GET", "/control/ready").status, 200);
+    }
+    // The newest half call is still good, one of the oldest has given way.
+    let mut newest = half.pop().expect("one of them");
+    newest.write_all(b"dy HTTP/1.1\r\nHost: n0\r\n\r\n").expect("written");
+    assert_eq!(read_reply(&mut newest).expect("an answer").status, 200);
+    until("the oldest is closed", || is_closed(&half[0]));
+    assert_eq!(ask(program.platform, "d0", "balance", "take started done=x").status, 200);
+}
+
+#[test]
+fn what_is_no_call_is_answered_with_a_no() {
+    let node = Node::start("s-1");
+    let (program, control) = with_control(std::slice::from_ref(&node), false);
+    assert_eq!(call(control, "GET", "/control/nothing").status, 404);
+    assert_eq!(call(control, "GET", "/control/out-of-service").status, 405);
+    assert_eq!(call(control, "PUT", "/control/ready").status, 405);
+    assert_eq!(send(control, "what is this\r\n\r\n").expect("an answer").status, 400);
+    assert_eq!(up(&program), 200, "nothing of that drained it");
+    // The second address is not the clients', nor theirs the second.
+    assert_eq!(call(program.platform, "GET", "/control/ready").status, 404);
+    assert_eq!(ask(control, "e0", "balance", "take started done=x").status, 404);
+}
+
+/// A drain is no stop: what comes is still served, clients are let go, and the program goes on after it.
+#[test]
+fn a_drained_dispatcher_lets_its_clients_go_and_comes_back() {
+    let node = Node::start("s-1");
+    let (program, control) = with_control(std::slice::from_ref(&node), true);
+    let (sse, keep) = (program.sse.expect("the SSE front is on"), "Accept: text/event-stream\r\n");
+    let idle = [connect(program.platform), connect(program.platform), connect(sse)];
+    let mut busy = [connect(program.platform), connect(sse)];
+    for (n, stream) in busy.iter_mut().enumerate() {
+        let text = job(&format!("f{n}"), "balance", "take started pause=600 done=kept", keep);
+        stream.write_all(text.as_bytes()).expect("written");
+    }
+    until("both jobs arrive", || node.jobs.load(std::sync::atomic::Ordering::SeqCst) == 2);
+    assert_eq!(call(control, "PUT", "/control/out-of-service").status, 200);
+    assert_eq!(call(control, "PUT", "/control/out-of-service").status, 200, "again changes nothing");
+    assert_eq!(up(&program), 503);
+    for (n, to) in [program.platform, sse].into_iter().enumerate() {
+        let reply = ask(to, &format!("g{n}"), "balance", "take started done=x");
+        assert_eq!((reply.status, reply.field("Connection")), (200, Some("close")));
+    }
+    until("idle connections are closed", || idle.iter().all(is_closed));
+    for stream in &mut busy {
+        assert!(read_reply(stream).expect("an answer").body.contains("kept"));
+        until("and those with a job after it", || is_closed(stream));
+    }
+    assert_eq!(call(control, "GET", "/control/ready").status, 200, "the process still takes clients");
+    assert_eq!(call(control, "PUT", "/control/in-service").status, 200);
+    assert_eq!(up(&program), 200);
+    let mut kept = connect(program.platform);
+    for n in 0..2 {
+        let text = job(&format!("h{n}"), "balance", "take started done=x", "");
+        kept.write_all(text.as_bytes()).expect("written");
+        let reply = read_reply(&mut kept).expect("an answer on a kept connection");
+        assert_eq!((reply.status, reply.field("Connection")), (200, None));
+    }
+    let figures = program.figures();
+    assert_eq!((figures["open"], figures["gone"], figures["broken_invariants"]), (0, 0, 0));
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -146,6 +146,20 @@
     assert!(bench.now <= from + 850 * MS);
 }
 
+/// On a starved machine a turn comes late. The core then answered by itself, over the module's head, and debug builds
+/// stopped with all they had taken.
+#[test]
+fn a_turn_that_comes_late_still_asks_the_module_first() {
+    let mut bench = Bench::new(1);
+    let id = bench.arrive(1, 200 * MS).expect("a session");
+    let worker = sent(&bench.pass(10 * MS))[0].2;
+    assert!(bench.news("job-1", worker, News::Started));
+    bench.pass(0);
+    bench.now += 900 * MS;
+    assert_eq!(answers(&bench.pass(0)), [(id, Answer::TimedOut)]);
+    assert!(answers(&bench.pass(100 * MS)).is_empty());
+}
+
 #[test]
 fn a_result_of_a_dispatch_that_was_given_up_still_serves_an_open_session() {
     let mut bench = Bench::new(3);
