--- a/src/config.rs
+++ b/src/config.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::Settings;
 use crate::wire::{Names, Profile, settings, to_micros};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -57,7 +57,7 @@
 }
 
 /// One row of the server table, in discovery's form.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "camelCase")]
 pub struct ServerRow {
     /// The worker's name, the same at every dispatcher.
@@ -85,7 +85,7 @@
 }
 
 /// Whether a worker takes work.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Lifecycle {
     /// It does.
@@ -97,7 +97,7 @@
 }
 
 /// A list of discovery's, whole or changes only.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ServerList {
     /// Its version.
     pub generation: u64,
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -51,6 +51,8 @@
     pub failed: u64,
     /// Left by their clients.
     pub gone: u64,
+    /// Handed to another process of this dispatcher, which owes the answer.
+    pub moved: u64,
 }
 
 impl Ledger {
@@ -62,7 +64,7 @@
             Entry::Failed => &mut self.failed,
             Entry::Gone => &mut self.gone,
         } += 1;
-        invariant!(self.ended() <= self.taken, "more final answers than sessions: {self:?}");
+        invariant!(self.ended() + self.moved <= self.taken, "more final answers than sessions: {self:?}");
     }
 
     /// Sessions that have their entry.
@@ -72,6 +74,6 @@
 
     /// Sessions that are owed one.
     pub fn open(&self) -> u64 {
-        self.taken.saturating_sub(self.ended())
+        self.taken.saturating_sub(self.ended() + self.moved)
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod deadlines;
 pub mod ledger;
+pub mod moved;
 pub mod servers;
 
 use crate::Dispatcher;
@@ -11,6 +12,7 @@
 use crate::invariant;
 use deadlines::{Deadline, Deadlines};
 use ledger::{Entry, Ledger, Tally};
+use moved::{Moved, MovedDispatch};
 use servers::ServerTable;
 use std::collections::{HashMap, VecDeque};
 
@@ -145,12 +147,15 @@
     limit: Option<Micros>,
     /// The module is still owed its end.
     out: bool,
-    started: bool,
+    started: Option<Micros>,
+    /// It has ended and never ran.
+    never_ran: bool,
 }
 
 struct Session {
     name: String,
-    class: ClassId,
+    new: NewJob,
+    arrived: Micros,
     frontend: u64,
     deadline: Micros,
     /// When the core answers by itself, once its deadline has passed.
@@ -178,6 +183,8 @@
     next_session: SessionId,
     deadlines: Deadlines,
     events: Vec<Event>,
+    /// How many of them tell of sessions that were handed over.
+    release_events: usize,
     next_batch: Micros,
     actions: Vec<Action>,
     commands: VecDeque<Command>,
@@ -208,6 +215,7 @@
             next_session: 0,
             deadlines: Deadlines::default(),
             events: Vec::new(),
+            release_events: 0,
             next_batch: 0,
             actions: Vec::new(),
             commands: VecDeque::new(),
@@ -272,9 +280,21 @@
         let deadline = now + new.patience;
         self.ledger.taken += 1;
         self.by_name.insert(new.name.clone(), id);
+        let job = NewJob {
+            job: JobId(id),
+            class: new.class,
+            tenant: new.tenant,
+            key: new.key,
+            deadline,
+            hint: new.hint,
+            slots: new.slots,
+            memory: new.memory,
+            repeat: new.repeat,
+        };
         let session = Session {
             name: new.name,
-            class: new.class,
+            new: job,
+            arrived: now,
             frontend: new.frontend,
             deadline,
             backstop: None,
@@ -284,17 +304,7 @@
         };
         self.sessions.insert(id, session);
         self.deadlines.set(deadline, Deadline::Session(id));
-        self.events.push(Event::Arrived(NewJob {
-            job: JobId(id),
-            class: new.class,
-            tenant: new.tenant,
-            key: new.key,
-            deadline,
-            hint: new.hint,
-            slots: new.slots,
-            memory: new.memory,
-            repeat: new.repeat,
-        }));
+        self.events.push(Event::Arrived(job));
         Some(id)
     }
 
@@ -356,8 +366,8 @@
     ) -> bool {
         let without = |outcome| Fate::Without(outcome);
         match news {
-            News::Started => self.started(id, dispatch, None),
-            News::Running(share) => self.started(id, dispatch, Some(share)),
+            News::Started => self.started(now, id, dispatch, None),
+            News::Running(share) => self.started(now, id, dispatch, Some(share)),
             News::Done(result) => self.ended(now, id, dispatch, Fate::Done(result), report),
             News::Failed => self.ended(now, id, dispatch, without(Outcome::Error), report),
             News::Returned => self.ended(now, id, dispatch, without(Outcome::Full), report),
@@ -365,11 +375,12 @@
         }
     }
 
-    fn started(&mut self, id: SessionId, dispatch: u32, share: Option<f64>) -> bool {
+    fn started(&mut self, now: Micros, id: SessionId, dispatch: u32, share: Option<f64>) -> bool {
         let Some(session) = self.sessions.get_mut(&id) else { return false };
         let this = session.dispatches.get_mut(dispatch as usize).filter(|d| d.out);
         let Some(this) = this else { return false };
-        let repeated = std::mem::replace(&mut this.started, true) && share.is_none();
+        let repeated = this.started.is_some() && share.is_none();
+        this.started.get_or_insert(now);
         if repeated {
             return false;
         }
@@ -428,6 +439,9 @@
         if !was_out {
             return false;
         }
+        if let Some(this) = self.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(dispatch as usize)) {
+            this.never_ran = outcome.never_ran();
+        }
         self.tell_end(id, dispatch, worker, elapsed, outcome, report);
         true
     }
@@ -456,7 +470,7 @@
         if let Some(at) = session.backstop.take() {
             self.deadlines.drop(at, Deadline::Backstop(id));
         }
-        let class = session.class;
+        let class = session.new.class;
         self.ledger.enter(entry);
         self.tally(class, entry);
         self.forget(id);
@@ -543,6 +557,12 @@
         if self.events.is_empty() || (now < self.next_batch && !at_once) {
             return;
         }
+        self.batch(now);
+    }
+
+    /// Hands the module what has come in.
+    pub fn batch(&mut self, now: Micros) {
+        self.release_events = 0;
         self.next_batch = now + self.tick;
         let mut actions = std::mem::take(&mut self.actions);
         for event in std::mem::take(&mut self.events) {
@@ -600,7 +620,14 @@
         let attempt = session.dispatches.len() as u32;
         if !session.open {
             // The batch was fixed before its session ended: nothing goes out after a final answer.
-            session.dispatches.push(Dispatch { worker, at: now, limit: None, out: false, started: false });
+            session.dispatches.push(Dispatch {
+                worker,
+                at: now,
+                limit: None,
+                out: false,
+                started: None,
+                never_ran: true,
+            });
             let (job, outcome) = (JobId(id), Outcome::Moot);
             let ended = Ended { job, attempt, worker, elapsed: 0, closed: true, outcome, report: None };
             return self.events.push(Event::Ended(ended));
@@ -612,19 +639,144 @@
         if let Some(at) = limit {
             self.deadlines.set(at, Deadline::Limit(id, dispatch));
         }
-        session.dispatches.push(Dispatch { worker, at: now, limit, out: true, started: false });
+        session.dispatches.push(Dispatch {
+            worker,
+            at: now,
+            limit,
+            out: true,
+            started: None,
+            never_ran: false,
+        });
         let left = limit.unwrap_or(session.deadline).saturating_sub(now);
         self.commands.push_back(Command::Send { session: id, dispatch, worker, left });
     }
 
     /// Answers every open session as failed: the machine is about to go.
     pub fn fail_all(&mut self) {
+        for id in self.open_sessions() {
+            self.answer(id, Answer::Failed, Entry::Failed);
+            self.events.push(Event::HungUp(JobId(id)));
+        }
+    }
+
+    /// The open sessions, in the order of their arrival.
+    pub fn open_sessions(&self) -> Vec<SessionId> {
         let mut open: Vec<SessionId> =
             self.sessions.iter().filter(|(_, s)| s.open).map(|(id, _)| *id).collect();
         open.sort_unstable();
-        for id in open {
-            self.answer(id, Answer::Failed, Entry::Failed);
-            self.events.push(Event::HungUp(JobId(id)));
+        open
+    }
+
+    /// The ids of the requests that are open here.
+    pub fn open_names(&self) -> Vec<String> {
+        self.by_name.keys().cloned().collect()
+    }
+
+    /// Whether a session of this name is open, or something of it is still out.
+    pub fn knows(&self, name: &str) -> bool {
+        self.by_name.contains_key(name)
+    }
+
+    /// Hands an open session to another process of this dispatcher. Nothing more is done for it here. `None` where the
+    /// module has yet to hear of something first, or where the class is no more: the other could not know it.
+    pub fn release(&mut self, id: SessionId) -> Option<Moved> {
+        let (offset, classes) = (self.unix_offset, &self.names.0.classes);
+        let unix = |at: Micros| (i128::from(at) - offset) as i64;
+        let session =
+            self.sessions.get(&id).filter(|s| s.open && self.events.len() == self.release_events)?;
+        let class = classes.names().get(usize::from(session.new.class.0))?.to_string();
+        let tenants = self.names.0.tenants.names();
+        let tenant = session.new.tenant.and_then(|t| tenants.get(usize::from(t.0)).map(|n| n.to_string()));
+        let dispatch = |d: &Dispatch| {
+            let worker = self.servers.get(d.worker)?.row.instance_id.clone();
+            let (at, started) = (unix(d.at), d.started.map(unix));
+            Some(MovedDispatch { worker, at, started, out: d.out, never_ran: d.never_ran })
+        };
+        let moved = Moved {
+            name: session.name.clone(),
+            class,
+            tenant,
+            key: session.new.key.map(|k| k.0),
+            arrived: unix(session.arrived),
+            deadline: unix(session.deadline),
+            hint: session.new.hint,
+            slots: session.new.slots,
+            memory: session.new.memory,
+            repeat: session.new.repeat,
+            told_started: session.told_started,
+            dispatches: session.dispatches.iter().map(dispatch).collect::<Option<_>>()?,
+        };
+        let session = self.sessions.remove(&id)?;
+        self.by_name.remove(&session.name);
+        self.deadlines.drop(session.deadline, Deadline::Session(id));
+        if let Some(at) = session.backstop {
+            self.deadlines.drop(at, Deadline::Backstop(id));
+        }
+        self.ledger.moved += 1;
+        let job = JobId(id);
+        self.events.push(Event::HungUp(job));
+        for (attempt, d) in (0..).zip(&session.dispatches).filter(|(_, d)| d.out) {
+            let (worker, outcome) = (d.worker, Outcome::Cancelled);
+            let ended = Ended { job, attempt, worker, elapsed: 0, closed: true, outcome, report: None };
+            self.events.push(Event::Ended(ended));
+        }
+        self.release_events = self.events.len();
+        Some(moved)
+    }
+
+    /// Takes over a session that another process of this dispatcher has released.
+    pub fn adopt(&mut self, moved: Moved, frontend: u64) -> Option<SessionId> {
+        let offset = self.unix_offset;
+        let here = |unix: i64| Micros::try_from(i128::from(unix) + offset).unwrap_or(0);
+        let class = ClassId(self.names.0.classes.find(&moved.class)? as u16);
+        if self.by_name.contains_key(&moved.name) {
+            return None;
         }
+        let tenant = moved.tenant.and_then(|t| self.names.0.tenants.find(&t)).map(|t| TenantId(t as u16));
+        let dispatch = |d: &MovedDispatch| {
+            let (worker, started) = (self.servers.find(&d.worker)?, d.started.map(here));
+            let (at, never_ran) = (here(d.at), d.never_ran);
+            Some(Dispatch { worker, at, limit: None, out: d.out, started, never_ran })
+        };
+        let dispatches: Vec<Dispatch> = moved.dispatches.iter().map(dispatch).collect::<Option<_>>()?;
+        let id = self.next_session;
+        self.next_session += 1;
+        self.ledger.taken += 1;
+        let (arrived, deadline) = (here(moved.arrived), here(moved.deadline));
+        let new = NewJob {
+            job: JobId(id),
+            class,
+            tenant,
+            key: moved.key.map(KeyId),
+            deadline,
+            hint: moved.hint,
+            slots: moved.slots,
+            memory: moved.memory,
+            repeat: moved.repeat,
+        };
+        let past = |d: &Dispatch| Past {
+            worker: d.worker,
+            at: d.at,
+            out: d.out,
+            running_since: d.started,
+            never_ran: d.never_ran,
+        };
+        let past = dispatches.iter().map(past).collect();
+        self.events.push(Event::Adopted { new, since: arrived, past });
+        self.by_name.insert(moved.name.clone(), id);
+        self.deadlines.set(deadline, Deadline::Session(id));
+        let session = Session {
+            name: moved.name,
+            new,
+            arrived,
+            frontend,
+            deadline,
+            backstop: None,
+            open: true,
+            told_started: moved.told_started,
+            dispatches,
+        };
+        self.sessions.insert(id, session);
+        Some(id)
     }
 }
--- /dev/null
+++ b/src/core/moved.rs
@@ -0,0 +1,49 @@
+//! A session on its way from one process of a dispatcher to another. Times are Unix times in microseconds: the two clocks
+//! start at different moments.
+
+use crate::interface::Micros;
+use serde::{Deserialize, Serialize};
+
+/// The session.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Moved {
+    /// The request's id.
+    pub name: String,
+    /// Its class, by name: the other process may number them otherwise.
+    pub class: String,
+    /// Its tenant, by name.
+    pub tenant: Option<String>,
+    /// What it concerns.
+    pub key: Option<u32>,
+    /// When it arrived.
+    pub arrived: i64,
+    /// When its client gives up.
+    pub deadline: i64,
+    /// Expected work.
+    pub hint: Option<Micros>,
+    /// Slots it needs.
+    pub slots: f64,
+    /// Memory it needs.
+    pub memory: Option<f64>,
+    /// Whether it is marked as a repeat.
+    pub repeat: bool,
+    /// Whether its client has been told that it started.
+    pub told_started: bool,
+    /// What became of it so far.
+    pub dispatches: Vec<MovedDispatch>,
+}
+
+/// One of its dispatches.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct MovedDispatch {
+    /// The worker, by discovery's name.
+    pub worker: String,
+    /// When it was sent.
+    pub at: i64,
+    /// When it started to run.
+    pub started: Option<i64>,
+    /// Its end is still to come.
+    pub out: bool,
+    /// It has ended and never ran.
+    pub never_ran: bool,
+}
--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -9,8 +9,8 @@
 /// A worker as the table holds it. Its number is never given to another.
 #[derive(Clone, Debug)]
 pub struct Server {
-    /// Discovery's name for it.
-    pub instance_id: String,
+    /// Its row, as discovery last worded it.
+    pub row: ServerRow,
     /// Where it listens.
     pub address: SocketAddr,
     /// Since when it has been known not to take work.
@@ -46,6 +46,15 @@
         self.servers.iter().filter(|s| s.stopped.is_none()).count()
     }
 
+    /// The table in discovery's form, with those that are gone.
+    pub fn rows(&self) -> Vec<ServerRow> {
+        let worded = |s: &Server| match s.removed {
+            true => ServerRow { lifecycle: Lifecycle::Removed, ..s.row.clone() },
+            false => s.row.clone(),
+        };
+        self.servers.iter().map(worded).collect()
+    }
+
     /// How many workers are in discovery's list.
     pub fn listed(&self) -> usize {
         self.servers.iter().filter(|s| !s.removed).count()
@@ -114,11 +123,11 @@
                 return None;
             }
             server.address = address.unwrap_or(server.address);
+            server.row = ServerRow { host_port: server.address.to_string(), ..row.clone() };
             return Some(*id);
         }
         let id = WorkerId(self.servers.len() as u32);
-        let instance_id = row.instance_id.clone();
-        self.servers.push(Server { instance_id, address: address?, stopped: None, removed: false });
+        self.servers.push(Server { row: row.clone(), address: address?, stopped: None, removed: false });
         self.ids.insert(row.instance_id.clone(), id);
         Some(id)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -430,6 +430,21 @@
     pub report: Option<Report>,
 }
 
+/// An attempt that another process of this node made for a job.
+#[derive(Clone, Copy, Debug)]
+pub struct Past {
+    /// To whom.
+    pub worker: WorkerId,
+    /// When.
+    pub at: Micros,
+    /// Its end is still to be told.
+    pub out: bool,
+    /// When it started to run, if it did.
+    pub running_since: Option<Micros>,
+    /// It ended, and it is known that it never ran.
+    pub never_ran: bool,
+}
+
 /// What has happened. Events about unknown jobs, attempts, workers or alarms are ignored.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -441,6 +456,15 @@
     RosterMoved,
     /// A job has arrived: exactly one final answer is owed before its deadline.
     Arrived(NewJob),
+    /// A job that another process of this node had taken: this one owes the answer from now on.
+    Adopted {
+        /// The job.
+        new: NewJob,
+        /// When it arrived.
+        since: Micros,
+        /// Its attempts, in the order sent.
+        past: Vec<Past>,
+    },
     /// A stream has begun on this attempt.
     Begun {
         /// The job.
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,7 +25,7 @@
     let config = Config::load(|name| std::env::var(name).ok())?;
     let sse = SseConfig::load(&sse.clone().unwrap_or("deploy/sse.toml".into()), sse.is_some())?;
     let name = config.name.clone();
-    let mut server = Server::open(config, sse)?;
+    let mut server = Server::open(config, sse, std::env::var_os("TMPDIR").map(PathBuf::from).as_deref())?;
     let (platform, sse, admin) = server.addresses();
     let shown = |at: Option<std::net::SocketAddr>| at.map_or("off".to_owned(), |at| at.to_string());
     eprintln!("serving: {name} on {}, SSE {}, control {}", shown(platform), shown(sse), shown(admin));
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -95,6 +95,7 @@
             return None;
         }
         Some(match admin::route(&conn.inbox, &head) {
+            Ok(Call::Ready) if self.handed => admin::no(), // its successor takes them
             Ok(Call::Ready) => admin::yes(),
             Ok(Call::Counters) => admin::figures(&self.figures()),
             Ok(Call::OutOfService) => {
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -78,7 +78,27 @@
     at: Micros,
 }
 
+impl Back {
+    /// Its worker, if it is idle.
+    pub(super) fn idle_worker(&self) -> Option<WorkerId> {
+        matches!(self.state, State::Idle).then_some(self.worker)
+    }
+}
+
 impl Server {
+    /// Takes an idle connection over from another process; it may stay idle for so long.
+    pub(super) fn take_back(&mut self, worker: WorkerId, conn: Conn, left: Micros) {
+        let back = Back { worker, state: State::Idle, reused: true, unwritten: false };
+        let Some(token) = self.add(conn, |_| Role::Back(back)) else { return };
+        let Some((conn, Role::Back(back))) = self.take(token) else { return };
+        self.back_settle(token, conn, back);
+        if let Some((mut conn, role)) = self.take(token) {
+            let until = self.now + left.min(self.config.conn_idle / 2);
+            self.set_timer(token, &mut conn, Some(until));
+            self.put(token, conn, role);
+        }
+    }
+
     pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId, left: Micros) {
         let Some(raw) = self.requests.get(&session) else {
             // Its client left in the meantime: nothing goes out any more.
@@ -420,7 +440,7 @@
         }
     }
 
-    fn unpool(&mut self, worker: WorkerId, token: Token) {
+    pub(super) fn unpool(&mut self, worker: WorkerId, token: Token) {
         if let Some(idle) = self.pool.get_mut(&worker) {
             idle.retain(|t| *t != token);
         }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -1,6 +1,7 @@
 //! Connections of frontends: clients, and workers with their call-backs.
 
 use super::conn::{Conn, ReadEnd};
+use super::handover::HandedSession;
 use super::{ACCEPT_TIMER, ACCEPTS, Role, Server, Token};
 use crate::core::{Answer, SessionId};
 use crate::front::platform::{self, Raw, Reject, Route};
@@ -10,6 +11,7 @@
 use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
 use rustix::net::SocketFlags;
+use serde::{Deserialize, Serialize};
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -68,7 +70,67 @@
     pub(super) calls_back: bool,
 }
 
+/// What another process must know of a connection to go on with it.
+#[derive(Deserialize, Serialize)]
+pub(super) struct Handed {
+    sse: bool,
+    unasked: bool,
+    calls_back: bool,
+    pub session: Option<HandedSession>,
+}
+
 impl Front {
+    /// Whether it holds no session: idle, or with a part of a request.
+    pub(super) fn is_reading(&self) -> bool {
+        matches!(self.state, State::Reading)
+    }
+
+    /// The session whose answer it waits for.
+    pub(super) fn waits_for(&self) -> Option<SessionId> {
+        if let State::Waiting { session, .. } = self.state { Some(session) } else { None }
+    }
+
+    /// Whether it is kept after that answer, and whether that is a stream that has begun.
+    pub(super) fn answers_how(&self) -> (bool, Option<bool>) {
+        match &self.state {
+            State::Waiting { keep_alive, stream, .. } => (*keep_alive, stream.map(|s| s.begun)),
+            _ => (true, None),
+        }
+    }
+
+    /// What it waited for goes by another number now.
+    pub(super) fn waits_now_for(&mut self, new: SessionId) {
+        if let State::Waiting { session, .. } = &mut self.state {
+            *session = new;
+        }
+    }
+
+    pub(super) fn waits_from_now(
+        &mut self,
+        session: SessionId,
+        keep_alive: bool,
+        stream: Option<bool>,
+        now: Micros,
+    ) {
+        let stream = stream.map(|begun| Stream { begun, last: now });
+        self.state = State::Waiting { session, keep_alive, stream };
+    }
+
+    pub(super) fn is_unasked(&self) -> bool {
+        self.unasked_since.is_some()
+    }
+
+    pub(super) fn handed(&self) -> Handed {
+        let (sse, unasked, calls_back) = (self.sse, self.unasked_since.is_some(), self.calls_back);
+        Handed { sse, unasked, calls_back, session: None }
+    }
+
+    pub(super) fn taken(handed: &Handed, now: Micros) -> Front {
+        let unasked_since = handed.unasked.then_some(now);
+        let (sse, calls_back) = (handed.sse, handed.calls_back);
+        Front { sse, state: State::Reading, idle_since: None, unasked_since, calls_back }
+    }
+
     /// Whether it holds a request that is not answered, or a part of one.
     pub(super) fn is_busy(&self) -> bool {
         self.idle_since.is_none() && !matches!(self.state, State::Ending { lingers: true })
@@ -130,6 +192,9 @@
     }
 
     pub(super) fn accept_again(&mut self) {
+        if self.handed {
+            return;
+        }
         self.accepting = true;
         self.listen_for(EventFlags::IN);
     }
@@ -165,7 +230,7 @@
     }
 
     /// Uses what was read, writes what is there to write, and settles what to wait for.
-    fn front_go_on(&mut self, token: Token, mut conn: Conn, mut front: Front) {
+    pub(super) fn front_go_on(&mut self, token: Token, mut conn: Conn, mut front: Front) {
         loop {
             match &mut front.state {
                 State::Ending { .. } => {
@@ -173,7 +238,7 @@
                     break;
                 }
                 State::Waiting { .. } => break,
-                State::Reading if conn.inbox.is_empty() => break,
+                State::Reading if conn.inbox.is_empty() || self.handed => break,
                 State::Reading => match http::read_request(&conn.inbox) {
                     Ok(None) => break,
                     Err(error) => self.reject(&mut conn, &mut front, error.into()),
@@ -233,6 +298,20 @@
     }
 
     fn requested(&mut self, token: Token, conn: &mut Conn, front: &mut Front, raw: Raw) {
+        if self.handed {
+            // Its last chunk came after the handover began: it goes over as it came, to be taken there.
+            let mut inbox = raw.bytes.to_vec();
+            let body = raw.body.bytes();
+            if !body.is_empty() {
+                inbox.extend(
+                    format!("{:x}\r\n", body.len()).bytes().chain(body.iter().copied()).chain(*b"\r\n"),
+                );
+            }
+            inbox.extend(b"0\r\n\r\n");
+            inbox.append(&mut conn.inbox);
+            (conn.inbox, front.state) = (inbox, State::Reading);
+            return;
+        }
         if let Some(since) = front.unasked_since.take() {
             self.unasked_fronts.remove(&(since, token));
             self.set_timer(token, conn, None);
@@ -243,6 +322,7 @@
         if raw.head.framing != Framing::Absent && !http::may_begin_request(&conn.inbox) {
             return self.reject(conn, front, Reject::Bad);
         }
+        let mut refused_news = false;
         let refused = match platform::route(self.core.names(), &self.classes, &raw, !front.sse) {
             Ok(Route::Ready) if self.takes_leave() => Some(Reject::NotReady),
             Ok(Route::Ready) => {
@@ -250,6 +330,14 @@
                 None
             }
             Ok(Route::News) => match platform::read_news(self.core.names(), raw.body.bytes(), None) {
+                Some(told) if self.open_elsewhere(&told.id) && !self.core.knows(&told.id) => {
+                    front.calls_back = true;
+                    match self.pass_news(raw.body.bytes()) {
+                        true => conn.outbox.push(platform::heard(keep_alive)),
+                        false => refused_news = true, // the worker tries again
+                    }
+                    None
+                }
                 Some(told) => {
                     front.calls_back = true;
                     let keep_alive = raw.head.keep_alive && (keep_alive || self.stopping.is_none());
@@ -272,7 +360,8 @@
                 arrival.frontend = token.0;
                 let stream =
                     (front.sse && sse::wants_stream(&raw)).then_some(Stream { begun: false, last: self.now });
-                match self.core.arrived(self.now, arrival) {
+                let elsewhere = self.open_elsewhere(&arrival.name);
+                match if elsewhere { None } else { self.core.arrived(self.now, arrival) } {
                     Some(session) => {
                         self.requests.insert(session, raw);
                         front.state = State::Waiting { session, keep_alive, stream };
@@ -283,7 +372,7 @@
             }
             Err(why) => Some(why),
         };
-        if let Some(why) = refused {
+        if let Some(why) = refused.or(refused_news.then_some(Reject::NoRoom)) {
             if why.closes() {
                 return self.reject(conn, front, why);
             }
@@ -342,6 +431,17 @@
         self.close(token, conn, Role::Front(front));
     }
 
+    /// Drops a connection that has gone over to another process.
+    pub(super) fn forget_front(&mut self, token: Token, conn: Conn, front: Front) {
+        if let Some(since) = front.idle_since {
+            self.idle_fronts.remove(&(since, token));
+        }
+        if let Some(since) = front.unasked_since {
+            self.unasked_fronts.remove(&(since, token));
+        }
+        self.close(token, conn, Role::Front(front));
+    }
+
     /// Closes an idle connection, unless a request has arrived on it that was not read yet: that one is taken.
     pub(super) fn close_idle(&mut self, token: Token, conn: Conn, mut front: Front) -> bool {
         let arrived = matches!(conn.stream.peek(&mut [0]), Ok(read) if read > 0);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod conn;
 mod discovery;
 mod frontend;
+mod handover;
 mod peers;
 mod reload;
 mod stop;
@@ -18,6 +19,7 @@
 use conn::Conn;
 use discovery::Call;
 use frontend::Front;
+use handover::{Asked, Home, Twin};
 use reload::Signals;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use std::collections::{HashMap, HashSet};
@@ -31,6 +33,9 @@
 const EVENTS: usize = 256;
 /// Connections accepted in one go, so that a rush of them does not keep answers waiting.
 const ACCEPTS: usize = 64;
+/// An address that an elder still holds is tried for this many times, so long apart.
+const LISTEN_TRIES: u32 = 100;
+const LISTEN_AGAIN: Duration = Duration::from_millis(25);
 /// The log's summary line comes this often, if there was anything to count.
 const SUMMARY: Micros = 10_000_000;
 
@@ -58,6 +63,9 @@
 const ACCEPT_TIMER: u64 = u64::MAX - 7;
 const PEER_TIMER: u64 = u64::MAX - 8;
 const DRAIN_TIMER: u64 = u64::MAX - 9;
+const HOME: Token = Token(u64::MAX - 10);
+const TWIN: Token = Token(u64::MAX - 11);
+const HAND_TIMER: u64 = u64::MAX - 12;
 
 /// What a connection is for.
 enum Role {
@@ -154,6 +162,13 @@
     /// Connections to it, the oldest first.
     callers: std::collections::VecDeque<Token>,
     signals: Signals,
+    /// Where the next version asks for a handover.
+    home_path: Option<std::path::PathBuf>,
+    home: Option<Home>,
+    /// The other process of this dispatcher, during an upgrade.
+    twin: Option<Twin>,
+    /// This one has handed its listening sockets over.
+    handed: bool,
     peers: Option<UdpSocket>,
     slots: Vec<Slot>,
     free: Vec<usize>,
@@ -204,21 +219,64 @@
     Ok(listener)
 }
 
+/// Whether a socket of the elder is where this configuration wants one.
+fn is_at(socket: std::io::Result<SocketAddr>, wanted: SocketAddr) -> bool {
+    socket.is_ok_and(|at| at.ip() == wanted.ip() && (at.port() == wanted.port() || wanted.port() == 0))
+}
+
+/// The elder's listening socket, with all that waits in its queue, or a new one. While an elder that hands nothing over
+/// may be about to end, its address is waited for.
+fn listen_or(old: Option<TcpListener>, at: SocketAddr, patient: bool) -> Result<TcpListener, NetError> {
+    if let Some(old) = old.filter(|listener| is_at(listener.local_addr(), at)) {
+        return Ok(old);
+    }
+    let tries = if patient { LISTEN_TRIES } else { 0 };
+    for _ in 0..tries {
+        match listen(at) {
+            Err(NetError::Listen(_, error)) if error.kind() == std::io::ErrorKind::AddrInUse => {
+                std::thread::sleep(LISTEN_AGAIN);
+            }
+            other => return other,
+        }
+    }
+    listen(at)
+}
+
 impl Server {
     /// Opens everything. `sse` is where the SSE front listens, and its heartbeat.
-    pub fn open(mut config: Config, sse: Option<(SocketAddr, Micros)>) -> Result<Server, NetError> {
+    /// `folder` is where the processes of one dispatcher meet at an upgrade; without it there is no handover.
+    pub fn open(
+        mut config: Config,
+        sse: Option<(SocketAddr, Micros)>,
+        folder: Option<&std::path::Path>,
+    ) -> Result<Server, NetError> {
         let io = |what| move |error| NetError::System(what, error);
         // First of all: a SIGHUP that no handler awaits ends the program, with all it has taken.
         let signals = Signals::register().map_err(io("signals"))?;
-        let unix_now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros();
+        let path = folder.map(|folder| handover::path(folder, &config.name));
+        let (mut inherited, patient) = match path.as_deref().map_or(Asked::Nobody, handover::ask) {
+            Asked::All(from) => (Some(*from), false),
+            Asked::NoAnswer => (None, true),
+            Asked::Nobody => (None, false),
+        };
+        let (started, unix_now) = (Instant::now(), SystemTime::now());
+        let unix_now = unix_now.duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros();
         let names = std::mem::take(&mut config.names);
         let classes = config.settings.classes.clone();
         let mut core =
             Core::new(config.settings.clone(), names, config.seed, unix_now).map_err(NetError::Settings)?;
-        let platform = listen(config.listen)?;
-        let sse = sse.map(|(at, heartbeat)| listen(at).map(|l| (l, heartbeat))).transpose()?;
+        let (mut old_platform, mut old_sse, mut old_peers) = (None, None, None);
+        if let Some(from) = &mut inherited {
+            (old_platform, old_sse, old_peers) = (from.platform.take(), from.sse.take(), from.peers.take());
+        }
+        let platform = listen_or(old_platform, config.listen, patient)?;
+        let sse = sse.map(|(at, beat)| listen_or(old_sse, at, patient).map(|l| (l, beat))).transpose()?;
         let admin = config.admin.map(listen).transpose()?;
-        let peers = config.peer_listen.map(UdpSocket::bind).transpose().map_err(io("peer socket"))?;
+        let old_peers = old_peers.filter(|s| config.peer_listen.is_some_and(|at| is_at(s.local_addr(), at)));
+        let peers = match (old_peers, config.peer_listen) {
+            (Some(socket), _) => Some(socket),
+            (None, at) => at.map(UdpSocket::bind).transpose().map_err(io("peer socket"))?,
+        };
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(system("epoll"))?;
         let add = |fd: std::os::fd::BorrowedFd<'_>, token: Token| {
             epoll::add(&epoll, fd, EventData::new_u64(token.0), EventFlags::IN).map_err(system("epoll"))
@@ -237,13 +295,14 @@
             add(peers.as_fd(), PEERS)?;
         }
         let now = Core::clock_start();
-        core.listed(now, &config.known, true);
+        // What the elder was last told is newer than what this file holds.
+        core.listed(now, inherited.as_ref().map_or(&config.known, |from| &from.table), true);
         core.remind(now + SUMMARY, SUMMARY_TIMER);
         let budget = Budget::of(config.limits);
-        Ok(Server {
+        let mut server = Server {
             classes,
             core,
-            started: Instant::now(),
+            started,
             now,
             epoll,
             platform,
@@ -251,6 +310,10 @@
             admin,
             callers: Default::default(),
             signals,
+            home_path: None,
+            home: None,
+            twin: None,
+            handed: false,
             peers,
             slots: Vec::new(),
             free: Vec::new(),
@@ -276,7 +339,9 @@
             counts: Counts::default(),
             reported: Default::default(),
             config,
-        })
+        };
+        server.settle_in(path, inherited);
+        Ok(server)
     }
 
     /// Where the program listens: the platform's front, the SSE front and the second address, where they are on.
@@ -327,6 +392,8 @@
                     SSE => self.accept(true),
                     SIGNAL => self.signalled(),
                     PEERS => self.hear_peers(),
+                    HOME => self.twin_comes(),
+                    TWIN => self.twin_ready(),
                     token => self.ready(token, flags),
                 }
             }
@@ -360,6 +427,7 @@
                     self.core.remind(self.now + SUMMARY, SUMMARY_TIMER);
                 }
                 Command::Due(STOP_TIMER) => self.stop_step(),
+                Command::Due(HAND_TIMER) => self.hand_step(),
                 Command::Due(DRAIN_TIMER) => self.drain_step(),
                 Command::Due(PEER_TIMER) => self.tell_state_again(),
                 Command::Due(ACCEPT_TIMER) => self.accept_again(),
@@ -474,7 +542,7 @@
 
     /// Makes room for a new connection where the descriptors are used up, by closing an idle one.
     fn make_room(&mut self) -> bool {
-        let room = self.live < self.budget.conns;
+        let room = self.live + self.held_elsewhere() < self.budget.conns;
         room || self.drop_unasked() || self.drop_idle_backend() || self.drop_idle_front()
     }
 
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -16,7 +16,10 @@
 
 impl Server {
     pub(super) fn tell_peers(&mut self, bytes: &[u8]) {
-        let Some(socket) = self.peers.as_ref().filter(|_| bytes.len() <= MOST) else { return };
+        // During an upgrade the younger process speaks for both.
+        let Some(socket) = self.peers.as_ref().filter(|_| bytes.len() <= MOST && !self.handed) else {
+            return;
+        };
         // A datagram may be lost in any case; one that cannot be sent now is.
         match self.config.peers_all {
             Some(all) => drop(socket.send_to(bytes, all)),
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -39,6 +39,12 @@
         self.tell_state();
     }
 
+    /// Goes on with the drain of the process that this one takes over from.
+    pub(super) fn drain_again(&mut self) {
+        self.drain_due = true;
+        self.core.remind(self.now + STEP, DRAIN_TIMER);
+    }
+
     /// While out of service, closes connections of clients that have asked for nothing since the front could know.
     pub(super) fn drain_step(&mut self) {
         self.drain_due = false;
@@ -68,8 +74,10 @@
     /// Whether clients keep their connections: all the time while serving, and while stopping as long as no other
     /// dispatcher could take them. Out of service they are let go in any case.
     pub(super) fn keeps_clients(&self) -> bool {
-        self.drained.is_none()
-            && self.stopping.is_none_or(|since| self.now < since + HOLD && self.peers_stopped())
+        // They go over to the younger process as they are.
+        self.handed
+            || self.drained.is_none()
+                && self.stopping.is_none_or(|since| self.now < since + HOLD && self.peers_stopped())
     }
 
     pub(super) fn stop_step(&mut self) {
@@ -83,13 +91,17 @@
             self.core.fail_all();
             self.run_commands();
         }
-        if age >= ARRIVALS && !keeps {
+        if self.handed || age >= ARRIVALS && !keeps {
             // What the kernel has accepted is taken too.
-            self.accept(false);
-            self.accept(true);
+            if !self.handed {
+                self.accept(false);
+                self.accept(true);
+            }
             let busy = |role: &Role| matches!(role, Role::Front(front) if front.is_busy());
             let writing = self.slots.iter().filter_map(|s| s.held.as_ref());
-            let busy = writing.filter(|(conn, role)| !conn.outbox.is_empty() || busy(role)).count();
+            let waits = |role: &Role| matches!(role, Role::Front(front) if self.handed && front.is_reading());
+            let busy = writing.filter(|(conn, role)| !conn.outbox.is_empty() || busy(role) || waits(role));
+            let busy = busy.count();
             if (self.core.ledger.open() == 0 && busy == 0) || age >= LAST + STEP * 8 {
                 eprintln!("stopped: open={}", self.core.ledger.open());
                 self.done = true;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -110,6 +110,11 @@
                 acts.push(Action::Watch);
             }
             Event::Arrived(new) => self.arrived(new, acts),
+            Event::Adopted { new, since, past } => {
+                self.admit(new, since, acts);
+                self.m.take_over(new.job, &past);
+                self.review(new.job, acts);
+            }
             Event::Begun { job, attempt }
             | Event::Started { job, attempt }
             | Event::Progress { job, attempt, .. } => self.sign(job, attempt, acts),
@@ -165,18 +170,23 @@
     }
 
     fn arrived(&mut self, new: NewJob, acts: &mut Vec<Action>) {
-        let Some(class) = self.set.classes.get(usize::from(new.class.0)) else {
+        if usize::from(new.class.0) >= self.set.classes.len() {
             return acts.push(Action::Refuse { job: new.job, retry_after: self.stay_away() });
-        };
+        }
+        self.admit(new, self.m.now, acts);
+        self.wake_held(acts); // what waits here already goes first
+        self.review(new.job, acts);
+    }
+
+    fn admit(&mut self, new: NewJob, since: Micros, acts: &mut Vec<Action>) {
+        let Some(class) = self.set.classes.get(usize::from(new.class.0)) else { return };
         let seen = self.m.class_work[usize::from(new.class.0)];
         let guess = if seen.count > 0.0 { seen.value } else { class.aim as f64 };
         let work = new.hint.map_or(guess, |h| h as f64).max(1.0);
         // On a cold worker a small job counts as its class's mean: many small ones push it over as well.
         let mean = self.m.note_arrival(usize::from(new.class.0), work);
-        self.m.jobs.insert(new.job, Job::new(new, self.m.now, work, work.max(mean)));
+        self.m.jobs.insert(new.job, Job::new(new, since, work, work.max(mean)));
         self.alarm(new.job, new.deadline.saturating_sub(self.set.tick), acts);
-        self.wake_held(acts); // what waits here already goes first
-        self.review(new.job, acts);
     }
 
     fn alarm(&self, job: JobId, at: Micros, acts: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -248,6 +248,26 @@
         }
     }
 
+    /// Enters the attempts that another process of this node made for a job.
+    pub fn take_over(&mut self, id: JobId, past: &[Past]) {
+        for (attempt, past) in (0..).zip(past) {
+            let Past { worker, at, running_since, .. } = *past;
+            let Some(job) = self.jobs.get_mut(&id) else { return };
+            let state = match (past.out, running_since, past.never_ran) {
+                (true, None, _) => State::Out,
+                (true, Some(_), _) => State::Running,
+                (false, _, true) => State::NeverRan,
+                (false, _, false) => State::MayHaveRun,
+            };
+            job.attempts.push(Attempt { worker, at, state, running_since, promised: false });
+            let (slots, started) = (job.new.slots, running_since.is_some());
+            let worker = self.worker(worker);
+            if past.out {
+                worker.out.push(Out { job: id, attempt, at, slots, started });
+            }
+        }
+    }
+
     /// Drops a job that is over and has nothing out.
     pub fn forget(&mut self, id: JobId) {
         if self.jobs.get(&id).is_some_and(|job| job.closed && job.out() == 0) {
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -356,6 +356,17 @@
     discovery: Option<SocketAddr>,
     sse: bool,
     change: impl FnOnce(&mut Value),
+) -> Program {
+    start_beside(nodes, discovery, sse, None, change)
+}
+
+/// Starts it with `$TMPDIR` as given: there it meets an elder process, or the next.
+pub fn start_beside(
+    nodes: &[Arc<Node>],
+    discovery: Option<SocketAddr>,
+    sse: bool,
+    folder: Option<&Path>,
+    change: impl FnOnce(&mut Value),
 ) -> Program {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let rows: Vec<Value> = nodes.iter().map(|n| n.row("up")).collect();
@@ -374,6 +385,8 @@
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
         .env_remove("GW_ADMIN_ADDR")
+        .env_remove("TMPDIR")
+        .envs(folder.map(|folder| ("TMPDIR", folder)))
         .env("GW_DISCOVERY", &discovery) // as on the platform, where it says what the file says
         .env("GW_CONFIG", &config_file)
         .stderr(Stdio::piped())
@@ -382,7 +395,14 @@
     let stderr = BufReader::new(child.stderr.take().expect("a pipe"));
     let (sender, lines) = channel();
     std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
-    let first = lines.recv_timeout(PATIENCE).expect("a first line");
+    let mut log: Vec<String> = Vec::new();
+    let first = loop {
+        log.push(lines.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("it does not serve: {log:?}")));
+        match log.last() {
+            Some(line) if line.starts_with("upgrade: ") => {}
+            line => break line.cloned().unwrap_or_default(),
+        }
+    };
     let _ = std::fs::remove_file(sse_file);
     let rest = first.strip_prefix("serving: n0 on ").unwrap_or_else(|| panic!("{first}"));
     let (platform, rest) = rest.split_once(", SSE ").expect("addresses");
@@ -399,7 +419,7 @@
         sse: sse.parse().ok(),
         control: control.parse().ok(),
         lines,
-        log: vec![first],
+        log,
     }
 }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -67,7 +67,7 @@
     }
 
     fn news(&mut self, name: &str, from: WorkerId, news: News) -> bool {
-        let from = self.core.servers.get(from).expect("known").instance_id.clone();
+        let from = self.core.servers.get(from).expect("known").row.instance_id.clone();
         self.core.news(self.now, name, &from, news, None)
     }
 }
