--- a/src/config.rs
+++ b/src/config.rs
@@ -129,6 +129,8 @@
 pub struct Config {
     /// The file it was read from.
     pub file: String,
+    /// What the file held at the start: the keys that another one must have.
+    shape: Value,
     /// Its name.
     pub name: String,
     /// Where clients and call-backs reach it.
@@ -198,6 +200,28 @@
     out
 }
 
+/// The first key that `old` has and `new` lacks. Of a list's objects those keys count that all of them have.
+fn missing(path: &str, old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), _) => old.iter().find_map(|(key, old)| {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            match new.get(key) {
+                None | Some(Value::Null) if !old.is_null() => Some(path),
+                Some(new) => missing(&path, old, new),
+                None => None,
+            }
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let first = old.first()?.as_object()?;
+            let mut shared = first.keys().filter(|key| old.iter().all(|item| item.get(key).is_some()));
+            let lacks = |key: &str| new.iter().any(|item| item.get(key).is_none_or(Value::is_null));
+            shared.find(|key| lacks(key)).map(|key| format!("{path}.{key}"))
+        }
+        (Value::Array(_), _) => Some(path.to_owned()),
+        _ => None,
+    }
+}
+
 fn read_file(file: &Path) -> Result<String, ConfigError> {
     std::fs::read_to_string(file).map_err(|e| ConfigError::Unreadable(file.display().to_string(), e))
 }
@@ -227,17 +251,40 @@
         };
         let text = read_file(Path::new(&self.file))?;
         let mut new = Config::read_after(&text, &self.file, kept, known)?;
-        // Sessions and learned figures go by the numbers of classes and tenants.
-        if !new.names.0.classes.keeps(&known.0.classes) || !new.names.0.tenants.keeps(&known.0.tenants) {
-            let what = "a class or tenant is missing or out of its order, which takes a restart";
-            return Err(ConfigError::BadSettings(what.to_owned()));
+        if let Some(key) = missing("", &self.shape, &new.shape) {
+            return Err(ConfigError::Malformed(self.file.clone(), format!("{key} is missing")));
         }
+        new.shape = self.shape.clone();
+        new.go_on_after(&self.settings, known);
         if let Some(named) = new.named_discovery.filter(|_| new.named_discovery != self.named_discovery) {
             new.discovery = named;
         }
         Ok(new)
     }
 
+    /// Gives classes and tenants the numbers that sessions under way know them by. A class that is gone, or was defined
+    /// otherwise, keeps its number and its old definition for those that were taken with it.
+    fn go_on_after(&mut self, old: &Settings, known: &SiteNames) {
+        let (names, fresh) = (&mut self.names.0, &mut self.settings);
+        let same = |new: usize, before: usize| fresh.classes[new] == old.classes[before];
+        let (classes, places) = names.classes.after(&known.0.classes, same);
+        let defined = std::mem::replace(&mut fresh.classes, old.classes.clone());
+        for (class, place) in defined.into_iter().zip(places) {
+            if place == fresh.classes.len() {
+                fresh.classes.push(class);
+            }
+        }
+        let (tenants, places) = names.tenants.after(&known.0.tenants, |_, _| true);
+        let defined = std::mem::replace(&mut fresh.tenants, old.tenants.clone());
+        for (tenant, place) in defined.into_iter().zip(places) {
+            match fresh.tenants.get_mut(place) {
+                Some(had) => *had = tenant,
+                None => fresh.tenants.push(tenant),
+            }
+        }
+        (names.classes, names.tenants) = (classes, tenants);
+    }
+
     /// Reads a configuration's text; `file` names it in messages.
     pub fn read(text: &str, file: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         Config::read_after(text, file, env, &SiteNames::default())
@@ -283,9 +330,14 @@
             Err(what) => Err(ConfigError::BadSettings(what)),
         };
         let (settings, names) = settings(&profile, &known_names.0).map_err(ConfigError::BadSettings)?;
+        let (classes, tenants) = (names.classes.names().len(), names.tenants.names().len());
+        if classes != settings.classes.len() || tenants != settings.tenants.len() {
+            return Err(ConfigError::BadSettings("two classes or tenants have one name".to_owned()));
+        }
         settings.check().map_err(|e| ConfigError::BadSettings(e.to_string()))?;
         Ok(Config {
             file: file.to_owned(),
+            shape: root.clone(),
             name: either("GW_NAME", "name").ok_or(ConfigError::Missing("name"))?,
             listen: address("listen", &listen)?,
             discovery: address("discovery", &discovery)?,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,7 +14,7 @@
 use ledger::{Entry, Ledger, Tally};
 use moved::{Moved, MovedDispatch};
 use servers::ServerTable;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// One session: a request of a client, from its last byte to its final answer.
 pub type SessionId = u64;
@@ -224,10 +224,18 @@
         })
     }
 
-    /// Goes on under other settings. Classes and tenants must have kept their numbers.
+    /// Goes on under other settings. Classes and tenants must have kept their numbers; one that has vanished, or was defined
+    /// anew, keeps its number for the sessions under way.
     pub fn reconfigure(&mut self, settings: Settings, names: SiteNames) -> Result<(), SettingsError> {
-        let tick = settings.tick;
+        let (tick, before) = (settings.tick, self.names.0.classes.names().len());
         self.dispatcher.reconfigure(settings)?;
+        let classes = names.0.classes.names();
+        for new in before..classes.len() {
+            // A class that was defined anew begins with what was learned of it.
+            if let Some(old) = (0..new).rev().find(|old| classes[*old] == classes[new]) {
+                self.dispatcher.liken(new, old);
+            }
+        }
         (self.tick, self.names) = (tick, names);
         Ok(())
     }
@@ -489,13 +497,18 @@
         self.tally(class, Entry::Denied);
     }
 
-    /// What became of the sessions of each class, by its name; of those without sessions too.
-    pub fn tallies(&self) -> impl Iterator<Item = (&str, Tally)> {
-        let names = self.names.0.classes.names();
-        names
-            .into_iter()
-            .enumerate()
-            .map(|(n, name)| (name, self.tallies.get(n).copied().unwrap_or_default()))
+    /// What became of the sessions of each class, by its name; of those without sessions, and of those that have vanished
+    /// too.
+    pub fn tallies(&self) -> BTreeMap<&str, Tally> {
+        let mut sums: BTreeMap<&str, Tally> = BTreeMap::new();
+        for (n, name) in self.names.0.classes.names().iter().enumerate() {
+            let (sum, one) =
+                (sums.entry(name).or_default(), self.tallies.get(n).copied().unwrap_or_default());
+            sum.served += one.served;
+            sum.denied += one.denied;
+            sum.failed += one.failed;
+        }
+        sums
     }
 
     /// How many listed workers the module is avoiding.
@@ -684,9 +697,12 @@
         let unix = |at: Micros| (i128::from(at) - offset) as i64;
         let session =
             self.sessions.get(&id).filter(|s| s.open && self.events.len() == self.release_events)?;
-        let class = classes.names().get(usize::from(session.new.class.0))?.to_string();
+        let class = classes.names().get(usize::from(session.new.class.0))?.clone();
+        if classes.find(&class) != Some(u32::from(session.new.class.0)) {
+            return None;
+        }
         let tenants = self.names.0.tenants.names();
-        let tenant = session.new.tenant.and_then(|t| tenants.get(usize::from(t.0)).map(|n| n.to_string()));
+        let tenant = session.new.tenant.and_then(|t| tenants.get(usize::from(t.0)).cloned());
         let dispatch = |d: &Dispatch| {
             let worker = self.servers.get(d.worker)?.row.instance_id.clone();
             let (at, started) = (unix(d.at), d.started.map(unix));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,7 +63,7 @@
 }
 
 /// One class of jobs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer is in time within this span of the arrival ...
     pub aim: Micros,
@@ -224,6 +224,8 @@
     NotAmongNodes,
     /// No attempt is allowed.
     NoAttempts,
+    /// A class leaves no time.
+    NoTime,
     /// A running module was given settings that lack a class of its own.
     ClassGone,
     /// A figure is negative, not finite, or a share above 1.
@@ -236,6 +238,7 @@
             SettingsError::NoClasses => "settings name no class of jobs",
             SettingsError::NotAmongNodes => "this node's number is not below the count of nodes",
             SettingsError::NoAttempts => "settings allow no attempt",
+            SettingsError::NoTime => "a class has a deadline or an aim that is not above 0",
             SettingsError::ClassGone => "settings lack a class of the running module",
             SettingsError::OutOfRange => "a figure of the settings is out of range",
         })
@@ -256,6 +259,8 @@
             Err(SettingsError::NotAmongNodes)
         } else if self.max_attempts == 0 {
             Err(SettingsError::NoAttempts)
+        } else if self.classes.iter().any(|c| c.deadline == 0 || c.aim == 0) {
+            Err(SettingsError::NoTime)
         } else if shares.iter().any(|s| !(0.0..=1.0).contains(s))
             || sizes.into_iter().chain(classes).any(|s| !s.is_finite() || s < 0.0)
         {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -112,7 +112,7 @@
 
     fn figures(&self) -> Figures {
         let tallies = self.core.tallies();
-        let classes = tallies.map(|(name, tally)| ClassFigures {
+        let classes = tallies.into_iter().map(|(name, tally)| ClassFigures {
             name: name.to_owned(),
             served: tally.served,
             denied: tally.denied,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -96,43 +96,57 @@
     }
 }
 
-/// Hands out numbers in order of appearance.
+/// Hands out numbers in order of appearance. A number is never given to another name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Interner {
-    names: HashMap<String, u32>,
-    next: u32,
+    current: HashMap<String, u32>,
+    /// The name of each number, those included that names have left behind.
+    names: Vec<String>,
 }
 
 impl Interner {
     pub(crate) fn id(&mut self, name: &str) -> u32 {
-        if let Some(id) = self.names.get(name) {
+        if let Some(id) = self.current.get(name) {
             return *id;
         }
-        let id = self.next;
-        self.next += 1;
-        self.names.insert(name.to_owned(), id);
+        let id = self.names.len() as u32;
+        self.names.push(name.to_owned());
+        self.current.insert(name.to_owned(), id);
         id
     }
 
     /// The names by number.
-    pub(crate) fn names(&self) -> Vec<&str> {
-        let mut names: Vec<(&str, u32)> = self.names.iter().map(|(name, id)| (name.as_str(), *id)).collect();
-        names.sort_unstable_by_key(|(_, id)| *id);
-        names.into_iter().map(|(name, _)| name).collect()
+    pub(crate) fn names(&self) -> &[String] {
+        &self.names
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.names.is_empty()
-    }
-
-    /// Whether it gives every name of another its number there.
-    pub(crate) fn keeps(&self, older: &Interner) -> bool {
-        older.names.iter().all(|(name, id)| self.find(name) == Some(*id))
+        self.current.is_empty()
+    }
+
+    /// The same names under the numbers that they had in `older`, where what they stand for is the `same` (by the new
+    /// number and the old), else under new ones; and the number of each. Names that are missing here lose theirs.
+    pub(crate) fn after(
+        &self,
+        older: &Interner,
+        same: impl Fn(usize, usize) -> bool,
+    ) -> (Interner, Vec<usize>) {
+        let (mut names, mut current, mut places) = (older.names.clone(), HashMap::new(), Vec::new());
+        for (n, name) in self.names.iter().enumerate() {
+            let had = (0..older.names.len()).rev().find(|old| older.names[*old] == *name && same(n, *old));
+            let place = had.unwrap_or_else(|| {
+                names.push(name.clone());
+                names.len() - 1
+            });
+            current.insert(name.clone(), place as u32);
+            places.push(place);
+        }
+        (Interner { current, names }, places)
     }
 
-    /// The number of a name that already has one.
+    /// The number of a name that has one now.
     pub(crate) fn find(&self, name: &str) -> Option<u32> {
-        self.names.get(name).copied()
+        self.current.get(name).copied()
     }
 }
 
