--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,7 +12,7 @@
 use crate::invariant;
 use deadlines::{Deadline, Deadlines};
 use ledger::{Entry, Ledger, Tally};
-use moved::{Moved, MovedDispatch};
+use moved::{Lesson, Moved, MovedDispatch};
 use servers::ServerTable;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -672,6 +672,36 @@
         }
     }
 
+    /// What the module has learned, for the process that goes on in this one's place.
+    pub fn lesson(&self) -> Lesson {
+        Lesson {
+            offset: self.unix_offset as i64,
+            workers: self.servers.iter().map(|(_, s)| s.row.instance_id.clone()).collect(),
+            kinds: self.names.0.kinds.names().to_vec(),
+            classes: self.names.0.classes.names().to_vec(),
+            learned: self.dispatcher.learned(),
+        }
+    }
+
+    /// Begins with what another process has learned. The server table must have been taken already.
+    pub fn recall(&mut self, lesson: Lesson) {
+        let names = &self.names.0;
+        let places = crate::state::Places {
+            workers: lesson.workers.iter().map(|name| self.servers.find(name)).collect(),
+            kinds: lesson.kinds.iter().map(|k| names.kinds.find(k).map(|n| KindId(n as u16))).collect(),
+            classes: lesson
+                .classes
+                .iter()
+                .map(|c| names.classes.find(c).map(|n| ClassId(n as u16)))
+                .collect(),
+        };
+        self.dispatcher.recall(
+            lesson.learned,
+            &places,
+            (self.unix_offset as i64).saturating_sub(lesson.offset),
+        );
+    }
+
     /// The open sessions, in the order of their arrival.
     pub fn open_sessions(&self) -> Vec<SessionId> {
         let mut open: Vec<SessionId> =
--- a/src/core/moved.rs
+++ b/src/core/moved.rs
@@ -2,6 +2,7 @@
 //! start at different moments.
 
 use crate::interface::Micros;
+use crate::state::Learned;
 use serde::{Deserialize, Serialize};
 
 /// The session.
@@ -47,3 +48,18 @@
     /// It has ended and never ran.
     pub never_ran: bool,
 }
+
+/// What the module of one process has learned, with the names behind its numbers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Lesson {
+    /// Its clock less Unix time.
+    pub offset: i64,
+    /// Workers by number.
+    pub workers: Vec<String>,
+    /// Kinds by number.
+    pub kinds: Vec<String>,
+    /// Classes by number. Where one was defined anew, the later number counts.
+    pub classes: Vec<String>,
+    /// What was learned.
+    pub learned: Learned,
+}
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -8,7 +8,7 @@
 use super::frontend::{Front, Handed};
 use super::{HAND_TIMER, HOME, Role, Server, TWIN, Token};
 use crate::config::ServerList;
-use crate::core::moved::Moved;
+use crate::core::moved::{Lesson, Moved};
 use crate::front::platform::{self, Raw};
 use crate::http::{self, Piece};
 use crate::interface::Micros;
@@ -45,7 +45,15 @@
     /// The younger is there and asks for everything.
     Hello,
     /// The elder accepts no more: its listening sockets come with this.
-    Listeners { sse: bool, peers: bool, drained: bool, table: ServerList, open: Open },
+    Listeners {
+        sse: bool,
+        peers: bool,
+        drained: bool,
+        table: ServerList,
+        open: Open,
+        /// What the module has learned; read apart, since another version may word it otherwise.
+        lesson: serde_json::Value,
+    },
     /// A connection of a client or of a worker that calls back.
     Front(Handed),
     /// An idle connection to a worker, good for so long.
@@ -97,6 +105,7 @@
     pub peers: Option<UdpSocket>,
     pub drained: bool,
     pub table: ServerList,
+    pub lesson: Option<Lesson>,
     open: Open,
 }
 
@@ -173,7 +182,7 @@
     let timeout = rustix::net::sockopt::Timeout::Recv;
     let limited = rustix::net::sockopt::set_socket_timeout(&link, timeout, Some(ASK_TIME));
     let answer = limited.and_then(|()| send(&link, &Note::Hello, &[], &[])).and_then(|()| receive(&link));
-    let Ok(Some((Note::Listeners { sse, peers, drained, table, open }, _, fds))) = answer else {
+    let Ok(Some((Note::Listeners { sse, peers, drained, table, open, lesson }, _, fds))) = answer else {
         eprintln!("upgrade: the running process hands nothing over");
         return Asked::NoAnswer;
     };
@@ -181,7 +190,8 @@
     let platform = fds.next().map(TcpListener::from);
     let sse = fds.next_if_some(sse).map(TcpListener::from);
     let peers = fds.next_if_some(peers).map(UdpSocket::from);
-    Asked::All(Box::new(Inherited { link, platform, sse, peers, drained, table, open }))
+    let lesson = serde_json::from_value(lesson).ok();
+    Asked::All(Box::new(Inherited { link, platform, sse, peers, drained, table, lesson, open }))
 }
 
 trait NextIf {
@@ -304,9 +314,10 @@
             rows: self.core.servers.rows(),
             bad_rows: 0,
         };
+        let lesson = serde_json::to_value(self.core.lesson()).unwrap_or_default();
         let (sse, peers) = (self.sse.is_some(), self.peers.is_some());
         let drained = self.drained.is_some();
-        let note = Note::Listeners { sse, peers, drained, table, open: open.clone() };
+        let note = Note::Listeners { sse, peers, drained, table, open: open.clone(), lesson };
         let mut fds = vec![self.platform.as_fd()];
         fds.extend(self.sse.as_ref().map(|(listener, _)| listener.as_fd()));
         fds.extend(self.peers.as_ref().map(|socket| socket.as_fd()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -297,6 +297,9 @@
         let now = Core::clock_start();
         // What the elder was last told is newer than what this file holds.
         core.listed(now, inherited.as_ref().map_or(&config.known, |from| &from.table), true);
+        if let Some(lesson) = inherited.as_mut().and_then(|from| from.lesson.take()) {
+            core.recall(lesson);
+        }
         core.remind(now + SUMMARY, SUMMARY_TIMER);
         let budget = Budget::of(config.limits);
         let mut server = Server {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,7 +56,7 @@
 pub struct Dispatcher {
     set: Settings,
     rng: fastrand::Rng,
-    m: Memory,
+    pub(crate) m: Memory,
 }
 
 /// Membership of an input in low, middle and high.
@@ -99,12 +99,6 @@
         Ok(())
     }
 
-    /// What was learned of one class holds for another one too.
-    pub fn liken(&mut self, class: usize, to: usize) {
-        self.m.class_work[class] = self.m.class_work[to];
-        self.m.class_sum[class] = self.m.class_sum[to];
-    }
-
     /// Takes one event and adds to `acts` what must be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, acts: &mut Vec<Action>) {
         self.m.now = self.m.now.max(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,12 @@
 //! What the decision module remembers: types only; every decision on them is in src/rules.rs.
 
 use crate::interface::*;
+use crate::rules::Dispatcher;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// A running mean; the newest observation weighs at least `1 / MEMORY`.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Mean {
     pub value: f64,
     pub count: f64,
@@ -25,7 +27,7 @@
 }
 
 /// A report, stamped at its arrival.
-#[derive(Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Entry {
     pub at: Micros,
     pub cpu: f64,
@@ -51,7 +53,7 @@
 }
 
 /// How often a worker or zone has failed in a row, and until when it is left alone.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Trust {
     pub strikes: u32,
     pub until: Micros,
@@ -319,3 +321,99 @@
         }
     }
 }
+
+/// What an instance has learned of a worker.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(crate) struct LearnedWorker {
+    entry: Option<Entry>,
+    granted_cpu: Option<f64>,
+    slow: Mean,
+    trust: Trust,
+    heard: Micros,
+    cold: (u64, f64),
+}
+
+/// What an instance has learned, for another one that goes on in its place. Numbers and times are those of the first.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Learned {
+    workers: Vec<LearnedWorker>,
+    kind_slow: Vec<(u16, Mean)>,
+    kind_slots: Vec<(u16, f64)>,
+    classes: Vec<(Mean, (f64, f64))>,
+    slow: Mean,
+    report_interval: f64,
+    sign_after: f64,
+    echo_after: Mean,
+    tells_queue: bool,
+}
+
+/// Where the numbers of [`Learned`] lead at the instance that goes on: by the first one's number, its own, if it has one.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    /// Workers.
+    pub workers: Vec<Option<WorkerId>>,
+    /// Kinds.
+    pub kinds: Vec<Option<KindId>>,
+    /// Classes.
+    pub classes: Vec<Option<ClassId>>,
+}
+
+impl Dispatcher {
+    /// What was learned of one class holds for another one too.
+    pub fn liken(&mut self, class: usize, to: usize) {
+        self.m.class_work[class] = self.m.class_work[to];
+        self.m.class_sum[class] = self.m.class_sum[to];
+    }
+
+    /// What it has learned so far.
+    pub fn learned(&self) -> Learned {
+        let worker = |w: &Worker| LearnedWorker {
+            entry: w.entry.clone(),
+            granted_cpu: w.granted_cpu,
+            slow: w.slow,
+            trust: w.trust,
+            heard: w.heard,
+            cold: w.cold,
+        };
+        let m = &self.m;
+        Learned {
+            workers: m.workers.iter().map(worker).collect(),
+            kind_slow: m.kind_slow.iter().map(|(kind, mean)| (kind.0, *mean)).collect(),
+            kind_slots: m.kind_slots.iter().map(|(kind, most)| (kind.0, *most)).collect(),
+            classes: m.class_work.iter().copied().zip(m.class_sum.iter().copied()).collect(),
+            slow: m.slow,
+            report_interval: m.report_interval,
+            sign_after: m.sign_after,
+            echo_after: m.echo_after,
+            tells_queue: m.tells_queue,
+        }
+    }
+
+    /// Begins with what another instance had learned, whose clock is behind by `shift`.
+    pub fn recall(&mut self, learned: Learned, places: &Places, shift: i64) {
+        let here = |at: Micros| at.saturating_add_signed(shift);
+        let m = &mut self.m;
+        for (worker, place) in learned.workers.into_iter().zip(&places.workers) {
+            let Some(id) = place else { continue };
+            let LearnedWorker { entry, granted_cpu, slow, trust, heard, cold } = worker;
+            let own = m.worker(*id);
+            own.entry = entry.map(|e| Entry { at: here(e.at), ..e });
+            own.trust = Trust { until: if trust.until > 0 { here(trust.until) } else { 0 }, ..trust };
+            own.heard = if heard > 0 { here(heard) } else { 0 };
+            (own.granted_cpu, own.slow, own.cold) = (granted_cpu, slow, cold);
+        }
+        let kind = |n: u16| places.kinds.get(usize::from(n)).copied().flatten();
+        m.kind_slow.extend(learned.kind_slow.into_iter().filter_map(|(n, mean)| Some((kind(n)?, mean))));
+        m.kind_slots.extend(learned.kind_slots.into_iter().filter_map(|(n, most)| Some((kind(n)?, most))));
+        for ((work, sum), place) in learned.classes.into_iter().zip(&places.classes) {
+            let Some(n) = place.map(|id| usize::from(id.0)).filter(|n| *n < m.class_work.len()) else {
+                continue;
+            };
+            (m.class_work[n], m.class_sum[n]) = (work, sum);
+        }
+        (m.slow, m.echo_after, m.tells_queue) = (learned.slow, learned.echo_after, learned.tells_queue);
+        let sound = |x: f64, own: f64| if x.is_finite() && x > 0.0 { x } else { own };
+        m.report_interval = sound(learned.report_interval, m.report_interval);
+        m.sign_after = sound(learned.sign_after, m.sign_after);
+    }
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -290,3 +290,62 @@
         }
     }
 }
+
+/// Through the bytes that go from one process to another.
+fn carried<T: serde::Serialize + serde::de::DeserializeOwned>(what: &T) -> T {
+    serde_json::from_str(&serde_json::to_string(what).expect("it can be written")).expect("and read")
+}
+
+/// A module that starts from nothing at each upgrade sends to workers that are known to be full.
+#[test]
+fn what_the_elder_has_learned_guides_the_younger() {
+    for full in [WorkerId(0), WorkerId(1)] {
+        let (mut elder, mut younger) = (Bench::new(2), Bench::new(2));
+        // Some jobs on each, so that both tell of themselves at the end.
+        let mut under_way = Vec::new();
+        for _ in 0..8 {
+            elder.arrive(0, 5_000 * MS).expect("a session");
+            under_way.extend(sent(&elder.pass(10 * MS)));
+        }
+        assert!([0, 1].iter().all(|n| under_way.iter().any(|sent| sent.2 == WorkerId(*n))), "{under_way:?}");
+        for (id, _, worker) in under_way {
+            let (cpu, free) = if worker == full { (1.0, 0.0) } else { (0.1, 4.0) };
+            let report = Report { cpu: Some(cpu), free_slots: Some(free), ..Report::default() };
+            let (name, from) = (format!("job-{}", id + 1), format!("s-{}", worker.0));
+            assert!(elder.core.news(elder.now, &name, &from, News::Done(b"x".to_vec()), Some(report)));
+        }
+        elder.pass(10 * MS);
+        younger.pass(1);
+        younger.now = elder.now;
+        younger.core.recall(carried(&elder.core.lesson()));
+        for _ in 0..3 {
+            younger.arrive(0, 5_000 * MS).expect("a session");
+            let to: Vec<WorkerId> = sent(&younger.pass(10 * MS)).into_iter().map(|s| s.2).collect();
+            assert!(!to.contains(&full), "worker {} is full", full.0);
+        }
+    }
+}
+
+/// The elder must not call off at the worker what the younger waits for, nor the younger send it there again.
+#[test]
+fn a_session_that_is_handed_over_keeps_its_dispatches() {
+    let (mut elder, mut younger) = (Bench::new(1), Bench::new(1));
+    let id = elder.arrive(1, 3_000 * MS).expect("a session");
+    assert_eq!(elder.core.release(id), None, "the module has not heard of it yet");
+    let worker = sent(&elder.pass(10 * MS))[0].2;
+    assert!(elder.news("job-1", worker, News::Started));
+    elder.pass(10 * MS);
+    let moved = carried(&elder.core.release(id).expect("it can go"));
+    assert!(!elder.core.knows("job-1") && elder.core.ledger.open() == 0);
+    let more = elder.pass(5_000 * MS);
+    let for_it =
+        |c: &Command| matches!(c, Command::GiveUp { .. } | Command::Send { .. } | Command::Answer { .. });
+    assert!(!more.iter().any(for_it), "nothing more is done for it: {more:?}");
+    let id = younger.core.adopt(moved.clone(), 7).expect("taken over");
+    assert_eq!(younger.core.adopt(moved, 7), None, "once");
+    assert!(sent(&younger.pass(1_000 * MS)).is_empty());
+    assert!(younger.news("job-1", worker, News::Done(b"x".to_vec())));
+    assert_eq!(answers(&younger.pass(10 * MS)), [(id, Answer::Served(b"x".to_vec()))]);
+    let ledger = younger.core.ledger;
+    assert_eq!((ledger.taken, ledger.served, ledger.open()), (1, 1, 0));
+}
