--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -558,7 +558,7 @@
         self.reported = state;
         let (c, l) = state;
         eprintln!(
-            "figures taken={} served={} denied={} failed={} gone={} open={} dispatches={} written={} connects={} \
+            "figures taken={} served={} denied={} failed={} gone={} moved={} open={} dispatches={} written={} connects={} \
              connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} \
              bad_datagrams={} accept_pauses={} reloads={} bad_reloads={} connections={} workers={} broken_invariants={}",
             l.taken,
@@ -566,6 +566,7 @@
             l.denied,
             l.failed,
             l.gone,
+            l.moved,
             l.open(),
             c.dispatches,
             c.dispatches_written,
