--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -98,6 +98,7 @@
             Ok(Call::Ready) if self.handed => admin::no(), // its successor takes them
             Ok(Call::Ready) => admin::yes(),
             Ok(Call::Counters) => admin::figures(&self.figures()),
+            Ok(Call::OutOfService | Call::InService) if self.handed => admin::no(), // that is up to its successor
             Ok(Call::OutOfService) => {
                 self.drain(true);
                 admin::yes()
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -18,8 +18,11 @@
 /// A client that sends what cannot be read, or nothing, is owed an error or a close within 3 s of connecting. Its
 /// first request must be complete this long after it connected, later ones this long after their first byte.
 const REQUEST_TIME: Micros = 2_500_000;
-/// A connection that has asked for nothing whole this long after it came gives way before those that have.
-const UNASKED_GRACE: Micros = 300_000;
+/// A connection that has asked for nothing whole, and has been silent for this long, gives way to others ...
+pub(super) const UNASKED_GRACE: Micros = 300_000;
+/// ... but if it has sent a part of a request, only after idle ones, until it has been silent for this long. Usual clients
+/// that write slowly go on writing; those that stop half way do not.
+pub(super) const HALF_GRACE: Micros = 1_000_000;
 /// An idle connection is closed after this.
 const IDLE: Micros = 120_000_000;
 /// A client that reads nothing of a finished answer for this long is given up.
@@ -66,6 +69,8 @@
     idle_since: Option<Micros>,
     /// When it was accepted, until its first whole request.
     unasked_since: Option<Micros>,
+    /// When it was accepted, or its last bytes came, until then.
+    heard: Micros,
     /// A worker tells of its jobs on it.
     pub(super) calls_back: bool,
 }
@@ -128,7 +133,7 @@
     pub(super) fn taken(handed: &Handed, now: Micros) -> Front {
         let unasked_since = handed.unasked.then_some(now);
         let (sse, calls_back) = (handed.sse, handed.calls_back);
-        Front { sse, state: State::Reading, idle_since: None, unasked_since, calls_back }
+        Front { sse, state: State::Reading, idle_since: None, unasked_since, heard: now, calls_back }
     }
 
     /// Whether it holds a request that is not answered, or a part of one.
@@ -142,7 +147,7 @@
         for _ in 0..ACCEPTS {
             // Idle connections give way before accepting fails; a client with nothing to say loses nothing. Those
             // that never asked for anything go first, or they would use up what usual clients need.
-            let full = self.fronts >= self.budget.fronts && !self.drop_unasked() && !self.drop_idle_front();
+            let full = self.fronts >= self.budget.fronts && !self.drop_front();
             if full && self.fronts >= self.budget.last_fronts || !self.make_room() {
                 return self.pause_accepting();
             }
@@ -171,6 +176,7 @@
                 state: State::Reading,
                 idle_since: None,
                 unasked_since: Some(now),
+                heard: now,
                 calls_back: false,
             };
             let Some(token) = self.add(conn, |_| Role::Front(front)) else { continue };
@@ -220,7 +226,14 @@
                 State::Waiting { .. } => conn.inbox.len() + AHEAD,
                 _ => MAX_HEAD + MAX_BODY,
             };
-            match conn.fill(most) {
+            let before = conn.inbox.len();
+            let end = conn.fill(most);
+            if front.unasked_since.is_some() && conn.inbox.len() > before {
+                self.unasked_fronts.remove(&(front.heard, token));
+                front.heard = self.now;
+                self.unasked_fronts.insert((self.now, token));
+            }
+            match end {
                 ReadEnd::Dry | ReadEnd::Enough => {}
                 // What it had asked for is asked for no more.
                 ReadEnd::Eof | ReadEnd::Broken => return self.front_gone(token, conn, front),
@@ -312,8 +325,8 @@
             (conn.inbox, front.state) = (inbox, State::Reading);
             return;
         }
-        if let Some(since) = front.unasked_since.take() {
-            self.unasked_fronts.remove(&(since, token));
+        if front.unasked_since.take().is_some() {
+            self.unasked_fronts.remove(&(front.heard, token));
             self.set_timer(token, conn, None);
         }
         let keep_alive = raw.head.keep_alive && self.keeps_clients();
@@ -425,8 +438,8 @@
             self.drop_request(session);
             self.core.hung_up(session);
         }
-        if let Some(since) = front.unasked_since {
-            self.unasked_fronts.remove(&(since, token));
+        if front.unasked_since.is_some() {
+            self.unasked_fronts.remove(&(front.heard, token));
         }
         self.close(token, conn, Role::Front(front));
     }
@@ -436,8 +449,8 @@
         if let Some(since) = front.idle_since {
             self.idle_fronts.remove(&(since, token));
         }
-        if let Some(since) = front.unasked_since {
-            self.unasked_fronts.remove(&(since, token));
+        if front.unasked_since.is_some() {
+            self.unasked_fronts.remove(&(front.heard, token));
         }
         self.close(token, conn, Role::Front(front));
     }
@@ -459,32 +472,45 @@
     /// Whether the connections of frontends keep within their budget, once those that wait for nothing are closed.
     fn front_fits(&mut self) -> bool {
         while self.fronts > self.budget.fronts {
-            if !self.drop_unasked() && !self.drop_idle_front() {
+            if !self.drop_front() {
                 return false;
             }
         }
         true
     }
 
-    /// Closes the oldest connection that has had its time to ask and sent nothing whole.
-    pub(super) fn drop_unasked(&mut self) -> bool {
-        while let Some((since, token)) = self.unasked_fronts.first().copied() {
-            if self.now < since + UNASKED_GRACE {
-                return false;
-            }
+    /// Closes a connection of a frontend to make room: one that is silent, one that is idle, or a half request.
+    fn drop_front(&mut self) -> bool {
+        self.drop_unasked(HALF_GRACE) || self.drop_idle_front() || self.drop_unasked(UNASKED_GRACE)
+    }
+
+    /// Closes the connection that has been silent for longest of those that have had their time to ask: with a part of a
+    /// request that is `half`.
+    pub(super) fn drop_unasked(&mut self, half: Micros) -> bool {
+        let due = |heard: Micros, grace: Micros| heard + grace <= self.now;
+        let silent = self.unasked_fronts.iter().take_while(|(heard, _)| due(*heard, UNASKED_GRACE));
+        let silent: Vec<(Micros, Token)> = silent.copied().collect();
+        for (heard, token) in silent {
             match self.take(token) {
                 Some((conn, Role::Front(front))) if front.idle_since.is_some() => {
                     if self.close_idle(token, conn, front) {
                         return true;
                     }
                 }
+                Some((conn, Role::Front(front))) if heard + half > self.now => {
+                    self.put(token, conn, Role::Front(front));
+                }
                 Some((conn, Role::Front(front))) => {
                     self.front_gone(token, conn, front);
                     return true;
                 }
-                _ => {
-                    crate::invariant!(false, "a connection that asked for nothing is none");
-                    self.unasked_fronts.pop_first();
+                Some((conn, role)) => {
+                    crate::invariant!(false, "a connection that asked for nothing is none of a frontend's");
+                    self.put(token, conn, role);
+                    self.unasked_fronts.remove(&(heard, token));
+                }
+                None => {
+                    // Closed, or in use right now; in the first case it is not in the set any more.
                 }
             }
         }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -429,7 +429,7 @@
         let Some(token) = self.add(conn, |_| Role::Front(Front::taken(&handed, now))) else { return };
         let Some((mut conn, Role::Front(mut front))) = self.take(token) else { return };
         if front.is_unasked() {
-            self.unasked_fronts.insert((now, token));
+            self.unasked_fronts.insert((now, token)); // heard of now, as far as this process knows
         }
         if let Some((session, raw)) = handed.session.zip(raw) {
             let (keep_alive, stream, broken) = (session.keep_alive, session.stream, session.broken);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -546,7 +546,11 @@
     /// Makes room for a new connection where the descriptors are used up, by closing an idle one.
     fn make_room(&mut self) -> bool {
         let room = self.live + self.held_elsewhere() < self.budget.conns;
-        room || self.drop_unasked() || self.drop_idle_backend() || self.drop_idle_front()
+        // Half requests that were heard of lately come last: usual clients may be writing them.
+        room || self.drop_unasked(frontend::HALF_GRACE)
+            || self.drop_idle_backend()
+            || self.drop_idle_front()
+            || self.drop_unasked(frontend::UNASKED_GRACE)
     }
 
     /// One line of figures, if anything has changed since the last.
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -116,3 +116,26 @@
     assert_eq!(statuses, vec![Some(200); 20]);
     assert_eq!(program.figures()["served"], 20);
 }
+
+/// Half requests gave way by when they were accepted: in a crowd, usual clients that write slowly were cut off first.
+#[test]
+fn a_client_that_goes_on_writing_outlasts_a_crowd_that_stops_half_way() {
+    let node = Node::start("s-1");
+    let program = start_with(std::slice::from_ref(&node), None, false, |config| {
+        config["limits"]["sockets"] = json!(80);
+    });
+    let request = job("slow-0", "balance", "take started done=whole", "");
+    let mut slow = connect(program.platform);
+    let mut crowd = Vec::new();
+    for piece in request.as_bytes().chunks(request.len() / 24) {
+        slow.write_all(piece).expect("it is not cut off");
+        for _ in 0..4 {
+            let mut half = connect(program.platform);
+            let _ = half.write_all(b"POST /balance HTTP/1.1\r\nHost: or"); // it may be closed by now
+            crowd.push(half);
+        }
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    assert_eq!(read_reply(&mut slow).expect("an answer").body, "whole");
+    assert!(crowd.iter().filter(|half| is_closed(half)).count() > 30, "the crowd has given way");
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -191,5 +191,6 @@
     assert_eq!((call(&elder, "out-of-service"), up(&elder)), (200, 503));
     let younger = successor(&folder, nodes, &elder);
     assert_eq!(up(&younger), 503);
+    assert_eq!((call(&elder, "in-service"), up(&younger)), (503, 503), "it is not the elder's any more");
     assert_eq!((call(&younger, "in-service"), up(&younger)), (200, 200));
 }
