--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -493,7 +493,8 @@
         for (heard, token) in silent {
             match self.take(token) {
                 Some((conn, Role::Front(front))) if front.idle_since.is_some() => {
-                    if self.close_idle(token, conn, front) {
+                    let closed = self.close_idle(token, conn, front);
+                    if closed {
                         return true;
                     }
                 }
