Add crates/store: segmented log, sorted key runs, compaction, recovery, simulated disk

Keys and taken jobs must survive a crash; a torn write, a failed sync or a flipped byte must never bring back an older value or invent one. Change: a workspace with crates/store (formats, plan, recovery and index as pure parts; an engine without threads; a store with grouped syncs and background compaction), a disk trait with real files and a simulated disk that loses, tears and reorders unsynced writes and fails any call. Power cut at every call of a compaction: nothing lost. The rig found seven faults first; docs/design/store.md names them.

--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 	cargo build --locked --release
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 # GW_CONFIG names the configuration; ARGS are passed on, such as ARGS="--sse my-sse.toml".
 run: build
--- /dev/null
+++ b/crates/store/src/disk.rs
@@ -0,0 +1,175 @@
+//! The disk, as the store sees it: the least that real files and a simulated disk both offer.
+
+use std::any::Any;
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// One open file.
+pub trait DiskFile: Send + Sync {
+    /// Writes at an offset; may write less than asked.
+    fn write_at(&self, offset: u64, bytes: &[u8]) -> io::Result<usize>;
+    /// Reads at an offset; may read less than asked, 0 at the end.
+    fn read_at(&self, offset: u64, into: &mut [u8]) -> io::Result<usize>;
+    /// Its length in bytes.
+    fn len(&self) -> io::Result<u64>;
+    /// Cuts it.
+    fn truncate(&self, len: u64) -> io::Result<()>;
+    /// Returns once what was written is durable (`fdatasync`). After an error nothing unsynced may be believed.
+    fn sync(&self) -> io::Result<()>;
+    /// Whether it has no byte.
+    fn is_empty(&self) -> io::Result<bool> {
+        Ok(self.len()? == 0)
+    }
+}
+
+/// One directory of files.
+pub trait Disk: Send + Sync {
+    /// What a message calls it.
+    fn name(&self) -> String;
+    /// The names of its files.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// A new file; an error where there is one of that name.
+    fn create(&self, name: &str) -> io::Result<Arc<dyn DiskFile>>;
+    /// A file that is there.
+    fn open(&self, name: &str, write: bool) -> io::Result<Arc<dyn DiskFile>>;
+    /// Renames, replacing.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes.
+    fn remove(&self, name: &str) -> io::Result<()>;
+    /// Returns once creations, renames and removals are durable.
+    fn sync_dir(&self) -> io::Result<()>;
+    /// Keeps other openers out for as long as what is returned lives: all of them, or only those that write.
+    /// `None` where another process holds it.
+    fn lock(&self, exclusive: bool) -> io::Result<Option<Box<dyn Any + Send + Sync>>>;
+}
+
+/// A directory of the file system.
+#[derive(Clone, Debug)]
+pub struct RealDisk {
+    dir: PathBuf,
+}
+
+/// The file that is locked against a second opener.
+const LOCK: &str = "LOCK";
+
+impl RealDisk {
+    /// The directory; made if it is not there and `create` says so.
+    pub fn new(dir: &Path, create: bool) -> io::Result<RealDisk> {
+        if create && !dir.exists() {
+            std::fs::create_dir_all(dir)?;
+            if let Some(parent) = dir.parent().filter(|p| !p.as_os_str().is_empty()) {
+                File::open(parent)?.sync_all()?; // or the directory itself could be gone after a power cut
+            }
+        }
+        if !std::fs::metadata(dir)?.is_dir() {
+            return Err(io::Error::new(io::ErrorKind::NotADirectory, "not a directory"));
+        }
+        Ok(RealDisk { dir: dir.to_owned() })
+    }
+}
+
+impl DiskFile for File {
+    fn write_at(&self, offset: u64, bytes: &[u8]) -> io::Result<usize> {
+        FileExt::write_at(self, bytes, offset)
+    }
+
+    fn read_at(&self, offset: u64, into: &mut [u8]) -> io::Result<usize> {
+        FileExt::read_at(self, into, offset)
+    }
+
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.metadata()?.len())
+    }
+
+    fn truncate(&self, len: u64) -> io::Result<()> {
+        self.set_len(len)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
+
+impl Disk for RealDisk {
+    fn name(&self) -> String {
+        self.dir.display().to_string()
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        let names = std::fs::read_dir(&self.dir)?.map(|e| Ok(e?.file_name().to_string_lossy().into_owned()));
+        names.collect()
+    }
+
+    fn create(&self, name: &str) -> io::Result<Arc<dyn DiskFile>> {
+        let options = OpenOptions::new().read(true).write(true).create_new(true).to_owned();
+        Ok(Arc::new(options.open(self.dir.join(name))?))
+    }
+
+    fn open(&self, name: &str, write: bool) -> io::Result<Arc<dyn DiskFile>> {
+        Ok(Arc::new(OpenOptions::new().read(true).write(write).open(self.dir.join(name))?))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        std::fs::rename(self.dir.join(from), self.dir.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        std::fs::remove_file(self.dir.join(name))
+    }
+
+    fn sync_dir(&self) -> io::Result<()> {
+        File::open(&self.dir)?.sync_all()
+    }
+
+    fn lock(&self, exclusive: bool) -> io::Result<Option<Box<dyn Any + Send + Sync>>> {
+        use rustix::fs::{FlockOperation, flock};
+        let path = self.dir.join(LOCK);
+        let file =
+            match OpenOptions::new().read(true).write(true).create(exclusive).truncate(false).open(&path) {
+                // A reader of a directory that was never opened for writing has nobody to fear.
+                Err(e) if e.kind() == io::ErrorKind::NotFound && !exclusive => return Ok(Some(Box::new(()))),
+                Err(e) if !exclusive && e.kind() == io::ErrorKind::PermissionDenied => File::open(&path)?,
+                other => other?,
+            };
+        let how = match exclusive {
+            true => FlockOperation::NonBlockingLockExclusive,
+            false => FlockOperation::NonBlockingLockShared,
+        };
+        match flock(&file, how) {
+            Ok(()) => Ok(Some(Box::new(file))),
+            Err(rustix::io::Errno::WOULDBLOCK) => Ok(None),
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+/// Writes all, through short writes.
+pub(crate) fn write_all(file: &dyn DiskFile, mut offset: u64, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match file.write_at(offset, bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => (offset, bytes) = (offset + n as u64, &bytes[n..]),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Reads what there is of a range.
+pub(crate) fn read_range(file: &dyn DiskFile, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+    let (mut bytes, mut at) = (vec![0; len], 0);
+    while at < len {
+        match file.read_at(offset + at as u64, &mut bytes[at..]) {
+            Ok(0) => break,
+            Ok(n) => at += n,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    bytes.truncate(at);
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,80 @@
+//! What can go wrong.
+
+use std::io;
+
+/// An error of the store. Each names the file and, where there is one, the offset in bytes.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The system refused a call.
+    #[error("{what} {file}: {source}")]
+    Io {
+        /// What was tried.
+        what: &'static str,
+        /// On which file.
+        file: String,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Another process has the directory open.
+    #[error("{0}: in use by another process")]
+    Locked(String),
+    /// It was written by a version that this one cannot read.
+    #[error("{file}: format version {found}; this program reads version {known}")]
+    Version {
+        /// The file.
+        file: String,
+        /// The version it names.
+        found: u16,
+        /// The version that is understood.
+        known: u16,
+    },
+    /// A record is damaged.
+    #[error("{file}: the record at offset {offset} is damaged")]
+    Damaged {
+        /// The file.
+        file: String,
+        /// Where the record begins, in bytes.
+        offset: u64,
+    },
+    /// A newer value of this key may have been lost to damage: what is older is not given out.
+    #[error("{file}: damage at offset {offset} may hide a newer value of this key")]
+    InDoubt {
+        /// The file.
+        file: String,
+        /// Where the damage begins, in bytes.
+        offset: u64,
+    },
+    /// A key, value or batch is out of bounds.
+    #[error("{0}")]
+    Invalid(#[from] Invalid),
+    /// The disk failed earlier; it is tried again with each write.
+    #[error("the disk failed: {0}")]
+    Failing(String),
+    /// The store was closed.
+    #[error("the store is closed")]
+    Closed,
+    /// The directory is damaged and the call would hide that.
+    #[error("the store is damaged ({0} places); see `verify`")]
+    NeedsRepair(usize),
+}
+
+/// Why a batch was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Invalid {
+    /// The key has no byte.
+    #[error("a key is empty")]
+    EmptyKey,
+    /// The key is longer than [`crate::MAX_KEY`].
+    #[error("a key has {0} bytes, {max} at most", max = crate::MAX_KEY)]
+    KeyTooLong(usize),
+    /// The value is longer than [`crate::MAX_VALUE`].
+    #[error("a value has {0} bytes, {max} at most", max = crate::MAX_VALUE)]
+    ValueTooLong(usize),
+    /// The batch is larger than [`crate::MAX_BATCH`].
+    #[error("a batch has {0} bytes, {max} at most", max = crate::MAX_BATCH)]
+    BatchTooLarge(usize),
+}
+
+pub(crate) fn io_error<'a>(what: &'static str, file: &'a str) -> impl FnOnce(io::Error) -> StoreError + 'a {
+    move |source| StoreError::Io { what, file: file.to_owned(), source }
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,548 @@
+//! The store with its threads: writers that wait share one sync, a thread writes for those that do not wait, another compacts.
+
+use crate::disk::{Disk, RealDisk};
+use crate::engine::{self, Figures, Shared, Writer, lock};
+use crate::error::{StoreError, io_error};
+use crate::format::{self, Op};
+use crate::index::{Layer, View, Walk};
+use crate::recover::{self, Recovery};
+use crate::{Invalid, Options, SyncMode};
+use std::any::Any;
+use std::collections::VecDeque;
+use std::path::Path;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Told once a batch is written, or is known not to be.
+pub type Done = Box<dyn FnOnce(Result<(), String>) + Send>;
+
+/// Writes that take effect together or not at all.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    ops: Vec<Op>,
+    /// Spans after which values cease to count, by operation; added to the store's clock when the batch is taken.
+    spans: Vec<Option<u64>>,
+}
+
+impl Batch {
+    /// An empty one.
+    pub fn new() -> Batch {
+        Batch::default()
+    }
+
+    /// Sets a value.
+    pub fn put(mut self, key: impl Into<Vec<u8>>, value: impl Into<Vec<u8>>) -> Batch {
+        self.push(key.into(), Some(value.into()), None);
+        self
+    }
+
+    /// Sets a value that ceases to count after so many milliseconds.
+    pub fn put_for(mut self, key: impl Into<Vec<u8>>, value: impl Into<Vec<u8>>, span: u64) -> Batch {
+        self.push(key.into(), Some(value.into()), Some(span));
+        self
+    }
+
+    /// Deletes a key.
+    pub fn delete(mut self, key: impl Into<Vec<u8>>) -> Batch {
+        self.push(key.into(), None, None);
+        self
+    }
+
+    /// Adds one operation: `value` `None` deletes; `span` in milliseconds.
+    pub fn push(&mut self, key: Vec<u8>, value: Option<Vec<u8>>, span: Option<u64>) {
+        self.ops.push(Op { key, value, expires: None });
+        self.spans.push(span);
+    }
+
+    /// How many operations it has.
+    pub fn len(&self) -> usize {
+        self.ops.len()
+    }
+
+    /// Whether it has none.
+    pub fn is_empty(&self) -> bool {
+        self.ops.is_empty()
+    }
+
+    fn at(self, now: u64) -> Result<Vec<Op>, Invalid> {
+        let mut ops = self.ops;
+        for (op, span) in ops.iter_mut().zip(self.spans) {
+            op.expires = span.map(|span| now.saturating_add(span));
+        }
+        format::check_batch(&ops)?;
+        Ok(ops)
+    }
+}
+
+/// A clock that never goes back behind what the store has seen, also over a restart.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    base: u64,
+    started: Instant,
+}
+
+impl Clock {
+    fn new(floor: u64) -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        Clock { base: unix.max(floor), started: Instant::now() }
+    }
+
+    fn now(&self) -> u64 {
+        self.base + self.started.elapsed().as_millis() as u64
+    }
+}
+
+enum Waiter {
+    Ticket(u64),
+    Call(Done),
+}
+
+struct Queued {
+    ops: Vec<Op>,
+    bytes: usize,
+    waiter: Waiter,
+}
+
+#[derive(Default)]
+struct Queue {
+    waiting: VecDeque<Queued>,
+    bytes: usize,
+    /// Somebody writes a group.
+    busy: bool,
+    next_ticket: u64,
+    /// Tickets of those that wait, with what became of them.
+    settled: Vec<(u64, Result<(), String>)>,
+    /// How many batches the last group had, and how long its sync took.
+    last: (usize, Duration),
+    closed: bool,
+    /// When the oldest write that is not durable was acknowledged.
+    exposed_since: Option<Instant>,
+}
+
+struct Inner {
+    options: Options,
+    clock: Clock,
+    shared: Shared,
+    writer: Mutex<Option<Writer>>,
+    queue: Mutex<Queue>,
+    /// A group was written, or there is something to write.
+    turn: Condvar,
+    /// There may be something to compact; and whether the store is closing.
+    chores: Mutex<(bool, bool)>,
+    chore: Condvar,
+    /// One compaction at a time.
+    compacting: Mutex<()>,
+}
+
+/// An open store. Dropping it closes it.
+pub struct Store {
+    inner: Arc<Inner>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl std::fmt::Debug for Store {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Store")
+    }
+}
+
+/// Figures of a store.
+#[derive(Clone, Debug, Default)]
+pub struct Stat {
+    /// Segments, the present one included.
+    pub segments: usize,
+    /// Bytes of their files.
+    pub bytes: u64,
+    /// Bytes that a compaction would free, about.
+    pub dead: u64,
+    /// Keys with a value.
+    pub records: u64,
+    /// Bytes of those keys and values.
+    pub live: u64,
+    /// Bytes of memory that the index takes, about.
+    pub memory: usize,
+    /// Counts since the start.
+    pub figures: Figures,
+    /// Why the last write failed, until one succeeds.
+    pub failing: Option<String>,
+}
+
+/// What a group takes at most, in bytes.
+const GROUP: usize = 4 << 20;
+/// A leader waits for others that are about to write for this part of a sync at most.
+const WAIT_PART: u32 = 4;
+
+impl Store {
+    /// Opens a directory, made if it is not there.
+    pub fn open(dir: &Path, options: Options) -> Result<(Store, Recovery), StoreError> {
+        let disk = RealDisk::new(dir, true).map_err(io_error("cannot open", &dir.display().to_string()))?;
+        Store::open_on(Arc::new(disk), options)
+    }
+
+    /// Opens a disk.
+    pub fn open_on(disk: Arc<dyn Disk>, options: Options) -> Result<(Store, Recovery), StoreError> {
+        let (writer, shared, recovery, stamp) = engine::open(disk, options)?;
+        let inner = Arc::new(Inner {
+            options,
+            clock: Clock::new(stamp),
+            shared,
+            writer: Mutex::new(Some(writer)),
+            queue: Mutex::default(),
+            turn: Condvar::new(),
+            chores: Mutex::new((options.compacts, false)),
+            chore: Condvar::new(),
+            compacting: Mutex::new(()),
+        });
+        let mut threads = Vec::new();
+        let thread = |name: &str, work: fn(&Inner)| {
+            let inner = inner.clone();
+            std::thread::Builder::new().name(name.to_owned()).spawn(move || work(&inner))
+        };
+        for (name, work) in
+            [("store-write", Inner::write_loop as fn(&Inner)), ("store-compact", Inner::chore_loop)]
+        {
+            threads.push(thread(name, work).map_err(io_error("cannot start a thread for", "the store"))?);
+        }
+        Ok((Store { inner, threads }, recovery))
+    }
+
+    /// Writes a batch and waits until it is as durable as the mode promises.
+    pub fn write(&self, batch: Batch) -> Result<(), StoreError> {
+        let inner = &*self.inner;
+        let ops = batch.at(inner.clock.now())?;
+        if ops.is_empty() {
+            return Ok(());
+        }
+        let mut queue = inner.queue();
+        let ticket = queue.next_ticket;
+        queue.next_ticket += 1;
+        inner.enter(&mut queue, ops, Waiter::Ticket(ticket))?;
+        loop {
+            if let Some(n) = queue.settled.iter().position(|(t, _)| *t == ticket) {
+                let result = queue.settled.swap_remove(n).1;
+                return result.map_err(StoreError::Failing);
+            }
+            // The first that finds nobody writing writes for all.
+            queue = match queue.busy {
+                true => inner.wait(queue),
+                false => inner.lead(queue),
+            };
+        }
+    }
+
+    /// Takes a batch and returns at once; `done` is called from another thread. An error says that it was not taken.
+    pub fn submit(&self, batch: Batch, done: Done) -> Result<(), StoreError> {
+        let ops = batch.at(self.inner.clock.now())?;
+        let mut queue = self.inner.queue();
+        self.inner.enter(&mut queue, ops, Waiter::Call(done))?;
+        drop(queue);
+        self.inner.turn.notify_all();
+        Ok(())
+    }
+
+    /// The value of a key.
+    pub fn get(&self, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+        engine::view_of(&self.inner.shared).get(key, self.inner.clock.now())
+    }
+
+    /// All that is there now; later writes do not change it.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot { view: engine::view_of(&self.inner.shared), now: self.inner.clock.now() }
+    }
+
+    /// The store's time: Unix time in milliseconds, never less than it has seen.
+    pub fn now(&self) -> u64 {
+        self.inner.clock.now()
+    }
+
+    /// Compacts all there is. A damaged store is left alone unless `drop_damaged` says that what cannot be read may go.
+    pub fn compact(&self, drop_damaged: bool) -> Result<Stat, StoreError> {
+        let inner = &*self.inner;
+        let _one = lock(&inner.compacting);
+        let doubts =
+            engine::view_of(&inner.shared).layers.iter().filter(|l| matches!(l, Layer::Doubt(_))).count();
+        if doubts > 0 && !drop_damaged {
+            return Err(StoreError::NeedsRepair(doubts));
+        }
+        let now = inner.clock.now();
+        let merge = {
+            let mut guard = lock(&inner.writer);
+            let writer = guard.as_mut().ok_or(StoreError::Closed)?;
+            writer.seal(&inner.shared, now)?;
+            writer.plan(&engine::view_of(&inner.shared), true, now)
+        };
+        if let Some(merge) = merge {
+            let merged = merge.run(drop_damaged)?;
+            lock(&inner.writer).as_mut().ok_or(StoreError::Closed)?.install(&inner.shared, merged)?;
+        }
+        self.stat()
+    }
+
+    /// Its figures. It walks through all keys.
+    pub fn stat(&self) -> Result<Stat, StoreError> {
+        let (figures, failing) = {
+            let guard = lock(&self.inner.writer);
+            let writer = guard.as_ref().ok_or(StoreError::Closed)?;
+            (writer.figures, writer.failing.clone())
+        };
+        let mut stat = self.snapshot().stat();
+        (stat.figures, stat.failing) = (figures, failing);
+        Ok(stat)
+    }
+
+    /// Counts since the start, and why the last write failed, if it did.
+    pub fn figures(&self) -> (Figures, Option<String>) {
+        let guard = lock(&self.inner.writer);
+        guard.as_ref().map_or_else(Default::default, |w| (w.figures, w.failing.clone()))
+    }
+
+    /// Writes what waits, seals the present segment and lets others open the directory.
+    pub fn close(mut self) -> Result<(), StoreError> {
+        self.shut()
+    }
+
+    fn shut(&mut self) -> Result<(), StoreError> {
+        let inner = &*self.inner;
+        inner.queue().closed = true;
+        inner.turn.notify_all();
+        lock(&inner.chores).1 = true;
+        inner.chore.notify_all();
+        for thread in self.threads.drain(..) {
+            let _ = thread.join(); // a panic there was reported there
+        }
+        let now = inner.clock.now();
+        match lock(&inner.writer).take() {
+            Some(mut writer) => writer.seal(&inner.shared, now),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        let _ = self.shut(); // what was acknowledged is there without the seal too
+    }
+}
+
+impl Inner {
+    fn queue(&self) -> MutexGuard<'_, Queue> {
+        lock(&self.queue)
+    }
+
+    fn wait<'a>(&self, queue: MutexGuard<'a, Queue>) -> MutexGuard<'a, Queue> {
+        self.turn.wait(queue).unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn enter(&self, queue: &mut Queue, ops: Vec<Op>, waiter: Waiter) -> Result<(), StoreError> {
+        let bytes = ops.iter().map(Op::size).sum::<usize>();
+        if queue.closed {
+            return Err(StoreError::Closed);
+        }
+        if queue.bytes + bytes > self.options.most_waiting && queue.bytes > 0 {
+            return Err(StoreError::Failing("too many writes wait for the disk".to_owned()));
+        }
+        queue.bytes += bytes;
+        queue.waiting.push_back(Queued { ops, bytes, waiter });
+        Ok(())
+    }
+
+    /// Writes a group of what waits, for all of its writers.
+    fn lead<'a>(&'a self, mut queue: MutexGuard<'a, Queue>) -> MutexGuard<'a, Queue> {
+        queue.busy = true;
+        let (last, took) = queue.last;
+        // Those of the last group are likely to be back in a moment: one sync for all is worth a short wait.
+        let until = Instant::now() + took / WAIT_PART;
+        while queue.waiting.len() < last && !queue.closed && Instant::now() < until {
+            drop(queue);
+            std::thread::yield_now();
+            queue = self.queue();
+        }
+        let (mut group, mut bytes) = (Vec::new(), 0);
+        while let Some(next) = queue.waiting.front().filter(|n| bytes == 0 || bytes + n.bytes <= GROUP) {
+            bytes += next.bytes;
+            group.extend(queue.waiting.pop_front());
+        }
+        queue.bytes -= bytes;
+        drop(queue);
+        let started = Instant::now();
+        let result = self.write_group(&group);
+        let took = started.elapsed();
+        let count = group.len();
+        let mut settled = Vec::new();
+        for queued in group {
+            match queued.waiter {
+                Waiter::Ticket(ticket) => settled.push((ticket, result.clone())),
+                Waiter::Call(done) => done(result.clone()),
+            }
+        }
+        let mut queue = self.queue();
+        queue.settled.extend(settled);
+        queue.last = (count, took);
+        queue.busy = false;
+        if result.is_ok() && matches!(self.options.sync, SyncMode::Interval(_)) {
+            queue.exposed_since.get_or_insert(started);
+        }
+        self.turn.notify_all();
+        queue
+    }
+
+    fn write_group(&self, group: &[Queued]) -> Result<(), String> {
+        let mut guard = lock(&self.writer);
+        let writer = guard.as_mut().ok_or_else(|| StoreError::Closed.to_string())?;
+        let batches: Vec<&[Op]> = group.iter().map(|q| q.ops.as_slice()).collect();
+        let layers = lock(&self.shared).layers.len();
+        let result = writer.commit(&self.shared, &batches, self.clock.now()).map_err(|e| e.to_string());
+        drop(guard);
+        if lock(&self.shared).layers.len() != layers {
+            lock(&self.chores).0 = self.options.compacts;
+            self.chore.notify_all();
+        }
+        result
+    }
+
+    /// Writes for those that do not wait, and syncs in mode `interval`.
+    fn write_loop(&self) {
+        let span = match self.options.sync {
+            SyncMode::Interval(ms) => Some(Duration::from_millis(u64::from(ms))),
+            _ => None,
+        };
+        let mut queue = self.queue();
+        loop {
+            if queue.waiting.iter().any(|q| matches!(q.waiter, Waiter::Call(_))) && !queue.busy {
+                queue = self.lead(queue);
+                continue;
+            }
+            let due = span.zip(queue.exposed_since).map(|(span, since)| since + span);
+            if due.is_some_and(|at| Instant::now() >= at || queue.closed) && !queue.busy {
+                queue.exposed_since = None;
+                drop(queue);
+                let failed = lock(&self.writer)
+                    .as_mut()
+                    .is_some_and(|w| w.sync(&self.shared, self.clock.now()).is_err());
+                queue = self.queue();
+                if failed && !queue.closed {
+                    queue.exposed_since = Some(Instant::now()); // what may be lost is written again with the next group
+                }
+                continue;
+            }
+            if queue.closed && queue.waiting.is_empty() && !queue.busy {
+                return;
+            }
+            queue = match due.map(|at| at.saturating_duration_since(Instant::now())) {
+                Some(wait) if !queue.busy => {
+                    self.turn.wait_timeout(queue, wait).unwrap_or_else(PoisonError::into_inner).0
+                }
+                _ => self.wait(queue),
+            };
+        }
+    }
+
+    /// Compacts what is worth it, each time a segment was closed.
+    fn chore_loop(&self) {
+        loop {
+            let mut chores = lock(&self.chores);
+            while !chores.0 && !chores.1 {
+                chores = self.chore.wait(chores).unwrap_or_else(PoisonError::into_inner);
+            }
+            if chores.1 {
+                return;
+            }
+            chores.0 = false;
+            drop(chores);
+            // A compaction that fails leaves all as it was; it is tried again once the next segment is closed.
+            while matches!(self.compact_some(), Ok(true)) && !lock(&self.chores).1 {}
+        }
+    }
+
+    fn compact_some(&self) -> Result<bool, StoreError> {
+        let _one = lock(&self.compacting);
+        let (view, now) = (engine::view_of(&self.shared), self.clock.now());
+        // The plan walks through all keys: not under the writers' lock.
+        let merge = engine::plan_apart(&self.writer, &view, now);
+        let Some(merge) = merge else { return Ok(false) };
+        let merged = merge.run(false)?;
+        lock(&self.writer).as_mut().ok_or(StoreError::Closed)?.install(&self.shared, merged)?;
+        Ok(true)
+    }
+}
+
+/// All that was there at one moment.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    view: View,
+    now: u64,
+}
+
+impl Snapshot {
+    /// The value of a key.
+    pub fn get(&self, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+        self.view.get(key, self.now)
+    }
+
+    /// All records from a key on, in order. A record that cannot be read comes as an error, and the walk goes on.
+    pub fn iter_from(&self, from: &[u8]) -> Iter {
+        Iter { walk: self.view.walk(from), now: self.now }
+    }
+
+    /// Its figures.
+    pub fn stat(&self) -> Stat {
+        let parts = engine::parts(&self.view, self.now);
+        let mut stat = Stat {
+            segments: parts.len() + usize::from(self.view.active.is_some()),
+            bytes: parts.iter().map(|p| p.bytes).sum(),
+            dead: parts.iter().map(|p| p.dead).sum(),
+            ..Stat::default()
+        };
+        stat.bytes += self.view.active.as_ref().and_then(|a| a.file.len().ok()).unwrap_or(0);
+        for step in self.view.walk(&[]) {
+            let place = step.hit.place;
+            if !place.deletes && place.expires.is_none_or(|at| self.now < at) {
+                stat.records += 1;
+                // The record less its own lengths, flags and checksum.
+                stat.live += u64::from(place.len).saturating_sub(8);
+            }
+        }
+        let fresh = self.view.fresh.len() * 160;
+        stat.memory = recover::runs(&self.view.layers).map(|run| run.memory()).sum::<usize>() + fresh;
+        stat
+    }
+}
+
+/// Records in order of their keys.
+pub struct Iter {
+    walk: Walk,
+    now: u64,
+}
+
+impl Iterator for Iter {
+    type Item = Result<(Vec<u8>, Vec<u8>), StoreError>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        loop {
+            let step = self.walk.next()?;
+            if let Some(doubt) = step.doubt {
+                return Some(Err(doubt.error()));
+            }
+            if step.hit.place.expires.is_some_and(|at| self.now >= at) {
+                continue;
+            }
+            match step.hit.read(&step.key) {
+                Ok(Some(value)) => return Some(Ok((step.key, value))),
+                Ok(None) => {}
+                Err(error) => return Some(Err(error)),
+            }
+        }
+    }
+}
+
+/// Opens a directory to read it only: nothing in it is changed. What is returned last keeps writers out.
+pub fn open_reader(dir: &Path) -> Result<(Snapshot, Recovery, Box<dyn Any + Send + Sync>), StoreError> {
+    let shown = dir.display().to_string();
+    let disk = RealDisk::new(dir, false).map_err(io_error("cannot open", &shown))?;
+    let held = disk.lock(false).map_err(io_error("cannot lock", &shown))?;
+    let held = held.ok_or(StoreError::Locked(shown))?;
+    let opened = recover::open(&disk)?;
+    let view = View { layers: opened.layers, ..View::default() };
+    let now = Clock::new(opened.stamp).now();
+    Ok((Snapshot { view, now }, opened.recovery, held))
+}
