--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -7,7 +7,6 @@
 use crate::index::{Hit, Layer, Place, Run, RunBuilder, Segment, View, Walk};
 use crate::recover::{self, Recovery};
 use crate::{Options, SyncMode, plan};
-use imbl::OrdMap;
 use std::any::Any;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -164,8 +163,7 @@
             }
         }
         groups.retain(|g| !g.is_empty());
-        let groups: Vec<Vec<Op>> = groups.into_iter().map(|g| g.into_iter().cloned().collect()).collect();
-        let bytes: usize = groups.iter().flatten().map(Op::size).sum();
+        let bytes: usize = groups.iter().flatten().map(|op| op.size()).sum();
         let frames = groups.len() * (format::FRAME_HEAD + 8 * format::MOST_PRINTS + 10);
         if let Some(active) = &self.active {
             let most = u64::from(self.options.segment_bytes);
@@ -217,9 +215,10 @@
             }
         }
         let mut view = lock(shared);
+        let fresh = Arc::make_mut(&mut view.fresh);
         for (op, (offset, len)) in groups.iter().flatten().zip(placed) {
             let place = Place { offset, len, deletes: op.value.is_none(), expires: op.expires };
-            view.fresh.insert(op.key.as_slice().into(), place);
+            fresh.insert(op.key.as_slice().into(), place);
         }
         drop(view);
         match syncs {
@@ -228,7 +227,7 @@
                 if std::mem::take(&mut self.again) {
                     self.unsynced.clear(); // they are among what was just written
                 }
-                self.unsynced.extend(groups.into_iter().flatten());
+                self.unsynced.extend(groups.into_iter().flatten().cloned());
             }
         }
         Ok(())
@@ -281,15 +280,15 @@
         self.sync(shared, now)?;
         let Some(active) = &self.active else { return Ok(()) };
         let (segment, start) = (active.segment.clone(), active.len);
-        let view = view_of(shared);
-        let lines = view.fresh.iter().map(|(key, p)| Line {
+        let fresh = lock(shared).fresh.clone();
+        let lines = fresh.iter().map(|(key, p)| Line {
             key,
             offset: p.offset,
             len: p.len,
             deletes: p.deletes,
             expires: p.expires,
         });
-        let (data_end, count) = (start, view.fresh.len() as u32);
+        let (data_end, count) = (start, fresh.len() as u32);
         let trailer = Trailer { data_end, count, next_seq: self.next_seq, stamp: now };
         let bytes = format::footer(lines, segment.salt, trailer);
         let file = &segment.file;
@@ -405,9 +404,9 @@
 fn retire(shared: &Shared, file_len: u64) {
     let mut view = lock(shared);
     let Some(segment) = view.active.take() else { return };
-    let fresh = std::mem::replace(&mut view.fresh, OrdMap::new());
+    let fresh = std::mem::take(&mut view.fresh);
     let mut builder = RunBuilder::with_room(fresh.len(), 0);
-    for (key, p) in &fresh {
+    for (key, p) in &*fresh {
         builder.add(Line { key, offset: p.offset, len: p.len, deletes: p.deletes, expires: p.expires });
     }
     let run = builder.finish(segment, file_len, true);
@@ -522,7 +521,8 @@
                 return Ok(());
             }
             let offset = *written + out.len() as u64;
-            let (frame, places) = format::frame(ops, &[], (self.salt, offset), seq, 0, self.now);
+            let refs: Vec<&Op> = ops.iter().collect();
+            let (frame, places) = format::frame(&refs, &[], (self.salt, offset), seq, 0, self.now);
             for (op, (at, len)) in ops.iter().zip(places) {
                 let (offset, deletes) = (offset as u32 + at, op.value.is_none());
                 builder.add(Line { key: &op.key, offset, len, deletes, expires: op.expires });
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -250,7 +250,7 @@
 
 /// A frame of these operations, and where each record begins in it and how long it is.
 pub fn frame(
-    ops: &[Op],
+    ops: &[&Op],
     prints: &[u64],
     place: (u64, u64),
     seq: u64,
@@ -258,7 +258,10 @@
     stamp: u64,
 ) -> (Vec<u8>, Vec<(u32, u32)>) {
     let (salt, offset) = place;
-    let mut out = vec![0; FRAME_HEAD];
+    let mut out = Vec::with_capacity(
+        FRAME_HEAD + 10 + 8 * prints.len() + ops.iter().map(|op| op.size()).sum::<usize>(),
+    );
+    out.resize(FRAME_HEAD, 0);
     put_varint(&mut out, prints.len() as u64);
     prints.iter().for_each(|p| out.extend(p.to_le_bytes()));
     let mut places = Vec::with_capacity(ops.len());
--- a/crates/store/src/index.rs
+++ b/crates/store/src/index.rs
@@ -6,9 +6,10 @@
 use crate::disk::{DiskFile, read_range};
 use crate::error::{StoreError, io_error};
 use crate::format::{self, Line};
-use imbl::OrdMap;
 use rustc_hash::FxHashSet;
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 /// A segment's open file.
@@ -255,8 +256,8 @@
 pub struct View {
     /// Oldest first.
     pub layers: Vec<Layer>,
-    /// What was written to the present segment.
-    pub fresh: OrdMap<Arc<[u8]>, Place>,
+    /// What was written to the present segment. The first write after a copy was taken copies it.
+    pub fresh: Arc<BTreeMap<Box<[u8]>, Place>>,
     /// The present segment.
     pub active: Option<Arc<Segment>>,
 }
@@ -302,8 +303,8 @@
             }
         }
         if let Some(segment) = &self.active {
-            let lower: Arc<[u8]> = from.into();
-            let lines: Vec<_> = self.fresh.range(lower..).map(|(k, p)| (k.clone(), *p)).collect();
+            let from: (Bound<&[u8]>, Bound<&[u8]>) = (Bound::Included(from), Bound::Unbounded);
+            let lines: Vec<_> = self.fresh.range::<[u8], _>(from).map(|(k, p)| (k.clone(), *p)).collect();
             sources.push(Source { rank: usize::MAX, at: 0, from: Keys::Fresh(segment.clone(), lines) });
         }
         Walk::new(sources, doubts)
@@ -316,7 +317,7 @@
 
 enum Keys {
     Run(Arc<Run>),
-    Fresh(Arc<Segment>, Vec<(Arc<[u8]>, Place)>),
+    Fresh(Arc<Segment>, Vec<(Box<[u8]>, Place)>),
 }
 
 struct Source {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -10,6 +10,7 @@
 use std::any::Any;
 use std::collections::VecDeque;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -92,8 +93,48 @@
     }
 }
 
+/// A thread that waits for its batch. Those of a group wake one another, two each, so that the writer of the group can go
+/// on to the next: waking dozens one by one takes longer than a sync.
+struct Slot {
+    thread: std::thread::Thread,
+    done: AtomicBool,
+    /// What became of it, and whom it wakes.
+    end: Mutex<(Result<(), String>, [Option<Arc<Slot>>; 2])>,
+}
+
+impl Slot {
+    fn new() -> Arc<Slot> {
+        Arc::new(Slot {
+            thread: std::thread::current(),
+            done: AtomicBool::new(false),
+            end: Mutex::new((Ok(()), [None, None])),
+        })
+    }
+
+    /// Settles a group and wakes its first.
+    fn settle(group: &[Arc<Slot>], result: &Result<(), String>) {
+        for (n, slot) in group.iter().enumerate() {
+            *lock(&slot.end) = (result.clone(), [2 * n + 1, 2 * n + 2].map(|n| group.get(n).cloned()));
+        }
+        group.iter().for_each(|slot| slot.done.store(true, Ordering::Release));
+        if let Some(first) = group.first() {
+            first.thread.unpark();
+        }
+    }
+
+    /// What became of it, if anything has; those that it is to wake are woken.
+    fn taken(&self) -> Option<Result<(), String>> {
+        if !self.done.load(Ordering::Acquire) {
+            return None;
+        }
+        let (result, wakes) = std::mem::replace(&mut *lock(&self.end), (Ok(()), [None, None]));
+        wakes.iter().flatten().for_each(|next| next.thread.unpark());
+        Some(result)
+    }
+}
+
 enum Waiter {
-    Ticket(u64),
+    Thread(Arc<Slot>),
     Call(Done),
 }
 
@@ -109,11 +150,6 @@
     bytes: usize,
     /// Somebody writes a group.
     busy: bool,
-    next_ticket: u64,
-    /// Tickets of those that wait, with what became of them.
-    settled: Vec<(u64, Result<(), String>)>,
-    /// How many batches the last group had, and how long its sync took.
-    last: (usize, Duration),
     closed: bool,
     /// When the oldest write that is not durable was acknowledged.
     exposed_since: Option<Instant>,
@@ -125,7 +161,7 @@
     shared: Shared,
     writer: Mutex<Option<Writer>>,
     queue: Mutex<Queue>,
-    /// A group was written, or there is something to write.
+    /// The writing thread has something to do.
     turn: Condvar,
     /// There may be something to compact; and whether the store is closing.
     chores: Mutex<(bool, bool)>,
@@ -169,8 +205,6 @@
 
 /// What a group takes at most, in bytes.
 const GROUP: usize = 4 << 20;
-/// A leader waits for others that are about to write for this part of a sync at most.
-const WAIT_PART: u32 = 4;
 
 impl Store {
     /// Opens a directory, made if it is not there.
@@ -213,20 +247,30 @@
         if ops.is_empty() {
             return Ok(());
         }
+        let slot = Slot::new();
         let mut queue = inner.queue();
-        let ticket = queue.next_ticket;
-        queue.next_ticket += 1;
-        inner.enter(&mut queue, ops, Waiter::Ticket(ticket))?;
+        inner.enter(&mut queue, ops, Waiter::Thread(slot.clone()))?;
+        // Who finds nobody writing and nobody waiting writes at once; else the writing thread does, for all.
+        if !queue.busy && queue.waiting.len() == 1 {
+            let queue = inner.lead(queue);
+            let more = !queue.waiting.is_empty() || queue.closed || queue.exposed_since.is_some();
+            drop(queue);
+            if more {
+                inner.turn.notify_one();
+            }
+        } else {
+            // Whoever writes looks again when it is done; each call to wake costs.
+            let busy = queue.busy;
+            drop(queue);
+            if !busy {
+                inner.turn.notify_one();
+            }
+        }
         loop {
-            if let Some(n) = queue.settled.iter().position(|(t, _)| *t == ticket) {
-                let result = queue.settled.swap_remove(n).1;
-                return result.map_err(StoreError::Failing);
+            match slot.taken() {
+                Some(result) => return result.map_err(StoreError::Failing),
+                None => std::thread::park(),
             }
-            // The first that finds nobody writing writes for all.
-            queue = match queue.busy {
-                true => inner.wait(queue),
-                false => inner.lead(queue),
-            };
         }
     }
 
@@ -236,13 +280,19 @@
         let mut queue = self.inner.queue();
         self.inner.enter(&mut queue, ops, Waiter::Call(done))?;
         drop(queue);
-        self.inner.turn.notify_all();
+        self.inner.turn.notify_one();
         Ok(())
     }
 
     /// The value of a key.
     pub fn get(&self, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
-        engine::view_of(&self.inner.shared).get(key, self.inner.clock.now())
+        // Found under the lock, read without it: a copy of the view would make the next write copy too.
+        let hit = lock(&self.inner.shared).find(key)?;
+        let now = self.inner.clock.now();
+        match hit.filter(|hit| hit.place.expires.is_none_or(|at| now < at)) {
+            Some(hit) => hit.read(key),
+            None => Ok(None),
+        }
     }
 
     /// All that is there now; later writes do not change it.
@@ -349,14 +399,6 @@
     /// Writes a group of what waits, for all of its writers.
     fn lead<'a>(&'a self, mut queue: MutexGuard<'a, Queue>) -> MutexGuard<'a, Queue> {
         queue.busy = true;
-        let (last, took) = queue.last;
-        // Those of the last group are likely to be back in a moment: one sync for all is worth a short wait.
-        let until = Instant::now() + took / WAIT_PART;
-        while queue.waiting.len() < last && !queue.closed && Instant::now() < until {
-            drop(queue);
-            std::thread::yield_now();
-            queue = self.queue();
-        }
         let (mut group, mut bytes) = (Vec::new(), 0);
         while let Some(next) = queue.waiting.front().filter(|n| bytes == 0 || bytes + n.bytes <= GROUP) {
             bytes += next.bytes;
@@ -366,23 +408,19 @@
         drop(queue);
         let started = Instant::now();
         let result = self.write_group(&group);
-        let took = started.elapsed();
-        let count = group.len();
-        let mut settled = Vec::new();
+        let mut slots = Vec::new();
         for queued in group {
             match queued.waiter {
-                Waiter::Ticket(ticket) => settled.push((ticket, result.clone())),
+                Waiter::Thread(slot) => slots.push(slot),
                 Waiter::Call(done) => done(result.clone()),
             }
         }
+        Slot::settle(&slots, &result);
         let mut queue = self.queue();
-        queue.settled.extend(settled);
-        queue.last = (count, took);
         queue.busy = false;
         if result.is_ok() && matches!(self.options.sync, SyncMode::Interval(_)) {
             queue.exposed_since.get_or_insert(started);
         }
-        self.turn.notify_all();
         queue
     }
 
@@ -408,7 +446,7 @@
         };
         let mut queue = self.queue();
         loop {
-            if queue.waiting.iter().any(|q| matches!(q.waiter, Waiter::Call(_))) && !queue.busy {
+            if !queue.waiting.is_empty() && !queue.busy {
                 queue = self.lead(queue);
                 continue;
             }
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,136 @@
+//! The command line. Without a sub-command the program serves. Exit codes: 0 done, 1 it failed or found damage,
+//! 2 bad input: nothing was changed.
+
+mod bench;
+mod log;
+mod store;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use mothproxy::config::{Config, SseConfig};
+use mothproxy::net::{NetError, Server, StateDir};
+use mothproxy_store::SyncMode;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "mothproxy", version, about = "A dispatcher that hands jobs to uneven workers")]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Sub>,
+    #[command(flatten)]
+    serve: Serve,
+    /// The form of log lines on standard error.
+    #[arg(long, value_enum, default_value_t = Form::Text, global = true)]
+    log: Form,
+}
+
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Form {
+    /// One plain line each.
+    Text,
+    /// One JSON object each.
+    Json,
+}
+
+#[derive(Args)]
+struct Serve {
+    /// The file that says where the SSE front listens [default: deploy/sse.toml, where it is there].
+    #[arg(long, value_name = "FILE")]
+    sse: Option<PathBuf>,
+    /// Where keyed jobs are noted, so that they survive a crash; without it nothing is.
+    #[arg(long, value_name = "DIR")]
+    state: Option<PathBuf>,
+    /// When notes become durable: always, interval:MS or never.
+    #[arg(long, value_name = "MODE", default_value = "always", value_parser = sync_mode)]
+    state_sync: SyncMode,
+}
+
+#[derive(Subcommand)]
+enum Sub {
+    /// Serve as a dispatcher; the environment variable GW_CONFIG names the configuration.
+    Serve(Serve),
+    /// Check a configuration file and change nothing.
+    Check {
+        /// The configuration, as GW_CONFIG would name it.
+        file: PathBuf,
+    },
+    /// Work on a store's directory.
+    #[command(subcommand)]
+    Store(store::Job),
+}
+
+/// Reads `always`, `interval:MS` or `never`.
+fn sync_mode(text: &str) -> Result<SyncMode, String> {
+    match (text, text.strip_prefix("interval:").map(str::parse::<u32>)) {
+        ("always", _) => Ok(SyncMode::Always),
+        ("never", _) => Ok(SyncMode::Never),
+        (_, Some(Ok(ms))) if ms > 0 => Ok(SyncMode::Interval(ms)),
+        _ => Err("it is always, interval:MS (MS above 0) or never".to_owned()),
+    }
+}
+
+fn serve(serve: Serve) -> Result<(), NetError> {
+    let config = Config::load(|name| std::env::var(name).ok())?;
+    let sse = SseConfig::load(&serve.sse.clone().unwrap_or("deploy/sse.toml".into()), serve.sse.is_some())?;
+    let state = serve.state.map(|dir| StateDir { dir, sync: serve.state_sync });
+    let name = config.name.clone();
+    let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+    let mut server = Server::open(config, sse, folder.as_deref(), state)?;
+    let (platform, sse, admin) = server.addresses();
+    let shown = |at: Option<std::net::SocketAddr>| at.map_or("off".to_owned(), |at| at.to_string());
+    tracing::info!("serving: {name} on {}, SSE {}, control {}", shown(platform), shown(sse), shown(admin));
+    server.serve()
+}
+
+fn check(file: &std::path::Path) -> Result<(), Failure> {
+    let named = |name: &str| (name == "GW_CONFIG").then(|| file.display().to_string());
+    let config = Config::load(named).map_err(Failure::input)?;
+    println!(
+        "{}: sound: {} on {}, {} classes, {} peers",
+        file.display(),
+        config.name,
+        config.listen,
+        config.settings.classes.len(),
+        config.peers.len()
+    );
+    Ok(())
+}
+
+/// Why a sub-command did not do what it was asked.
+pub struct Failure {
+    message: String,
+    code: u8,
+}
+
+impl Failure {
+    /// What was given is out of order: exit code 2.
+    pub fn input(what: impl std::fmt::Display) -> Failure {
+        Failure { message: what.to_string(), code: 2 }
+    }
+
+    /// It failed, or found damage: exit code 1.
+    pub fn work(what: impl std::fmt::Display) -> Failure {
+        Failure { message: what.to_string(), code: 1 }
+    }
+}
+
+/// Reads the command line and does what it says.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    log::start(cli.log == Form::Json);
+    let done = match cli.command {
+        Some(Sub::Check { file }) => check(&file),
+        Some(Sub::Store(job)) => store::run(job),
+        Some(Sub::Serve(args)) => serve(args).map_err(Failure::work),
+        None => serve(cli.serve).map_err(Failure::work),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure { message, code }) => {
+            if !message.is_empty() {
+                tracing::error!("mothproxy: {message}");
+            }
+            ExitCode::from(code)
+        }
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -141,7 +141,7 @@
             self.watch = None;
         }
         let what = if call.watch { "watch" } else { "list" };
-        eprintln!("discovery: {what} failed: {why}");
+        tracing::warn!("discovery: {what} failed: {why}");
         self.core.list_failed();
         self.close(token, conn, Role::Call(call));
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -183,7 +183,7 @@
     let limited = rustix::net::sockopt::set_socket_timeout(&link, timeout, Some(ASK_TIME));
     let answer = limited.and_then(|()| send(&link, &Note::Hello, &[], &[])).and_then(|()| receive(&link));
     let Ok(Some((Note::Listeners { sse, peers, drained, table, open, lesson }, _, fds))) = answer else {
-        eprintln!("upgrade: the running process hands nothing over");
+        tracing::info!("upgrade: the running process hands nothing over");
         return Asked::NoAnswer;
     };
     let mut fds = fds.into_iter();
@@ -213,7 +213,7 @@
         self.drained = drained.then_some(self.now);
         let watched = rustix::io::ioctl_fionbio(&link, true).is_ok() && self.watch_fd(link.as_fd(), TWIN);
         if watched {
-            eprintln!("upgrade: taking over from the running process, open={}", open.names.len());
+            tracing::info!("upgrade: taking over from the running process, open={}", open.names.len());
             self.twin = Some(Twin { link, open, told: Open::default() });
         }
         if drained {
@@ -241,7 +241,9 @@
                 self.home = Some(Home(listener));
             }
             Ok(_) => {}
-            Err(error) => eprintln!("upgrade: no handover from this process: {}: {error}", path.display()),
+            Err(error) => {
+                tracing::info!("upgrade: no handover from this process: {}: {error}", path.display())
+            }
         }
     }
 
@@ -331,7 +333,7 @@
         }
         (self.handed, self.accepting) = (true, false);
         self.home = None;
-        eprintln!("upgrade: handing over to a new process, open={}", self.core.ledger.open());
+        tracing::info!("upgrade: handing over to a new process, open={}", self.core.ledger.open());
         self.core.remind(self.now + 1, HAND_TIMER);
     }
 
@@ -482,10 +484,10 @@
         let Some(twin) = self.twin.take() else { return };
         let _ = epoll::delete(&self.epoll, &twin.link);
         if !std::mem::take(&mut self.handed) {
-            return eprintln!("upgrade: the other process has ended");
+            return tracing::info!("upgrade: the other process has ended");
         }
         // The younger died with what it had. The listening sockets are still open here.
-        eprintln!("upgrade: the new process has ended; this one serves again");
+        tracing::info!("upgrade: the new process has ended; this one serves again");
         let platform = self.watch_fd(self.platform.as_fd(), super::PLATFORM);
         let sse = self.sse.as_ref().is_none_or(|(listener, _)| self.watch_fd(listener.as_fd(), super::SSE));
         let peers = self.peers.as_ref().is_none_or(|socket| self.watch_fd(socket.as_fd(), super::PEERS));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -80,6 +80,15 @@
     held: Option<(Conn, Role)>,
 }
 
+/// Where keyed jobs are noted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StateDir {
+    /// The directory of the store.
+    pub dir: std::path::PathBuf,
+    /// When notes become durable.
+    pub sync: mothproxy_store::SyncMode,
+}
+
 /// Why the program cannot serve.
 #[derive(Debug)]
 pub enum NetError {
@@ -249,7 +258,9 @@
         mut config: Config,
         sse: Option<(SocketAddr, Micros)>,
         folder: Option<&std::path::Path>,
+        state: Option<StateDir>,
     ) -> Result<Server, NetError> {
+        drop(state); // what it is for comes next
         let io = |what| move |error| NetError::System(what, error);
         // First of all: a SIGHUP that no handler awaits ends the program, with all it has taken.
         let signals = Signals::register().map_err(io("signals"))?;
@@ -561,7 +572,7 @@
         }
         self.reported = state;
         let (c, l) = state;
-        eprintln!(
+        tracing::info!(
             "figures taken={} served={} denied={} failed={} gone={} moved={} open={} dispatches={} written={} connects={} \
              connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} \
              bad_datagrams={} accept_pauses={} reloads={} bad_reloads={} connections={} workers={} broken_invariants={}",
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -53,11 +53,11 @@
             Ok(new) => new,
             Err(why) => {
                 self.counts.bad_reloads += 1;
-                return eprintln!("reload: {why}; the old configuration stays");
+                return tracing::warn!("reload: {why}; the old configuration stays");
             }
         };
         self.counts.reloads += 1;
-        eprintln!("reloaded: discovery {}", new.discovery);
+        tracing::info!("reloaded: discovery {}", new.discovery);
         self.classes = new.settings.classes.clone();
         self.budget = Budget::of(new.limits);
         let moved = new.discovery != self.config.discovery;
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -22,7 +22,7 @@
     pub(super) fn stop(&mut self) {
         if self.stopping.is_none() {
             self.stopping = Some(self.now);
-            eprintln!("stopping: asked to; open={}", self.core.ledger.open());
+            tracing::info!("stopping: asked to; open={}", self.core.ledger.open());
             self.core.remind(self.now + STEP, STOP_TIMER);
             self.tell_state();
         }
@@ -34,7 +34,11 @@
             return; // asked for again: nothing starts anew
         }
         self.drained = on.then_some(self.now);
-        eprintln!("{}: open={}", if on { "out of service" } else { "in service" }, self.core.ledger.open());
+        tracing::info!(
+            "{}: open={}",
+            if on { "out of service" } else { "in service" },
+            self.core.ledger.open()
+        );
         if !std::mem::replace(&mut self.drain_due, true) {
             self.core.remind(self.now + STEP, DRAIN_TIMER);
         }
@@ -106,7 +110,7 @@
             let busy = writing.filter(|(conn, role)| !conn.outbox.is_empty() || busy(role) || waits(role));
             let busy = busy.count();
             if (self.core.ledger.open() == 0 && busy == 0) || age >= LAST + STEP * 8 {
-                eprintln!("stopped: open={}", self.core.ledger.open());
+                tracing::info!("stopped: open={}", self.core.ledger.open());
                 self.done = true;
                 return;
             }
