--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use engine::{Figures, Merge, Merged, Shared, Writer, open as open_engine, view_of};
 pub use error::{Invalid, StoreError};
-pub use format::{Op, VERSION};
+pub use format::{Op, VERSION, fingerprint};
 pub use index::View;
 pub use recover::{Damage, Recovery, verify};
 pub use store::{Batch, Done, Iter, Snapshot, Stat, Store, open_reader};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -99,9 +99,11 @@
     thread: std::thread::Thread,
     done: AtomicBool,
     /// What became of it, and whom it wakes.
-    end: Mutex<(Result<(), String>, [Option<Arc<Slot>>; 2])>,
+    end: Mutex<End>,
 }
 
+type End = (Result<(), String>, [Option<Arc<Slot>>; 2]);
+
 impl Slot {
     fn new() -> Arc<Slot> {
         Arc::new(Slot {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! It knows no wire and no descriptor: timed events go in, commands come out.
 
 pub mod deadlines;
+pub mod keys;
 pub mod ledger;
 pub mod moved;
 pub mod servers;
@@ -11,6 +12,7 @@
 use crate::interface::*;
 use crate::invariant;
 use deadlines::{Deadline, Deadlines};
+use keys::{KeyBook, Look, Sent, Token};
 use ledger::{Entry, Ledger, Tally};
 use moved::{Lesson, Moved, MovedDispatch};
 use servers::ServerTable;
@@ -47,6 +49,8 @@
     pub memory: Option<f64>,
     /// Whether it is marked as a repeat.
     pub repeat: bool,
+    /// The key that its client gave it, where keyed jobs are noted.
+    pub token: Option<Token>,
 }
 
 /// What a worker tells of a job.
@@ -102,6 +106,16 @@
         /// How long the answer will be waited for.
         left: Micros,
     },
+    /// Note this of a keyed job: `None` forgets the key. Where a ticket comes with it, a dispatch waits:
+    /// [`Core::noted`] lets it go, or says that it could not be noted.
+    Note {
+        /// What to call [`Core::noted`] with.
+        ticket: Option<u64>,
+        /// The key.
+        key: String,
+        /// The note.
+        note: Option<Vec<u8>>,
+    },
     /// Stop waiting for a dispatch.
     GiveUp {
         /// The session.
@@ -163,9 +177,15 @@
     /// Its final answer is still owed.
     open: bool,
     told_started: bool,
+    token: Option<Token>,
     dispatches: Vec<Dispatch>,
 }
 
+/// The ticket of a dispatch that waits to be noted.
+fn ticket(id: SessionId, dispatch: u32) -> u64 {
+    id << 8 | u64::from(dispatch & 0xff)
+}
+
 /// The core. `take` and its kin bring events, `turn` runs what is due, `commands` hands out what follows.
 pub struct Core {
     dispatcher: Dispatcher,
@@ -188,6 +208,10 @@
     next_batch: Micros,
     actions: Vec<Action>,
     commands: VecDeque<Command>,
+    /// What is remembered of keyed jobs, where that is on.
+    keys: Option<KeyBook>,
+    /// Dispatches that wait to be noted, by their tickets.
+    unnoted: HashMap<u64, (SessionId, u32)>,
     unix_offset: i128,
     /// News of unknown sessions, or of dispatches that had ended.
     pub stale_news: u64,
@@ -219,6 +243,8 @@
             next_batch: 0,
             actions: Vec::new(),
             commands: VecDeque::new(),
+            keys: None,
+            unnoted: HashMap::new(),
             unix_offset: CLOCK_START as i128 - unix_now as i128,
             stale_news: 0,
         })
@@ -283,6 +309,7 @@
         if self.by_name.contains_key(&new.name) {
             return None;
         }
+        let known = self.look(now, &new);
         let id = self.next_session;
         self.next_session += 1;
         let deadline = now + new.patience;
@@ -308,18 +335,121 @@
             backstop: None,
             open: true,
             told_started: false,
+            token: new.token,
             dispatches: Vec::new(),
         };
         self.sessions.insert(id, session);
         self.deadlines.set(deadline, Deadline::Session(id));
-        self.events.push(Event::Arrived(job));
+        match known {
+            Look::Answered(result) => {
+                self.answer(now, id, Answer::Served(result), Entry::Served);
+            }
+            Look::Risky(first) => {
+                // It counts as a dispatch of this session: the module settles whether and where it may be sent again.
+                let at = Micros::try_from(i128::from(first.at) + self.unix_offset).unwrap_or(0).min(now);
+                let worker = self.servers.place(&first);
+                let past = Past { worker, at, out: false, running_since: None, never_ran: false };
+                if let Some(session) = self.sessions.get_mut(&id) {
+                    let (limit, out, started, never_ran) = (None, false, None, false);
+                    session.dispatches.push(Dispatch { worker, at, limit, out, started, never_ran });
+                }
+                self.events.push(Event::Adopted { new: job, since: now, past: vec![past] });
+            }
+            Look::Unknown => self.events.push(Event::Arrived(job)),
+        }
         Some(id)
     }
 
+    /// Remembers keyed jobs from now on, beginning with these notes; `clock_sound` unless time may have passed that the
+    /// clock does not show. The notes that cannot be read come back, each with the reason.
+    pub fn keep_keys(
+        &mut self,
+        now: Micros,
+        notes: impl Iterator<Item = (String, Vec<u8>)>,
+        clock_sound: bool,
+    ) -> Vec<(String, String)> {
+        let mut book = KeyBook::default();
+        let bad = notes.filter_map(|(key, note)| Some((book.take(now, &key, Some(&note)).err()?, key)));
+        let bad = bad.map(|(why, key)| (key, why)).collect();
+        if !clock_sound {
+            book.distrust_clock();
+        }
+        self.keys = Some(book);
+        bad
+    }
+
+    /// What is remembered of keyed jobs, where that is on.
+    pub fn keys(&self) -> Option<&KeyBook> {
+        self.keys.as_ref()
+    }
+
+    /// What another process of this dispatcher has noted.
+    pub fn take_note(&mut self, now: Micros, key: &str, note: Option<&[u8]>) {
+        let read = self.keys.as_mut().map(|book| book.take(now, key, note));
+        invariant!(!matches!(read, Some(Err(_))), "a note of the other process that cannot be read");
+    }
+
+    fn look(&mut self, now: Micros, new: &Arrival) -> Look {
+        let class = self.names.0.classes.names().get(usize::from(new.class.0));
+        match (&mut self.keys, &new.token, class) {
+            (Some(book), Some(token), Some(class)) => book.look(now, token, class),
+            _ => Look::Unknown,
+        }
+    }
+
+    /// Whether the key of this job was given to another one before.
+    pub fn key_reused(&mut self, now: Micros, new: &Arrival) -> bool {
+        let class = self.names.0.classes.names().get(usize::from(new.class.0));
+        match (&mut self.keys, &new.token, class) {
+            (Some(book), Some(token), Some(class)) => book.reused(now, token, class),
+            _ => false,
+        }
+    }
+
+    /// Notes how a keyed session stands, with its result if there is one.
+    fn note(&mut self, now: Micros, id: SessionId, ticket: Option<u64>, result: Option<Vec<u8>>) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let Some((book, token)) = self.keys.as_mut().zip(session.token.as_ref()) else { return };
+        let Some(class) = self.names.0.classes.names().get(usize::from(session.new.class.0)) else { return };
+        let offset = self.unix_offset;
+        let sent = session.dispatches.iter().filter_map(|d| {
+            let row = &self.servers.get(d.worker)?.row;
+            let (worker, cell, zone) = (row.instance_id.clone(), row.cell, row.zone.clone());
+            let at = (i128::from(d.at) - offset) as i64;
+            Some(Sent { worker, cell, zone, at, never_ran: d.never_ran })
+        });
+        let note = book.enter(now, token, (class, &session.name), sent.collect(), result);
+        let key = token.key.clone();
+        self.commands.push_back(Command::Note { ticket, key, note });
+    }
+
+    /// The tickets that are waited for.
+    pub fn waiting_notes(&self) -> Vec<u64> {
+        self.unnoted.keys().copied().collect()
+    }
+
+    /// Whether a dispatch could be noted: it leaves, or the module gives its job up.
+    pub fn noted(&mut self, now: Micros, ticket: u64, written: bool) {
+        let Some((id, dispatch)) = self.unnoted.remove(&ticket) else { return };
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(this) = session.dispatches.get_mut(dispatch as usize).filter(|d| d.out) else { return };
+        let worker = this.worker;
+        if written && session.open {
+            let left = this.limit.unwrap_or(session.deadline).saturating_sub(now);
+            return self.commands.push_back(Command::Send { session: id, dispatch, worker, left });
+        }
+        (this.out, this.never_ran) = (false, true);
+        if let Some(at) = this.limit.take() {
+            self.deadlines.drop(at, Deadline::Limit(id, dispatch));
+        }
+        self.events.push(Event::Unnoted { job: JobId(id), attempt: dispatch });
+        self.forget(id);
+    }
+
     /// The client of a session left.
-    pub fn hung_up(&mut self, id: SessionId) {
+    pub fn hung_up(&mut self, now: Micros, id: SessionId) {
         if self.sessions.get(&id).is_some_and(|s| s.open) {
-            self.close(id, Entry::Gone);
+            self.close(now, id, Entry::Gone);
             self.events.push(Event::HungUp(JobId(id)));
         }
     }
@@ -354,12 +484,23 @@
 
     /// News of a job, by the names that the worker uses. Whether they told anything new.
     pub fn news(&mut self, now: Micros, name: &str, from: &str, news: News, report: Option<Report>) -> bool {
+        let result = match &news {
+            News::Done(result) if self.keys.is_some() => Some(result.clone()),
+            _ => None,
+        };
         let found = self.by_name.get(name).copied().zip(self.servers.find(from)).and_then(|(id, worker)| {
             let dispatches = &self.sessions.get(&id)?.dispatches;
             Some((id, dispatches.iter().rposition(|d| d.worker == worker)? as u32))
         });
         let fresh = found.is_some_and(|(id, dispatch)| self.dispatch_news(now, id, dispatch, news, report));
         self.stale_news += u64::from(!fresh);
+        if let (false, Some(book)) = (fresh, &mut self.keys)
+            && let Some((key, result)) = book.key_of(name).zip(result)
+        {
+            // Of a job that an earlier process sent: its client's repeat will ask for it.
+            let note = book.enter_result(now, &key, result);
+            self.commands.push_back(Command::Note { ticket: None, key, note });
+        }
         fresh
     }
 
@@ -426,6 +567,10 @@
             self.deadlines.drop(at, Deadline::Limit(id, dispatch));
         }
         let (frontend, open) = (session.frontend, session.open);
+        if let (Fate::Done(result), true) = (&fate, session.token.is_some()) {
+            let result = Some(result.clone());
+            self.note(now, id, None, result);
+        }
         let outcome = match fate {
             Fate::Done(result) if open => {
                 // A dispatch that was given up may still bring the result: it is as good as any.
@@ -434,7 +579,7 @@
                     frontend,
                     answer: Answer::Served(result),
                 });
-                self.close(id, Entry::Served);
+                self.close(now, id, Entry::Served);
                 if !was_out {
                     self.events.push(Event::HungUp(JobId(id)));
                     return true;
@@ -470,7 +615,7 @@
     }
 
     /// Enters a session's end.
-    fn close(&mut self, id: SessionId, entry: Entry) {
+    fn close(&mut self, now: Micros, id: SessionId, entry: Entry) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         invariant!(session.open, "session {id} got a second final answer");
         session.open = false;
@@ -478,7 +623,10 @@
         if let Some(at) = session.backstop.take() {
             self.deadlines.drop(at, Deadline::Backstop(id));
         }
-        let class = session.new.class;
+        let (class, sent) = (session.new.class, session.token.is_some() && !session.dispatches.is_empty());
+        if sent && entry != Entry::Served {
+            self.note(now, id, None, None);
+        }
         self.ledger.enter(entry);
         self.tally(class, entry);
         self.forget(id);
@@ -534,11 +682,11 @@
         }
     }
 
-    fn answer(&mut self, id: SessionId, answer: Answer, entry: Entry) {
+    fn answer(&mut self, now: Micros, id: SessionId, answer: Answer, entry: Entry) {
         let Some(session) = self.sessions.get(&id).filter(|s| s.open) else { return };
         let frontend = session.frontend;
         self.commands.push_back(Command::Answer { session: id, frontend, answer });
-        self.close(id, entry);
+        self.close(now, id, entry);
     }
 
     /// Sweeps the deadlines and, once the tick has come round, hands the module what has come in.
@@ -562,7 +710,7 @@
                 Deadline::Backstop(id) => {
                     // The module gives up in time by itself; this guards the rule should it ever not.
                     invariant!(false, "session {id} is past its deadline and open");
-                    self.answer(id, Answer::TimedOut, Entry::Failed);
+                    self.answer(now, id, Answer::TimedOut, Entry::Failed);
                     self.events.push(Event::HungUp(JobId(id)));
                 }
             }
@@ -597,6 +745,11 @@
         let Some(session) = self.sessions.get(&id) else { return };
         let this = session.dispatches.get(dispatch as usize).filter(|d| d.out);
         if let Some(worker) = this.map(|d| d.worker) {
+            if self.unnoted.remove(&ticket(id, dispatch)).is_some() {
+                // It waits to be noted and has not left.
+                self.ended(now, id, dispatch, Fate::Without(Outcome::Moot), None);
+                return;
+            }
             let name = session.name.clone();
             self.commands.push_back(Command::GiveUp { session: id, dispatch, worker, name });
             self.ended(now, id, dispatch, Fate::Without(outcome), None);
@@ -610,12 +763,12 @@
                 self.give_up(now, job.0, attempt, Outcome::Cancelled);
             }
             Action::Refuse { job, retry_after } => {
-                self.answer(job.0, Answer::Deny(retry_after), Entry::Denied);
+                self.answer(now, job.0, Answer::Deny(retry_after), Entry::Denied);
             }
             Action::Fail(job) => {
                 let late = self.sessions.get(&job.0).is_some_and(|s| now + 2 * self.tick >= s.deadline);
                 let answer = if late { Answer::TimedOut } else { Answer::Failed };
-                self.answer(job.0, answer, Entry::Failed);
+                self.answer(now, job.0, answer, Entry::Failed);
             }
             Action::SetAlarm(id, after) => self.deadlines.set(now + after.max(1), Deadline::Alarm(id)),
             Action::Probe(worker) => self.commands.push_back(Command::Probe(worker)),
@@ -660,14 +813,19 @@
             started: None,
             never_ran: false,
         });
+        if session.token.is_some() {
+            let ticket = ticket(id, dispatch);
+            self.unnoted.insert(ticket, (id, dispatch));
+            return self.note(now, id, Some(ticket), None);
+        }
         let left = limit.unwrap_or(session.deadline).saturating_sub(now);
         self.commands.push_back(Command::Send { session: id, dispatch, worker, left });
     }
 
     /// Answers every open session as failed: the machine is about to go.
-    pub fn fail_all(&mut self) {
+    pub fn fail_all(&mut self, now: Micros) {
         for id in self.open_sessions() {
-            self.answer(id, Answer::Failed, Entry::Failed);
+            self.answer(now, id, Answer::Failed, Entry::Failed);
             self.events.push(Event::HungUp(JobId(id)));
         }
     }
@@ -727,6 +885,9 @@
         let unix = |at: Micros| (i128::from(at) - offset) as i64;
         let session =
             self.sessions.get(&id).filter(|s| s.open && self.events.len() == self.release_events)?;
+        if self.unnoted.values().any(|(of, _)| *of == id) {
+            return None;
+        }
         let class = classes.names().get(usize::from(session.new.class.0))?.clone();
         if classes.find(&class) != Some(u32::from(session.new.class.0)) {
             return None;
@@ -750,6 +911,7 @@
             memory: session.new.memory,
             repeat: session.new.repeat,
             told_started: session.told_started,
+            token: session.token.clone(),
             dispatches: session.dispatches.iter().map(dispatch).collect::<Option<_>>()?,
         };
         let session = self.sessions.remove(&id)?;
@@ -820,6 +982,7 @@
             backstop: None,
             open: true,
             told_started: moved.told_started,
+            token: moved.token.filter(|_| self.keys.is_some()),
             dispatches,
         };
         self.sessions.insert(id, session);
--- a/src/core/moved.rs
+++ b/src/core/moved.rs
@@ -30,6 +30,9 @@
     pub repeat: bool,
     /// Whether its client has been told that it started.
     pub told_started: bool,
+    /// The key that its client gave it, where keyed jobs are noted.
+    #[serde(default)]
+    pub token: Option<super::keys::Token>,
     /// What became of it so far.
     pub dispatches: Vec<MovedDispatch>,
 }
--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -36,6 +36,28 @@
         self.ids.get(instance_id).copied()
     }
 
+    /// The number of a worker that may be on no list any more: what was sent to it is still to be reckoned with.
+    pub(crate) fn place(&mut self, sent: &super::keys::Sent) -> WorkerId {
+        if let Some(id) = self.find(&sent.worker) {
+            return id;
+        }
+        let row = ServerRow {
+            instance_id: sent.worker.clone(),
+            host_port: String::new(),
+            zone: sent.zone.clone(),
+            machine_type: String::new(),
+            cell: sent.cell,
+            lifecycle: Lifecycle::Removed,
+            weight: None,
+            started_at_ms: 0.0,
+        };
+        let id = WorkerId(self.servers.len() as u32);
+        let address = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.servers.push(Server { row, address, stopped: Some(0), removed: true });
+        self.ids.insert(sent.worker.clone(), id);
+        id
+    }
+
     /// The worker of this number.
     pub fn get(&self, worker: WorkerId) -> Option<&Server> {
         self.servers.get(worker.0 as usize)
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -43,6 +43,21 @@
     pub failed: u64,
 }
 
+/// What is noted of keyed jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateFigures {
+    /// Keys that are remembered.
+    pub keys: usize,
+    /// Notes that could not be written.
+    pub failures: u64,
+    /// Repeats that got a kept result.
+    pub repeats_answered: u64,
+    /// Repeats of jobs that may have run: they went on in their pod only, or were failed.
+    pub repeats_bound: u64,
+    /// Keys forgotten before their time, for want of room.
+    pub evicted: u64,
+}
+
 /// The figures of this process, counted from its start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Figures {
@@ -60,6 +75,8 @@
     pub reloads: u64,
     /// Files turned down at SIGHUP.
     pub bad_reloads: u64,
+    /// Where keyed jobs are noted.
+    pub state: Option<StateFigures>,
 }
 
 /// The figures, a line each.
@@ -79,6 +96,13 @@
     line("hosts_down", figures.avoided as u64, 'g');
     line("reconfig_ok", figures.reloads, 'c');
     line("reconfig_failed", figures.bad_reloads, 'c');
+    if let Some(state) = &figures.state {
+        line("state_keys", state.keys as u64, 'g');
+        line("state_failures", state.failures, 'c');
+        line("state_repeats_answered", state.repeats_answered, 'c');
+        line("state_repeats_bound", state.repeats_bound, 'c');
+        line("state_evicted", state.evicted, 'c');
+    }
     answer("200 OK", text)
 }
 
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -2,6 +2,7 @@
 
 use super::names;
 use crate::config::SiteNames;
+use crate::core::keys::Token;
 use crate::core::{Answer, Arrival, News};
 use crate::http::{self, Framing, HeadError, Piece};
 use crate::interface::*;
@@ -36,6 +37,8 @@
     Doubled,
     /// 411: no length.
     NoLength,
+    /// 422: its key was given to another job.
+    KeyReused,
     /// 413: its body is too large.
     BodyTooLarge,
     /// 431: its head is too large.
@@ -60,6 +63,7 @@
             Reject::Doubled => "409 Conflict",
             Reject::NoLength => "411 Length Required",
             Reject::BodyTooLarge => "413 Content Too Large",
+            Reject::KeyReused => "422 Unprocessable Content",
             Reject::HeadTooLarge => "431 Request Header Fields Too Large",
             Reject::UnknownCoding => "501 Not Implemented",
             Reject::NoRoom | Reject::NotReady => "503 Service Unavailable",
@@ -71,7 +75,12 @@
     pub fn closes(self) -> bool {
         !matches!(
             self,
-            Reject::Bad | Reject::NoSuchPath | Reject::WrongMethod(_) | Reject::Doubled | Reject::NotReady
+            Reject::Bad
+                | Reject::NoSuchPath
+                | Reject::WrongMethod(_)
+                | Reject::Doubled
+                | Reject::KeyReused
+                | Reject::NotReady
         )
     }
 }
@@ -174,9 +183,19 @@
         slots: fact(["slots", "Needs"]).unwrap_or(1.0),
         memory: fact(["memory", "MemNeeded"]),
         repeat: text(names::REPEAT) == Some("1"),
+        token: None,
     }))
 }
 
+/// The key of a keyed job, under its tenant, with its body's fingerprint.
+pub fn token(set: &[Class], raw: &Raw, class: ClassId) -> Option<Token> {
+    let keyed = matches!(set.get(usize::from(class.0))?.effect, Effect::Token { .. });
+    let text = |name| raw.head.fields.text(&raw.bytes, name);
+    let key = text(names::KEY).filter(|_| keyed)?;
+    let body = mothproxy_store::fingerprint(raw.body.bytes());
+    Some(Token { key: format!("{}\0{key}", text(names::TENANT).unwrap_or("")), body })
+}
+
 fn cookie(header: &str) -> Option<&str> {
     let mut pairs = header.split(';').filter_map(|pair| pair.trim().split_once('='));
     pairs.find(|(name, _)| *name == names::COOKIE).map(|(_, value)| value)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -495,6 +495,13 @@
     },
     /// An attempt ended. Every [`Action::Send`] gets exactly one.
     Ended(Ended),
+    /// An attempt could not be noted, as it must be before it may leave: it never left. The job is given up at once.
+    Unnoted {
+        /// The job.
+        job: JobId,
+        /// The attempt, from 0.
+        attempt: u32,
+    },
     /// The client left: the job is over and nothing more is owed.
     HungUp(JobId),
     /// An alarm that the module set is due.
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -127,6 +127,7 @@
             avoided: self.core.avoided(self.now),
             reloads: self.counts.reloads,
             bad_reloads: self.counts.bad_reloads,
+            state: self.state_figures(),
         }
     }
 }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -373,15 +373,20 @@
             }
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
+                if self.core.keys().is_some() {
+                    arrival.token = platform::token(&self.classes, &raw, arrival.class);
+                }
                 let stream =
                     (front.sse && sse::wants_stream(&raw)).then_some(Stream { begun: false, last: self.now });
                 let elsewhere = self.open_elsewhere(&arrival.name);
-                match if elsewhere { None } else { self.core.arrived(self.now, arrival) } {
+                let reused = self.core.key_reused(self.now, &arrival);
+                match if elsewhere || reused { None } else { self.core.arrived(self.now, arrival) } {
                     Some(session) => {
                         self.requests.insert(session, raw);
                         front.state = State::Waiting { session, keep_alive, stream };
                         None
                     }
+                    None if reused => Some(Reject::KeyReused),
                     None => Some(Reject::Doubled),
                 }
             }
@@ -438,7 +443,7 @@
     fn front_gone(&mut self, token: Token, conn: Conn, front: Front) {
         if let State::Waiting { session, .. } = front.state {
             self.drop_request(session);
-            self.core.hung_up(session);
+            self.core.hung_up(self.now, session);
         }
         if front.unasked_since.is_some() {
             self.unasked_fronts.remove(&(front.heard, token));
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -41,7 +41,7 @@
 
 /// What one process tells the other; bytes of a connection follow in the same packet.
 #[derive(Deserialize, Serialize)]
-enum Note {
+pub(super) enum Note {
     /// The younger is there and asks for everything.
     Hello,
     /// The elder accepts no more: its listening sockets come with this.
@@ -62,11 +62,15 @@
     News,
     /// What the elder still holds.
     Open(Open),
+    /// The elder wants something noted of a keyed job: the bytes behind it where `kept`, else the key is forgotten.
+    Write { ticket: Option<u64>, key: String, kept: bool },
+    /// Whether it was.
+    Written { ticket: u64, written: bool },
 }
 
 /// What a process still holds: the ids open with it, and its connections.
 #[derive(Deserialize, Serialize, Clone, PartialEq, Default)]
-struct Open {
+pub(super) struct Open {
     names: HashSet<String>,
     live: usize,
 }
@@ -298,6 +302,10 @@
                     twin.open = open;
                 }
             }
+            Note::Write { ticket, key, kept } => {
+                self.note_for_elder(ticket, &key, kept.then(|| bytes.to_vec()))
+            }
+            Note::Written { ticket, written } => self.core.noted(self.now, ticket, written),
             Note::Hello | Note::Listeners { .. } => self.counts.rejects += 1,
         }
     }
@@ -308,6 +316,9 @@
 
     /// The younger is there: it accepts from now on, and gets one connection after the other.
     fn hand_over(&mut self) {
+        if let Some(notes) = &mut self.notes {
+            notes.give_up(); // the younger waits until it is closed
+        }
         let open = self.open_here();
         let Some(twin) = &mut self.twin else { return };
         let table = ServerList {
@@ -474,6 +485,11 @@
         self.twin.as_ref().map_or(0, |twin| twin.open.live + super::SPARE_FDS)
     }
 
+    /// Tells the other process something.
+    pub(super) fn send_twin(&mut self, note: &Note, bytes: &[&[u8]]) -> bool {
+        self.twin.as_ref().is_some_and(|twin| send(&twin.link, note, bytes, &[]).is_ok())
+    }
+
     /// Passes a call-back to the other process. False if it cannot be: the worker has to try again.
     pub(super) fn pass_news(&mut self, body: &[u8]) -> bool {
         self.twin.as_ref().is_some_and(|twin| send(&twin.link, &Note::News, &[body], &[]).is_ok())
@@ -493,6 +509,7 @@
         let peers = self.peers.as_ref().is_none_or(|socket| self.watch_fd(socket.as_fd(), super::PEERS));
         crate::invariant!(platform && sse && peers, "epoll does not take its listeners back");
         self.accepting = true;
+        self.notes_back();
         self.open_home();
         self.tell_state();
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod frontend;
 mod handover;
+mod notes;
 mod peers;
 mod reload;
 mod stop;
@@ -20,6 +21,7 @@
 use discovery::Call;
 use frontend::Front;
 use handover::{Asked, Home, Twin};
+use notes::Notes;
 use reload::Signals;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use std::collections::{HashMap, HashSet};
@@ -66,6 +68,7 @@
 const HOME: Token = Token(u64::MAX - 10);
 const TWIN: Token = Token(u64::MAX - 11);
 const HAND_TIMER: u64 = u64::MAX - 12;
+const NOTES: Token = Token(u64::MAX - 13);
 
 /// What a connection is for.
 enum Role {
@@ -100,6 +103,8 @@
     Listen(SocketAddr, std::io::Error),
     /// The system refused something else.
     System(&'static str, std::io::Error),
+    /// The directory of keyed jobs' notes cannot be used.
+    State(std::path::PathBuf, mothproxy_store::StoreError),
 }
 
 impl std::fmt::Display for NetError {
@@ -109,6 +114,7 @@
             NetError::Settings(error) => write!(f, "configuration: {error}"),
             NetError::Listen(at, error) => write!(f, "cannot listen on {at}: {error}"),
             NetError::System(what, error) => write!(f, "{what}: {error}"),
+            NetError::State(dir, error) => write!(f, "state directory {}: {error}", dir.display()),
         }
     }
 }
@@ -132,10 +138,12 @@
 }
 
 impl Budget {
-    fn of(limits: MachineLimits) -> Budget {
+    /// `taken` descriptors are for other things than connections.
+    fn of(limits: MachineLimits, taken: usize) -> Budget {
         // A connection may buffer a whole request and a whole answer: memory bounds their number as well.
         let by_memory = (limits.memory_mb as usize * 1024 * 1024) / (2 * 96 * 1024);
-        let conns = (limits.sockets as usize).saturating_sub(SPARE_FDS).max(16).min(by_memory.max(16));
+        let conns =
+            (limits.sockets as usize).saturating_sub(SPARE_FDS + taken).max(16).min(by_memory.max(16));
         Budget { conns, fronts: conns * 2 / 3, last_fronts: conns * 5 / 6 }
     }
 }
@@ -179,6 +187,8 @@
     /// This one has handed its listening sockets over.
     handed: bool,
     peers: Option<UdpSocket>,
+    /// Where keyed jobs are noted, if they are.
+    notes: Option<Notes>,
     slots: Vec<Slot>,
     free: Vec<usize>,
     live: usize,
@@ -260,7 +270,6 @@
         folder: Option<&std::path::Path>,
         state: Option<StateDir>,
     ) -> Result<Server, NetError> {
-        drop(state); // what it is for comes next
         let io = |what| move |error| NetError::System(what, error);
         // First of all: a SIGHUP that no handler awaits ends the program, with all it has taken.
         let signals = Signals::register().map_err(io("signals"))?;
@@ -312,7 +321,7 @@
             core.recall(lesson);
         }
         core.remind(now + SUMMARY, SUMMARY_TIMER);
-        let budget = Budget::of(config.limits);
+        let budget = Budget::of(config.limits, if state.is_some() { notes::FDS } else { 0 });
         let mut server = Server {
             classes,
             core,
@@ -329,6 +338,7 @@
             twin: None,
             handed: false,
             peers,
+            notes: None,
             slots: Vec::new(),
             free: Vec::new(),
             live: 0,
@@ -354,6 +364,9 @@
             reported: Default::default(),
             config,
         };
+        if let Some(dir) = state {
+            server.open_notes(dir)?;
+        }
         server.settle_in(path, inherited);
         Ok(server)
     }
@@ -408,6 +421,7 @@
                     PEERS => self.hear_peers(),
                     HOME => self.twin_comes(),
                     TWIN => self.twin_ready(),
+                    NOTES => self.notes_ready(),
                     token => self.ready(token, flags),
                 }
             }
@@ -422,6 +436,7 @@
                 Command::Send { session, dispatch, worker, left } => {
                     self.dispatch(session, dispatch, worker, left);
                 }
+                Command::Note { ticket, key, note } => self.note(ticket, key, note),
                 Command::GiveUp { session, dispatch, worker, name } => {
                     self.give_up(session, dispatch, worker, &name);
                 }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,7 +1,7 @@
 //! Signals, and the new configuration that SIGHUP asks for.
 
 use super::{Budget, Role, Server, Token};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
 use signal_hook::{flag, low_level::pipe};
 use std::io::Read;
 use std::os::unix::net::UnixStream;
@@ -25,6 +25,8 @@
             flag::register(signal, raised.clone())?;
             pipe::register(signal, waker.try_clone()?)?;
         }
+        // A file at its limit is an error of the write that meets it, not the end of the program.
+        flag::register(SIGXFSZ, Arc::default())?;
         Ok(Signals { woken, reload, stop })
     }
 }
@@ -59,7 +61,7 @@
         self.counts.reloads += 1;
         tracing::info!("reloaded: discovery {}", new.discovery);
         self.classes = new.settings.classes.clone();
-        self.budget = Budget::of(new.limits);
+        self.budget = Budget::of(new.limits, if self.notes.is_some() { super::notes::FDS } else { 0 });
         let moved = new.discovery != self.config.discovery;
         self.config = new;
         if moved {
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -94,7 +94,7 @@
             while self.drop_idle_front(FRESH) {}
         }
         if age >= LAST {
-            self.core.fail_all();
+            self.core.fail_all(self.now);
             self.run_commands();
         }
         if self.handed || age >= ARRIVALS && !keeps {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -119,6 +119,10 @@
             | Event::Started { job, attempt }
             | Event::Progress { job, attempt, .. } => self.sign(job, attempt, acts),
             Event::Ended(ended) => self.ended(ended, acts),
+            Event::Unnoted { job, attempt } => {
+                self.m.never_left(job, attempt);
+                self.give_up(job, acts);
+            }
             Event::HungUp(job) => self.close(job, acts),
             Event::Alarm(AlarmId(ROSTER_ALARM)) => acts.push(Action::Watch),
             Event::Alarm(AlarmId(id)) => self.review(JobId(id - 1), acts),
--- a/src/state.rs
+++ b/src/state.rs
@@ -270,6 +270,15 @@
         }
     }
 
+    /// An attempt never left this node.
+    pub fn never_left(&mut self, id: JobId, attempt: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(this) = job.attempts.get_mut(attempt as usize) else { return };
+        this.state = State::NeverRan;
+        let worker = this.worker;
+        self.worker(worker).out.retain(|o| !o.is(id, attempt));
+    }
+
     /// Drops a job that is over and has nothing out.
     pub fn forget(&mut self, id: JobId) {
         if self.jobs.get(&id).is_some_and(|job| job.closed && job.out() == 0) {
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -284,8 +284,11 @@
         news["from"] = json!(self.name);
         let text = news.to_string();
         let head = "POST /_jobs/news HTTP/1.1\r\nHost: n0\r\nConnection: close\r\n";
-        send(home, &format!("{head}Content-Length: {}\r\n\r\n{text}", text.len()))
-            .is_some_and(|r| r.status == 204)
+        let call = format!("{head}Content-Length: {}\r\n\r\n{text}", text.len());
+        // The program may have been killed: then nobody hears of it.
+        let Ok(mut stream) = TcpStream::connect(home) else { return false };
+        let _ = stream.write_all(call.as_bytes());
+        read_reply(&mut stream).is_some_and(|r| r.status == 204)
     }
 }
 
@@ -384,6 +387,18 @@
     sse: bool,
     folder: Option<&Path>,
     change: impl FnOnce(&mut Value),
+) -> Program {
+    start_given(nodes, discovery, sse, folder, &[], change)
+}
+
+/// Starts it with further arguments.
+pub fn start_given(
+    nodes: &[Arc<Node>],
+    discovery: Option<SocketAddr>,
+    sse: bool,
+    folder: Option<&Path>,
+    args: &[&std::ffi::OsStr],
+    change: impl FnOnce(&mut Value),
 ) -> Program {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let rows: Vec<Value> = nodes.iter().map(|n| n.row("up")).collect();
@@ -399,6 +414,7 @@
     let mut child = Command::new(env!("CARGO_BIN_EXE_mothproxy"))
         .arg("--sse")
         .arg(&sse_file)
+        .args(args)
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
         .env_remove("GW_ADMIN_ADDR")
@@ -416,7 +432,7 @@
     let first = loop {
         log.push(lines.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("it does not serve: {log:?}")));
         match log.last() {
-            Some(line) if line.starts_with("upgrade: ") => {}
+            Some(line) if line.starts_with("upgrade: ") || line.starts_with("state: ") => {}
             line => break line.cloned().unwrap_or_default(),
         }
     };
@@ -447,6 +463,10 @@
         assert!(sent.success());
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,10 +3,12 @@
 #[path = "common/site.rs"]
 mod site;
 
+use mothproxy::core::keys::Token;
 use mothproxy::core::{Answer, Arrival, Command, Core, Fate, News};
 use mothproxy::*;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
+use std::collections::BTreeMap;
 
 const MS: Micros = 1_000;
 
@@ -18,11 +20,24 @@
 
 impl Bench {
     fn new(workers: usize) -> Bench {
+        Bench::new_at(workers, 0)
+    }
+
+    /// One whose clock starts at this Unix time; two workers a pod.
+    fn new_at(workers: usize, unix: u128) -> Bench {
         let rows: Vec<_> = (0..workers)
             .map(|n| site::row(&format!("s-{n}"), &format!("127.0.0.1:{}", 9000 + n), "up"))
             .collect();
+        let rows: Vec<_> = rows
+            .into_iter()
+            .enumerate()
+            .map(|(n, mut row)| {
+                row["cell"] = json!(1 + n / 2);
+                row
+            })
+            .collect();
         let config = site::read(&site::config("127.0.0.1:0", "127.0.0.1:1", json!(rows)));
-        let mut core = Core::new(config.settings, config.names, config.seed, 0).expect("sound settings");
+        let mut core = Core::new(config.settings, config.names, config.seed, unix).expect("sound settings");
         let now = Core::clock_start();
         core.listed(now, &config.known, true);
         Bench { core, now, next: 0 }
@@ -46,10 +61,39 @@
             slots: 1.0,
             memory: None,
             repeat: false,
+            token: None,
         };
         self.core.arrived(self.now, arrival)
     }
 
+    /// A redeem with a key, from a core that notes such jobs.
+    fn arrive_keyed(&mut self, name: &str, key: &str, body: u64) -> Option<u64> {
+        let arrival = Arrival {
+            name: name.to_owned(),
+            frontend: 70,
+            class: ClassId(1),
+            tenant: Some(TenantId(0)),
+            key: None,
+            patience: 25_000 * MS,
+            hint: None,
+            slots: 1.0,
+            memory: None,
+            repeat: false,
+            token: Some(Token { key: key.to_owned(), body }),
+        };
+        let reused = self.core.key_reused(self.now, &arrival);
+        if reused { None } else { self.core.arrived(self.now, arrival) }
+    }
+
+    /// As after a crash: another core begins with what this one had noted by then.
+    fn crashed(&self, notes: &BTreeMap<String, Vec<u8>>, later: Micros, clock_sound: bool) -> Bench {
+        let workers = self.core.servers.listed();
+        let mut next = Bench::new_at(workers, u128::from(self.now - Core::clock_start() + later));
+        let bad = next.core.keep_keys(next.now, notes.clone().into_iter(), clock_sound);
+        assert_eq!(bad, []);
+        next
+    }
+
     /// Lets time pass and returns all commands but alarms of the program round the core.
     fn pass(&mut self, span: Micros) -> Vec<Command> {
         let until = self.now + span;
@@ -175,7 +219,7 @@
 fn a_client_that_leaves_is_gone_and_nothing_is_sent_for_it_later() {
     let mut bench = Bench::new(1);
     let id = bench.arrive(0, 5_000 * MS).expect("new");
-    bench.core.hung_up(id);
+    bench.core.hung_up(bench.now, id);
     let all = bench.pass(6_000 * MS);
     assert_eq!((sent(&all), answers(&all)), (vec![], vec![]));
     assert_eq!((bench.core.ledger.gone, bench.core.ledger.open()), (1, 0));
@@ -226,7 +270,7 @@
         bench.arrive(0, 5_000 * MS);
     }
     bench.pass(10 * MS);
-    bench.core.fail_all();
+    bench.core.fail_all(bench.now);
     assert_eq!((bench.core.ledger.failed, bench.core.ledger.open()), (5, 0));
 }
 
@@ -244,7 +288,7 @@
                 0..=2 => drop(bench.arrive(u16::from(bool::arbitrary(g)), 400 * MS)),
                 3 if bench.next > 0 => {
                     let id = u64::arbitrary(g) % bench.next;
-                    bench.core.hung_up(id);
+                    bench.core.hung_up(bench.now, id);
                     gone.push(id);
                 }
                 4 | 5 if !out.is_empty() => {
@@ -349,3 +393,132 @@
     let ledger = younger.core.ledger;
     assert_eq!((ledger.taken, ledger.served, ledger.open()), (1, 1, 0));
 }
+
+/// Enters what the core wants noted, as the store would, and gives the tickets that wait for it.
+fn enter(notes: &mut BTreeMap<String, Vec<u8>>, commands: &[Command]) -> Vec<u64> {
+    let mut tickets = Vec::new();
+    for command in commands {
+        if let Command::Note { ticket, key, note } = command {
+            match note {
+                Some(note) => drop(notes.insert(key.clone(), note.clone())),
+                None => drop(notes.remove(key)),
+            }
+            tickets.extend(*ticket);
+        }
+    }
+    tickets
+}
+
+/// A core that notes keyed jobs, with one that was sent and noted: its worker.
+fn noted(workers: usize) -> (Bench, BTreeMap<String, Vec<u8>>, WorkerId) {
+    let (mut bench, mut notes) = (Bench::new(workers), BTreeMap::new());
+    bench.core.keep_keys(bench.now, std::iter::empty(), true);
+    bench.arrive_keyed("r-1", "k", 5).expect("new");
+    let commands = bench.pass(5 * MS);
+    assert_eq!(sent(&commands), [], "it left before it was noted");
+    let tickets = enter(&mut notes, &commands);
+    assert_eq!(tickets.len(), 1);
+    bench.core.noted(bench.now, tickets[0], true);
+    let sends = sent(&bench.pass(MS));
+    assert_eq!(sends.len(), 1);
+    (bench, notes, sends[0].2)
+}
+
+#[test]
+fn a_keyed_job_leaves_once_it_is_noted_and_an_unkeyed_one_at_once() {
+    let (mut bench, _, _) = noted(4);
+    bench.arrive(0, 5_000 * MS).expect("new");
+    let commands = bench.pass(5 * MS);
+    assert_eq!(sent(&commands).len(), 1);
+    assert!(!commands.iter().any(|c| matches!(c, Command::Note { .. })), "an unkeyed job was noted");
+}
+
+#[test]
+fn a_job_that_cannot_be_noted_is_given_up_at_once() {
+    let mut bench = Bench::new(4);
+    bench.core.keep_keys(bench.now, std::iter::empty(), true);
+    let id = bench.arrive_keyed("r-1", "k", 5).expect("new");
+    let tickets = enter(&mut BTreeMap::new(), &bench.pass(5 * MS));
+    bench.core.noted(bench.now, tickets[0], false);
+    let commands = bench.pass(5 * MS);
+    assert_eq!(sent(&commands), []);
+    // Nothing of it may have run: it may be turned away.
+    assert!(matches!(answers(&commands)[..], [(of, Answer::Deny(Some(_)))] if of == id), "{commands:?}");
+    assert!(bench.core.keys().expect("on").is_empty(), "there is nothing to remember");
+}
+
+#[test]
+fn after_a_crash_a_repeat_goes_to_the_pod_that_may_have_run_it_or_nowhere() {
+    for (later, sound, may_go) in
+        [(5_000, true, true), (39_000, true, true), (41_000, true, false), (1_000, false, false)]
+    {
+        let (bench, notes, worker) = noted(6);
+        let mut next = bench.crashed(&notes, later * MS, sound);
+        let id = next.arrive_keyed("r-2", "k", 5).expect("new");
+        let commands = next.pass(5 * MS);
+        let tickets = enter(&mut notes.clone(), &commands);
+        if may_go {
+            next.core.noted(next.now, tickets[0], true);
+            let to = sent(&next.pass(MS))[0].2;
+            assert_eq!(to.0 / 2, worker.0 / 2, "it went to another pod, {later} ms later");
+        } else {
+            // The pod may have forgotten it: it is failed, and not turned away, since it may have run.
+            assert!(tickets.is_empty());
+            let given_up = [commands, next.pass(26_000 * MS)].concat();
+            assert_eq!(sent(&given_up), []);
+            assert!(matches!(answers(&given_up)[..], [(of, Answer::Failed | Answer::TimedOut)] if of == id));
+        }
+    }
+}
+
+#[test]
+fn a_repeat_of_a_finished_job_gets_its_result_and_another_body_is_refused() {
+    let (mut bench, mut notes, worker) = noted(4);
+    assert!(bench.news("r-1", worker, News::Done(b"paid".to_vec())));
+    enter(&mut notes, &bench.pass(5 * MS));
+    let mut next = bench.crashed(&notes, 100_000 * MS, true);
+    assert_eq!(next.arrive_keyed("r-3", "k", 6), None, "another body under the same key");
+    let id = next.arrive_keyed("r-2", "k", 5).expect("new");
+    let commands = next.pass(5 * MS);
+    assert_eq!(answers(&commands), [(id, Answer::Served(b"paid".to_vec()))]);
+    assert_eq!((sent(&commands), next.core.ledger.open()), (vec![], 0));
+}
+
+#[test]
+fn a_result_that_comes_after_the_crash_is_kept_for_the_repeat() {
+    let (bench, mut notes, worker) = noted(4);
+    let mut next = bench.crashed(&notes, 2_000 * MS, true);
+    assert!(!next.news("r-1", worker, News::Done(b"paid".to_vec())), "its session is gone");
+    enter(&mut notes, &next.pass(5 * MS));
+    let mut third = next.crashed(&notes, 2_000 * MS, true);
+    let id = third.arrive_keyed("r-2", "k", 5).expect("new");
+    assert_eq!(answers(&third.pass(5 * MS)), [(id, Answer::Served(b"paid".to_vec()))]);
+}
+
+#[test]
+fn a_pod_that_was_replaced_whole_gets_nothing_of_what_the_old_one_may_have_run() {
+    let (bench, notes, worker) = noted(4);
+    let mut next = Bench::new(0);
+    next.core.keep_keys(next.now, notes.into_iter(), true);
+    let row = |n: u32, cell: u32| {
+        let mut row = site::row(&format!("new-{n}"), &format!("127.0.0.1:{}", 9500 + n), "up");
+        row["cell"] = json!(cell);
+        row
+    };
+    let old = bench.core.servers.get(worker).expect("known").row.cell;
+    next.core.listed(next.now, &site::list(2, true, json!([row(0, old + 10), row(1, old + 11)])), false);
+    let id = next.arrive_keyed("r-2", "k", 5).expect("new");
+    let commands = next.pass(26_000 * MS);
+    assert_eq!(sent(&commands), []);
+    assert!(matches!(answers(&commands)[..], [(of, Answer::Failed | Answer::TimedOut)] if of == id));
+}
+
+#[test]
+fn notes_that_cannot_be_read_are_named() {
+    let mut bench = Bench::new(2);
+    let notes = [("a", vec![]), ("b", vec![9, 1, 2]), ("c", vec![1, 0xff, 0xff])];
+    let bad = bench.core.keep_keys(bench.now, notes.into_iter().map(|(k, v)| (k.to_owned(), v)), true);
+    let reasons: Vec<&str> = bad.iter().map(|(_, why)| why.as_str()).collect();
+    assert_eq!(bad.len(), 3, "{bad:?}");
+    assert!(reasons[1].contains("version 9") && reasons[0].contains("empty"), "{reasons:?}");
+}
--- /dev/null
+++ b/tests/store_cli.rs
@@ -0,0 +1,173 @@
+//! `mothproxy store` and `mothproxy check` as a script would use them. `STORE_KILLS` says how often the writer is killed.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::path::Path;
+use std::process::{Command, Output, Stdio};
+use std::time::Duration;
+
+fn mothproxy(args: &[&str], input: &str) -> (i32, String, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mothproxy"))
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let _ = child.stdin.take().expect("a pipe").write_all(input.as_bytes()); // it may have ended before
+    let Output { status, stdout, stderr } = child.wait_with_output().expect("it ends");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (status.code().expect("a code"), text(stdout), text(stderr))
+}
+
+fn line(key: &str, value: &str) -> String {
+    format!("{}\n", serde_json::json!({ "key": key, "value": value }))
+}
+
+#[test]
+fn what_is_put_is_dumped_by_key_and_checked() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let at = dir.path().join("store").display().to_string();
+    let input = [
+        line("b", "2"),
+        line("a", "1"),
+        line("c", ""),
+        "{\"key\":\"b\",\"value\":null}\n".into(),
+        line("a", "3"),
+    ];
+    let put = mothproxy(&["store", "put", &at], &input.concat());
+    assert_eq!(put, (0, "b\na\nc\nb\na\n".to_owned(), String::new()));
+    let whole = [line("a", "3"), line("c", "")].concat();
+    assert_eq!(mothproxy(&["store", "dump", &at], ""), (0, whole.clone(), String::new()));
+    assert_eq!(mothproxy(&["store", "verify", &at], "").0, 0);
+    assert_eq!(mothproxy(&["store", "compact", &at], "").0, 0);
+    let (code, stat, _) = mothproxy(&["store", "stat", &at, "--json"], "");
+    let stat: serde_json::Value = serde_json::from_str(&stat).expect("JSON");
+    assert_eq!((code, stat["records"].as_u64(), stat["segments"].as_u64()), (0, Some(2), Some(1)));
+    assert_eq!(mothproxy(&["store", "dump", &at], "").1, whole);
+    // Bytes that are no text go out and in again as they are.
+    let odd = "{\"key_base64\":\"/wA=\",\"value_base64\":\"AP8=\"}\n";
+    assert_eq!(mothproxy(&["store", "put", &at], odd).0, 0);
+    assert!(mothproxy(&["store", "dump", &at], "").1.contains(odd.trim()));
+}
+
+#[test]
+fn damage_is_named_with_file_and_offset_and_only_what_is_whole_is_dumped() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let at = dir.path().display().to_string();
+    let input: String = (0..50).map(|n| line(&format!("key-{n}"), &format!("value-{n}"))).collect();
+    assert_eq!(mothproxy(&["store", "put", &at], &input).0, 0);
+    let file = dir.path().join("000000000001-000000000001.seg");
+    let mut bytes = std::fs::read(&file).expect("the segment");
+    let place = bytes.windows(8).position(|w| w == b"value-25").expect("a value");
+    bytes[place] ^= 4;
+    std::fs::write(&file, &bytes).expect("written");
+    let (code, report, _) = mothproxy(&["store", "verify", &at], "");
+    assert_eq!(code, 1);
+    assert!(report.contains("000000000001-000000000001.seg: offset "), "{report}");
+    let (code, dump, errors) = mothproxy(&["store", "dump", &at], "");
+    assert_eq!((code, dump.lines().count()), (1, 49), "{errors}");
+    assert!(!dump.contains("key-25") && errors.contains("damaged"), "{errors}");
+    assert_eq!(mothproxy(&["store", "compact", &at], "").0, 1, "it does not hide damage");
+    assert_eq!(std::fs::read(&file).expect("the segment").len(), bytes.len());
+    assert_eq!(mothproxy(&["store", "compact", &at, "--drop-damaged"], "").0, 0);
+    assert_eq!(mothproxy(&["store", "verify", &at], "").0, 0);
+    assert_eq!(mothproxy(&["store", "dump", &at], "").1.lines().count(), 49);
+}
+
+#[test]
+fn bad_input_is_named_ends_with_2_and_changes_nothing() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let at = |name: &str| dir.path().join(name).display().to_string();
+    std::fs::write(dir.path().join("file"), "x").expect("written");
+    std::fs::create_dir(dir.path().join("other")).expect("a folder");
+    std::fs::write(dir.path().join("other/notes.txt"), "mine").expect("written");
+    std::fs::write(dir.path().join("bad.json"), "{").expect("written");
+    let (fresh, file, other, bad) = (at("fresh"), at("file"), at("other"), at("bad.json"));
+    let long = format!("{{\"key\":\"{}\",\"value\":\"\"}}\n", "k".repeat(5000));
+    let cases: &[(&[&str], &str, &str)] = &[
+        (&["store", "put", &fresh], "{\"key\":\"a\"}\n", "line 1: no \"value\""),
+        (&["store", "put", &fresh], "{\"value\":\"a\"}\n", "line 1: no \"key\""),
+        (&["store", "put", &fresh], "\n\nnonsense\n", "line 3: not JSON"),
+        (&["store", "put", &fresh], "[1]\n", "line 1: not an object"),
+        (&["store", "put", &fresh], "{\"key\":7,\"value\":\"\"}\n", "\"key\" is no string"),
+        (&["store", "put", &fresh], "{\"key\":\"\",\"value\":\"\"}\n", "line 1: the key is empty"),
+        (&["store", "put", &fresh], "{\"key\":\"a\",\"value\":\"\",\"ttl\":3}\n", "\"ttl\" is no field"),
+        (&["store", "put", &fresh], "{\"key_base64\":\"%\",\"value\":\"\"}\n", "\"key_base64\""),
+        (&["store", "put", &file], "", "Not a directory"),
+        (&["store", "put", &other], "", "files that are no store's"),
+        (&["store", "dump", &fresh], "", "No such file"),
+        (&["store", "dump", &other], "", "no store is there"),
+        (&["store", "verify", &fresh], "", "No such file"),
+        (&["store", "compact", &other], "", "no store is there"),
+        (&["store", "stat", &fresh], "", "No such file"),
+        (&["store", "bench", &other], "", "not empty"),
+        (&["store", "bench", &fresh, "--records", "1"], "", "--records"),
+        (&["store", "nonsense"], "", "nonsense"),
+        (&["check", &fresh], "", "cannot read"),
+        (&["check", &bad], "", "not JSON"),
+        (&["serve", "--state-sync", "sometimes"], "", "interval:MS"),
+    ];
+    for (args, input, names) in cases {
+        let (code, out, errors) = mothproxy(args, input);
+        assert_eq!((code, out.as_str()), (2, ""), "{args:?}: {errors}");
+        assert!(errors.contains(names), "{args:?} does not name {names:?}: {errors}");
+        assert!(!dir.path().join("fresh").exists(), "{args:?} made its directory");
+    }
+    assert_eq!(std::fs::read_dir(dir.path().join("other")).expect("a folder").count(), 1);
+    // A key that is too long is found with its directory open: what was there stays.
+    let (code, out, errors) = mothproxy(&["store", "put", &fresh], &(line("a", "1") + &long));
+    assert_eq!((code, out.as_str()), (2, "a\n"), "{errors}");
+    assert!(errors.contains("line 2: a key has 5000 bytes"), "{errors}");
+    assert_eq!(mothproxy(&["store", "dump", &fresh], "").1, line("a", "1"));
+}
+
+/// One writer, killed after so long: every key that it printed is there, with the value it had then or a later one.
+fn killed(dir: &Path, after: Duration, from: u64) -> u64 {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mothproxy"))
+        .args(["store", "put"])
+        .arg(dir)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    let mut input = child.stdin.take().expect("a pipe");
+    let feed = std::thread::spawn(move || {
+        // Keys come again and again, each time with a higher value.
+        (from..).try_for_each(|n| input.write_all(line(&format!("k{}", n % 500), &n.to_string()).as_bytes()))
+    });
+    let output = BufReader::new(child.stdout.take().expect("a pipe"));
+    let printed = std::thread::spawn(move || output.lines().map_while(Result::ok).count() as u64);
+    std::thread::sleep(after);
+    child.kill().expect("killed");
+    child.wait().expect("it ended");
+    let _ = feed.join().expect("a thread"); // its pipe broke
+    let acknowledged = printed.join().expect("a thread");
+    let (code, dump, errors) = mothproxy(&["store", "dump", &dir.display().to_string()], "");
+    assert_eq!((code, errors.as_str()), (0, ""));
+    let mut found = BTreeMap::new();
+    for line in dump.lines() {
+        let record: serde_json::Value = serde_json::from_str(line).expect("JSON");
+        let text = |name: &str| record[name].as_str().expect("text").to_owned();
+        found.insert(text("key"), text("value").parse::<u64>().expect("a number"));
+    }
+    for n in from..from + acknowledged {
+        let value = found.get(&format!("k{}", n % 500));
+        assert!(value.is_some_and(|value| *value >= n), "k{} had {n}, and has {value:?}", n % 500);
+    }
+    let newest = found.values().max().copied().unwrap_or(from);
+    newest.max(from) + 1
+}
+
+#[test]
+fn a_killed_writer_loses_nothing_that_it_printed() {
+    let kills = std::env::var("STORE_KILLS").ok().and_then(|t| t.parse().ok()).unwrap_or(8);
+    let dir = tempfile::tempdir().expect("a folder");
+    let (mut from, mut dice) = (0, fastrand::Rng::with_seed(7));
+    for _ in 0..kills {
+        from = killed(dir.path(), Duration::from_micros(dice.u64(500..40_000)), from);
+    }
+    println!("killed {kills} times; {from} writes");
+    assert!(from > kills, "nothing was written");
+}
