--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run ci
+.PHONY: build test lint run ci build-proof proof-store
 
 build:
 	cargo build --locked --release
@@ -16,3 +16,12 @@
 
 ci:
 	bash .ci/run
+
+# The store's proof, reduced, in under 50 s; building comes first and does not count.
+build-proof:
+	cargo build --locked --release
+	cargo test --locked --release --workspace --no-run
+	cargo build --locked --release --example proof_store
+
+proof-store: build-proof
+	target/release/examples/proof_store
--- a/crates/store/benches/store.rs
+++ b/crates/store/benches/store.rs
@@ -1,1 +1,58 @@
-fn main() {}
+//! `cargo bench -p mothproxy-store`: the parts of the store that do not wait for a disk. What waits is measured by
+//! `mothproxy store bench`, beside the same bytes by hand.
+
+use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use mothproxy_store::sim::SimDisk;
+use mothproxy_store::{Op, Options, Shared, Writer, open_engine, view_of};
+use std::hint::black_box;
+use std::sync::Arc;
+
+fn op(n: u64) -> Op {
+    let key = format!("key-{:016x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15)).into_bytes();
+    Op { key, value: Some(vec![n as u8; 200]), expires: None }
+}
+
+fn filled(records: u64) -> (SimDisk, Writer, Shared) {
+    let disk = SimDisk::new(1);
+    let options = Options { seed: 1, ..Options::default() };
+    let (mut writer, shared, _, _) = open_engine(Arc::new(disk.clone()), options).expect("an empty disk");
+    for group in 0..records / 100 {
+        let ops: Vec<Op> = (group * 100..group * 100 + 100).map(op).collect();
+        writer.commit(&shared, &[&ops], 1).expect("a sound disk");
+    }
+    (disk, writer, shared)
+}
+
+fn store(c: &mut Criterion) {
+    let (disk, mut writer, shared) = filled(50_000);
+    let mut group = c.benchmark_group("store");
+    group.sample_size(20);
+    let (view, mut n) = (view_of(&shared), 0);
+    group.bench_function("look-up of one key among 50,000", |b| {
+        b.iter(|| {
+            n = (n + 7919) % 50_000;
+            black_box(view.get(&op(n).key, 1).expect("sound"))
+        });
+    });
+    drop(view);
+    group.throughput(Throughput::Elements(50_000));
+    group.bench_function("recovery of 50,000 records from memory", |b| {
+        b.iter(|| black_box(open_engine(Arc::new(disk.copy()), Options::default()).expect("sound").2.lines));
+    });
+    group.bench_function("walk over 50,000 records in order", |b| {
+        b.iter(|| black_box(view_of(&shared).walk(&[]).count()));
+    });
+    group.throughput(Throughput::Elements(32));
+    let mut at = 1 << 30;
+    group.bench_function("group of 32 written to memory", |b| {
+        b.iter(|| {
+            let ops: Vec<Op> = (at..at + 32).map(op).collect();
+            at += 32;
+            writer.commit(&shared, &[&ops], 1).expect("a sound disk");
+        });
+    });
+    group.finish();
+}
+
+criterion_group!(benches, store);
+criterion_main!(benches);
--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -3,15 +3,18 @@
 
 use crate::disk::{Disk, DiskFile, write_all};
 use crate::error::{StoreError, io_error};
-use crate::format::{self, Header, Line, Op, Trailer};
+use crate::format::{self, Encoded, Header, Line, Op, Trailer};
 use crate::index::{Hit, Layer, Place, Run, RunBuilder, Segment, View, Walk};
 use crate::recover::{self, Recovery};
 use crate::{Options, SyncMode, plan};
 use std::any::Any;
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// A frame's body is closed once it has so many bytes.
 const FRAME_BYTES: usize = 1 << 20;
+/// So many zeros are written ahead at a time, at most.
+const ZEROS: u64 = 512 << 10;
 /// Merged segments are written in pieces of this many bytes.
 const MERGE_FRAME: usize = 64 << 10;
 
@@ -20,6 +23,8 @@
     len: u64,
     /// Up to where it is known to be durable.
     durable: u64,
+    /// Up to where zeros were written ahead: a sync that changes no length and no extent is done sooner.
+    zeroed: u64,
     /// Fingerprints of the keys of its last frame.
     prints: Vec<u64>,
 }
@@ -53,10 +58,12 @@
     /// Up to where the segment before the next one is to be believed.
     prev_len: u64,
     /// Acknowledged, and not synced yet; written again where the sync fails. Empty in mode `always`.
-    unsynced: Vec<Op>,
+    unsynced: Vec<Arc<Encoded>>,
     /// The sync that they waited for failed: they are written again first of all.
     again: bool,
-    salts: u64,
+    /// The salt of all segments that are written from this opening on.
+    salt: u64,
+    unpublished: Unpublished,
     /// Files that no longer count and could not be removed yet.
     garbage: Vec<String>,
     /// Its figures.
@@ -98,7 +105,8 @@
         prev_len: opened.last_end,
         unsynced: Vec::new(),
         again: false,
-        salts: options.seed,
+        salt: spread(options.seed ^ opened.next_seq.rotate_left(32) ^ opened.next_id),
+        unpublished: Unpublished::default(),
         garbage: opened.leftovers,
         figures: Figures::default(),
         failing: None,
@@ -118,24 +126,38 @@
         });
     }
 
-    fn salt(&mut self) -> u64 {
-        // splitmix64; the seed is random where the store is opened for real.
-        self.salts = self.salts.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.salts;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
+    /// Words a batch as it will be written.
+    pub(crate) fn salt(&self) -> u64 {
+        self.salt
+    }
+
+    /// What readers are still to be shown, in order.
+    pub(crate) fn unpublished(&self) -> Unpublished {
+        self.unpublished.clone()
     }
 
     /// Writes batches as one group; each is whole or not there at all. Durable when this returns, in mode `always`.
     /// After an error none of them counts.
     pub fn commit(&mut self, shared: &Shared, batches: &[&[Op]], now: u64) -> Result<(), StoreError> {
+        let encoded = batches.iter().map(|ops| Arc::new(Encoded::new(ops, self.salt))).collect::<Vec<_>>();
+        let result = self.write_group(shared, &encoded, now);
+        publish(shared, &self.unpublished);
+        result
+    }
+
+    /// The same, but readers see it only once somebody calls [`publish`].
+    pub(crate) fn write_group(
+        &mut self,
+        shared: &Shared,
+        batches: &[Arc<Encoded>],
+        now: u64,
+    ) -> Result<(), StoreError> {
         let result = self.try_commit(shared, batches, now);
         match &result {
             Ok(()) => {
                 self.failing = None;
                 self.figures.batches += batches.len() as u64;
-                self.figures.ops += batches.iter().map(|b| b.len() as u64).sum::<u64>();
+                self.figures.ops += batches.iter().map(|b| b.lines.len() as u64).sum::<u64>();
                 self.figures.groups += 1;
             }
             Err(error) => {
@@ -146,24 +168,22 @@
         result
     }
 
-    fn try_commit(&mut self, shared: &Shared, batches: &[&[Op]], now: u64) -> Result<(), StoreError> {
+    fn try_commit(&mut self, shared: &Shared, batches: &[Arc<Encoded>], now: u64) -> Result<(), StoreError> {
         // After a failed sync, what was acknowledged before it and may be gone is written first.
         let again = if self.again { self.unsynced.clone() } else { Vec::new() };
-        let mut groups: Vec<Vec<&Op>> = vec![again.iter().collect()];
-        let mut size = again.iter().map(Op::size).sum::<usize>();
-        for batch in batches {
-            let bytes: usize = batch.iter().map(Op::size).sum();
-            if size + bytes > FRAME_BYTES && groups.last().is_some_and(|g| !g.is_empty()) {
+        let mut groups: Vec<Vec<&Encoded>> = vec![Vec::new()];
+        let (mut size, mut bytes) = (0, 0);
+        for batch in again.iter().chain(batches) {
+            let len = batch.bytes.len();
+            if size + len > FRAME_BYTES && size > 0 {
                 groups.push(Vec::new());
                 size = 0;
             }
-            size += bytes;
+            (size, bytes) = (size + len, bytes + len);
             if let Some(group) = groups.last_mut() {
-                group.extend(batch.iter());
+                group.push(batch);
             }
         }
-        groups.retain(|g| !g.is_empty());
-        let bytes: usize = groups.iter().flatten().map(|op| op.size()).sum();
         let frames = groups.len() * (format::FRAME_HEAD + 8 * format::MOST_PRINTS + 10);
         if let Some(active) = &self.active {
             let most = u64::from(self.options.segment_bytes);
@@ -180,13 +200,20 @@
         let (mut seq, mut prints, salt) = (self.next_seq, active.prints.clone(), active.segment.salt);
         for group in &groups {
             let offset = active.len + out.len() as u64;
-            let (frame, places) =
-                format::frame(group, &prints, (salt, offset), seq, active.durable as u32, now);
-            placed.extend(places.iter().map(|(at, len)| (offset as u32 + at, *len)));
-            seq += group.len() as u64;
-            let few = group.len() <= format::MOST_PRINTS;
-            prints =
-                if few { group.iter().map(|op| format::fingerprint(&op.key)).collect() } else { Vec::new() };
+            let durable = active.durable as u32;
+            let (frame, first) = format::frame(group, &prints, (salt, offset), seq, durable, now);
+            let mut at = offset as u32 + first;
+            for (key, len, deletes, expires) in group.iter().flat_map(|b| &b.lines) {
+                placed.push((
+                    key.clone(),
+                    Place { offset: at, len: *len, deletes: *deletes, expires: *expires },
+                ));
+                (at, seq) = (at + len, seq + 1);
+            }
+            prints.clear();
+            if group.iter().map(|b| b.prints.len()).sum::<usize>() <= format::MOST_PRINTS {
+                prints.extend(group.iter().flat_map(|b| &b.prints));
+            }
             out.extend(frame);
         }
         let (segment, start) = (active.segment.clone(), active.len);
@@ -197,6 +224,15 @@
             }
             return Err(io_error("cannot write", &segment.name)(error));
         }
+        let (end, step) = (start + out.len() as u64, u64::from(self.options.segment_bytes / 8).min(ZEROS));
+        if end > active.zeroed {
+            let ahead = (end + step).min(u64::from(self.options.segment_bytes)).max(end);
+            // Where there is no room for them, the segment goes on without.
+            let written = write_all(&*segment.file, end, &vec![0; (ahead - end) as usize]).is_ok();
+            if let Some(active) = &mut self.active {
+                active.zeroed = if written { ahead } else { u64::MAX };
+            }
+        }
         let syncs = self.options.sync == SyncMode::Always;
         if syncs {
             self.figures.syncs += 1;
@@ -214,20 +250,14 @@
                 active.durable = active.len;
             }
         }
-        let mut view = lock(shared);
-        let fresh = Arc::make_mut(&mut view.fresh);
-        for (op, (offset, len)) in groups.iter().flatten().zip(placed) {
-            let place = Place { offset, len, deletes: op.value.is_none(), expires: op.expires };
-            fresh.insert(op.key.as_slice().into(), place);
-        }
-        drop(view);
+        lock(&self.unpublished).push_back(placed);
         match syncs {
             true => self.unsynced.clear(),
             false => {
                 if std::mem::take(&mut self.again) {
                     self.unsynced.clear(); // they are among what was just written
                 }
-                self.unsynced.extend(groups.into_iter().flatten().cloned());
+                self.unsynced.extend(again.iter().chain(batches).cloned());
             }
         }
         Ok(())
@@ -237,6 +267,7 @@
     pub fn sync(&mut self, shared: &Shared, now: u64) -> Result<(), StoreError> {
         if self.again {
             self.try_commit(shared, &[], now)?;
+            publish(shared, &self.unpublished);
         }
         let Some(active) = self.active.as_mut().filter(|a| a.durable < a.len) else { return Ok(()) };
         self.figures.syncs += 1;
@@ -271,6 +302,7 @@
         }
         self.prev_len = active.durable;
         self.again = !self.unsynced.is_empty();
+        publish(shared, &self.unpublished);
         retire(shared, active.len);
     }
 
@@ -280,6 +312,7 @@
         self.sync(shared, now)?;
         let Some(active) = &self.active else { return Ok(()) };
         let (segment, start) = (active.segment.clone(), active.len);
+        publish(shared, &self.unpublished);
         let fresh = lock(shared).fresh.clone();
         let lines = fresh.iter().map(|(key, p)| Line {
             key,
@@ -292,7 +325,8 @@
         let trailer = Trailer { data_end, count, next_seq: self.next_seq, stamp: now };
         let bytes = format::footer(lines, segment.salt, trailer);
         let file = &segment.file;
-        let done = write_all(&**file, start, &bytes).and_then(|()| file.sync());
+        let done = file.truncate(start).and_then(|()| write_all(&**file, start, &bytes));
+        let done = done.and_then(|()| file.sync());
         self.figures.syncs += 1;
         if let Err(error) = done {
             self.figures.failures += 1;
@@ -309,7 +343,7 @@
 
     /// Begins a segment: it and its name are durable before anything is written to it.
     fn begin(&mut self, shared: &Shared) -> Result<(), StoreError> {
-        let (id, salt) = (self.next_id, self.salt());
+        let (id, salt) = (self.next_id, self.salt);
         let name = plan::name(id, id);
         let (first_seq, prev_len) = (self.next_seq, self.prev_len);
         let header = Header { lo: id, hi: id, salt, prev_len, first_seq, merged: false };
@@ -329,7 +363,7 @@
         lock(shared).active = Some(segment.clone());
         self.next_id += 1;
         let len = format::HEADER as u64;
-        self.active = Some(Active { segment, len, durable: len, prints: Vec::new() });
+        self.active = Some(Active { segment, len, durable: len, zeroed: 0, prints: Vec::new() });
         Ok(())
     }
 
@@ -366,7 +400,7 @@
             older,
             doubts,
             now,
-            salt: self.salts ^ first.lo.rotate_left(17) ^ now ^ 0x5851_f42d_4c95_7f2d,
+            salt: spread(self.salt ^ lo.rotate_left(17) ^ hi.rotate_left(40) ^ now),
             next_seq: self.next_seq,
         })
     }
@@ -400,6 +434,26 @@
     }
 }
 
+/// Groups that were written and are still to be shown to readers.
+pub(crate) type Unpublished = Arc<Mutex<VecDeque<Vec<(Box<[u8]>, Place)>>>>;
+
+/// Shows readers what was written, in the order written.
+pub(crate) fn publish(shared: &Shared, unpublished: &Unpublished) {
+    let mut view = lock(shared);
+    let groups = std::mem::take(&mut *lock(unpublished));
+    if !groups.is_empty() {
+        Arc::make_mut(&mut view.fresh).extend(groups.into_iter().flatten());
+    }
+}
+
+/// One round of splitmix64.
+fn spread(x: u64) -> u64 {
+    let mut z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
 /// Moves what was written to the present segment into a layer of its own.
 fn retire(shared: &Shared, file_len: u64) {
     let mut view = lock(shared);
@@ -521,11 +575,12 @@
                 return Ok(());
             }
             let offset = *written + out.len() as u64;
-            let refs: Vec<&Op> = ops.iter().collect();
-            let (frame, places) = format::frame(&refs, &[], (self.salt, offset), seq, 0, self.now);
-            for (op, (at, len)) in ops.iter().zip(places) {
-                let (offset, deletes) = (offset as u32 + at, op.value.is_none());
-                builder.add(Line { key: &op.key, offset, len, deletes, expires: op.expires });
+            let encoded = Encoded::new(ops, self.salt);
+            let (frame, first) = format::frame(&[&encoded], &[], (self.salt, offset), seq, 0, self.now);
+            let mut at = offset as u32 + first;
+            for (key, len, deletes, expires) in &encoded.lines {
+                builder.add(Line { key, offset: at, len: *len, deletes: *deletes, expires: *expires });
+                at += len;
             }
             seq += ops.len() as u64;
             ops.clear();
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -189,6 +189,34 @@
     }
 }
 
+/// Key, length of the record, whether it deletes, when it ceases to count.
+pub type EncodedLine = (Box<[u8]>, u32, bool, Option<u64>);
+
+/// Operations worded as they stand in a frame. Made by whoever writes them, so that the one thread that writes for all only
+/// copies.
+#[derive(Clone, Debug)]
+pub struct Encoded {
+    /// What the index takes.
+    pub lines: Vec<EncodedLine>,
+    pub bytes: Vec<u8>,
+    pub prints: Vec<u64>,
+}
+
+impl Encoded {
+    /// Words operations for segments of this salt.
+    pub fn new(ops: &[Op], salt: u64) -> Encoded {
+        let mut bytes = Vec::with_capacity(ops.iter().map(Op::size).sum());
+        let line = |op: &Op| {
+            let start = bytes.len();
+            op.encode(salt, &mut bytes);
+            let len = (bytes.len() - start) as u32;
+            (op.key.as_slice().into(), len, op.value.is_none(), op.expires)
+        };
+        let lines = ops.iter().map(line).collect();
+        Encoded { lines, bytes, prints: ops.iter().map(|op| fingerprint(&op.key)).collect() }
+    }
+}
+
 /// A batch that is within bounds.
 pub fn check_batch(ops: &[Op]) -> Result<(), Invalid> {
     ops.iter().try_for_each(Op::check)?;
@@ -248,28 +276,24 @@
     crc(&[&salt.to_le_bytes(), &offset.to_le_bytes(), fields])
 }
 
-/// A frame of these operations, and where each record begins in it and how long it is.
+/// A frame of these batches, and where the first record begins in it; the others follow.
 pub fn frame(
-    ops: &[&Op],
+    batches: &[&Encoded],
     prints: &[u64],
     place: (u64, u64),
     seq: u64,
     durable: u32,
     stamp: u64,
-) -> (Vec<u8>, Vec<(u32, u32)>) {
+) -> (Vec<u8>, u32) {
     let (salt, offset) = place;
-    let mut out = Vec::with_capacity(
-        FRAME_HEAD + 10 + 8 * prints.len() + ops.iter().map(|op| op.size()).sum::<usize>(),
-    );
+    let records: usize = batches.iter().map(|b| b.bytes.len()).sum();
+    let mut out = Vec::with_capacity(FRAME_HEAD + 10 + 8 * prints.len() + records);
     out.resize(FRAME_HEAD, 0);
     put_varint(&mut out, prints.len() as u64);
     prints.iter().for_each(|p| out.extend(p.to_le_bytes()));
-    let mut places = Vec::with_capacity(ops.len());
-    for op in ops {
-        let start = out.len();
-        op.encode(salt, &mut out);
-        places.push((start as u32, (out.len() - start) as u32));
-    }
+    let first = out.len() as u32;
+    batches.iter().for_each(|b| out.extend_from_slice(&b.bytes));
+    let count: usize = batches.iter().map(|b| b.lines.len()).sum();
     let body = &out[FRAME_HEAD..];
     let mut head = FRAME_MAGIC.to_le_bytes().to_vec();
     head.extend([0; 4]);
@@ -278,11 +302,11 @@
     head.extend(seq.to_le_bytes());
     head.extend(durable.to_le_bytes());
     head.extend(stamp.to_le_bytes());
-    head.extend((ops.len() as u32).to_le_bytes());
+    head.extend((count as u32).to_le_bytes());
     let sum = frame_crc(&head[8..], salt, offset);
     head[4..8].copy_from_slice(&sum.to_le_bytes());
     out[..FRAME_HEAD].copy_from_slice(&head);
-    (out, places)
+    (out, first)
 }
 
 /// What lies at a place of a segment.
@@ -325,6 +349,9 @@
 
 /// Where the next whole head of a frame, or a footer, begins after damage.
 pub fn resync(bytes: &[u8], salt: u64, from: usize) -> Option<usize> {
+    // Zeros that were written ahead are passed over in one go; a magic may begin in the last of them.
+    let zeros = bytes.get(from..)?.iter().position(|b| *b != 0)?;
+    let from = from + zeros.saturating_sub(3);
     let magics = [FRAME_MAGIC.to_le_bytes(), FOOTER_MAGIC.to_le_bytes()];
     let heads = bytes.get(from..)?.windows(4).enumerate();
     let mut places = heads.filter(|(_, w)| magics.iter().any(|m| m == w)).map(|(n, _)| from + n);
--- a/crates/store/src/recover.rs
+++ b/crates/store/src/recover.rs
@@ -109,13 +109,14 @@
         offset = to;
     }
     out.end = offset;
-    // Zeros that a file system left behind a cut write are no hole of their own.
     if limit.is_none() {
         let torn = out.met.iter().position(|met| matches!(met, Met::Hole(h) if h.from >= durable));
         if let Some(n) = torn
             && let Met::Hole(hole) = &out.met[n]
         {
-            (out.torn, out.end) = (offset - hole.from, hole.from);
+            // Zeros are what was written ahead, or what a file system left behind a cut write.
+            let zeros = bytes[hole.from..offset].iter().rev().take_while(|b| **b == 0).count();
+            (out.torn, out.end) = (offset - hole.from - zeros, hole.from);
             out.met.truncate(n);
             let last = out.met.iter().rev().find_map(|m| match m {
                 Met::Frame { head, .. } => Some(head.seq + u64::from(head.count)),
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,9 +1,9 @@
 //! The store with its threads: writers that wait share one sync, a thread writes for those that do not wait, another compacts.
 
 use crate::disk::{Disk, RealDisk};
-use crate::engine::{self, Figures, Shared, Writer, lock};
+use crate::engine::{self, Figures, Shared, Unpublished, Writer, lock, publish};
 use crate::error::{StoreError, io_error};
-use crate::format::{self, Op};
+use crate::format::{self, Encoded, Op};
 use crate::index::{Layer, View, Walk};
 use crate::recover::{self, Recovery};
 use crate::{Invalid, Options, SyncMode};
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -93,7 +94,7 @@
     }
 }
 
-/// A thread that waits for its batch. Those of a group wake one another, two each, so that the writer of the group can go
+/// A thread that waits for its batch. Those of a group wake one another, a few each, so that the writer of the group can go
 /// on to the next: waking dozens one by one takes longer than a sync.
 struct Slot {
     thread: std::thread::Thread,
@@ -102,21 +103,25 @@
     end: Mutex<End>,
 }
 
-type End = (Result<(), String>, [Option<Arc<Slot>>; 2]);
+/// A thread wakes so many others of its group.
+const WAKES: usize = 2;
+
+type End = (Result<(), String>, [Option<Arc<Slot>>; WAKES]);
 
 impl Slot {
     fn new() -> Arc<Slot> {
         Arc::new(Slot {
             thread: std::thread::current(),
             done: AtomicBool::new(false),
-            end: Mutex::new((Ok(()), [None, None])),
+            end: Mutex::new((Ok(()), [const { None }; WAKES])),
         })
     }
 
     /// Settles a group and wakes its first.
     fn settle(group: &[Arc<Slot>], result: &Result<(), String>) {
         for (n, slot) in group.iter().enumerate() {
-            *lock(&slot.end) = (result.clone(), [2 * n + 1, 2 * n + 2].map(|n| group.get(n).cloned()));
+            *lock(&slot.end) =
+                (result.clone(), std::array::from_fn(|k| group.get(WAKES * n + 1 + k).cloned()));
         }
         group.iter().for_each(|slot| slot.done.store(true, Ordering::Release));
         if let Some(first) = group.first() {
@@ -129,19 +134,25 @@
         if !self.done.load(Ordering::Acquire) {
             return None;
         }
-        let (result, wakes) = std::mem::replace(&mut *lock(&self.end), (Ok(()), [None, None]));
+        let (result, wakes) = std::mem::replace(&mut *lock(&self.end), (Ok(()), [const { None }; WAKES]));
         wakes.iter().flatten().for_each(|next| next.thread.unpark());
         Some(result)
     }
 }
 
+/// A group that was written, or could not be.
+struct Written {
+    group: Vec<Queued>,
+    result: Result<(), String>,
+}
+
 enum Waiter {
     Thread(Arc<Slot>),
     Call(Done),
 }
 
 struct Queued {
-    ops: Vec<Op>,
+    batch: Arc<Encoded>,
     bytes: usize,
     waiter: Waiter,
 }
@@ -161,6 +172,10 @@
     options: Options,
     clock: Clock,
     shared: Shared,
+    salt: u64,
+    unpublished: Unpublished,
+    /// Where the writing thread passes on groups that it has written.
+    written: Mutex<Option<Sender<Written>>>,
     writer: Mutex<Option<Writer>>,
     queue: Mutex<Queue>,
     /// The writing thread has something to do.
@@ -218,10 +233,14 @@
     /// Opens a disk.
     pub fn open_on(disk: Arc<dyn Disk>, options: Options) -> Result<(Store, Recovery), StoreError> {
         let (writer, shared, recovery, stamp) = engine::open(disk, options)?;
+        let (written, settles) = channel::<Written>();
         let inner = Arc::new(Inner {
             options,
             clock: Clock::new(stamp),
             shared,
+            salt: writer.salt(),
+            unpublished: writer.unpublished(),
+            written: Mutex::new(Some(written)),
             writer: Mutex::new(Some(writer)),
             queue: Mutex::default(),
             turn: Condvar::new(),
@@ -239,6 +258,10 @@
         {
             threads.push(thread(name, work).map_err(io_error("cannot start a thread for", "the store"))?);
         }
+        let settler = inner.clone();
+        let settle = move || settles.into_iter().for_each(|written| settler.settle(written));
+        let settler = std::thread::Builder::new().name("store-settle".to_owned()).spawn(settle);
+        threads.push(settler.map_err(io_error("cannot start a thread for", "the store"))?);
         Ok((Store { inner, threads }, recovery))
     }
 
@@ -249,17 +272,19 @@
         if ops.is_empty() {
             return Ok(());
         }
+        let batch = Arc::new(Encoded::new(&ops, inner.salt));
         let slot = Slot::new();
         let mut queue = inner.queue();
-        inner.enter(&mut queue, ops, Waiter::Thread(slot.clone()))?;
+        inner.enter(&mut queue, batch, Waiter::Thread(slot.clone()))?;
         // Who finds nobody writing and nobody waiting writes at once; else the writing thread does, for all.
         if !queue.busy && queue.waiting.len() == 1 {
-            let queue = inner.lead(queue);
+            let (queue, written) = inner.lead(queue);
             let more = !queue.waiting.is_empty() || queue.closed || queue.exposed_since.is_some();
             drop(queue);
             if more {
                 inner.turn.notify_one();
             }
+            inner.settle(written);
         } else {
             // Whoever writes looks again when it is done; each call to wake costs.
             let busy = queue.busy;
@@ -279,8 +304,9 @@
     /// Takes a batch and returns at once; `done` is called from another thread. An error says that it was not taken.
     pub fn submit(&self, batch: Batch, done: Done) -> Result<(), StoreError> {
         let ops = batch.at(self.inner.clock.now())?;
+        let batch = Arc::new(Encoded::new(&ops, self.inner.salt));
         let mut queue = self.inner.queue();
-        self.inner.enter(&mut queue, ops, Waiter::Call(done))?;
+        self.inner.enter(&mut queue, batch, Waiter::Call(done))?;
         drop(queue);
         self.inner.turn.notify_one();
         Ok(())
@@ -385,8 +411,8 @@
         self.turn.wait(queue).unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn enter(&self, queue: &mut Queue, ops: Vec<Op>, waiter: Waiter) -> Result<(), StoreError> {
-        let bytes = ops.iter().map(Op::size).sum::<usize>();
+    fn enter(&self, queue: &mut Queue, batch: Arc<Encoded>, waiter: Waiter) -> Result<(), StoreError> {
+        let bytes = batch.bytes.len();
         if queue.closed {
             return Err(StoreError::Closed);
         }
@@ -394,12 +420,12 @@
             return Err(StoreError::Failing("too many writes wait for the disk".to_owned()));
         }
         queue.bytes += bytes;
-        queue.waiting.push_back(Queued { ops, bytes, waiter });
+        queue.waiting.push_back(Queued { batch, bytes, waiter });
         Ok(())
     }
 
-    /// Writes a group of what waits, for all of its writers.
-    fn lead<'a>(&'a self, mut queue: MutexGuard<'a, Queue>) -> MutexGuard<'a, Queue> {
+    /// Writes a group of what waits. It is still to be settled.
+    fn lead<'a>(&'a self, mut queue: MutexGuard<'a, Queue>) -> (MutexGuard<'a, Queue>, Written) {
         queue.busy = true;
         let (mut group, mut bytes) = (Vec::new(), 0);
         while let Some(next) = queue.waiting.front().filter(|n| bytes == 0 || bytes + n.bytes <= GROUP) {
@@ -410,28 +436,36 @@
         drop(queue);
         let started = Instant::now();
         let result = self.write_group(&group);
-        let mut slots = Vec::new();
+        let mut queue = self.queue();
+        queue.busy = false;
+        if result.is_ok() && matches!(self.options.sync, SyncMode::Interval(_)) {
+            queue.exposed_since.get_or_insert(started);
+        }
+        (queue, Written { group, result })
+    }
+
+    /// Shows a group to readers and tells its writers.
+    fn settle(&self, written: Written) {
+        let Written { group, result } = written;
+        publish(&self.shared, &self.unpublished);
+        let mut slots = Vec::with_capacity(group.len());
+        let mut calls = Vec::new();
         for queued in group {
             match queued.waiter {
                 Waiter::Thread(slot) => slots.push(slot),
-                Waiter::Call(done) => done(result.clone()),
+                Waiter::Call(done) => calls.push(done),
             }
         }
         Slot::settle(&slots, &result);
-        let mut queue = self.queue();
-        queue.busy = false;
-        if result.is_ok() && matches!(self.options.sync, SyncMode::Interval(_)) {
-            queue.exposed_since.get_or_insert(started);
-        }
-        queue
+        calls.into_iter().for_each(|done| done(result.clone()));
     }
 
     fn write_group(&self, group: &[Queued]) -> Result<(), String> {
         let mut guard = lock(&self.writer);
         let writer = guard.as_mut().ok_or_else(|| StoreError::Closed.to_string())?;
-        let batches: Vec<&[Op]> = group.iter().map(|q| q.ops.as_slice()).collect();
+        let batches: Vec<Arc<Encoded>> = group.iter().map(|q| q.batch.clone()).collect();
         let layers = lock(&self.shared).layers.len();
-        let result = writer.commit(&self.shared, &batches, self.clock.now()).map_err(|e| e.to_string());
+        let result = writer.write_group(&self.shared, &batches, self.clock.now()).map_err(|e| e.to_string());
         drop(guard);
         if lock(&self.shared).layers.len() != layers {
             lock(&self.chores).0 = self.options.compacts;
@@ -449,7 +483,12 @@
         let mut queue = self.queue();
         loop {
             if !queue.waiting.is_empty() && !queue.busy {
-                queue = self.lead(queue);
+                let (after, written) = self.lead(queue);
+                queue = after;
+                // Telling writers takes about as long as a sync: another thread does it meanwhile.
+                if let Some(settler) = &*lock(&self.written) {
+                    let _ = settler.send(written); // it ends only after this thread
+                }
                 continue;
             }
             let due = span.zip(queue.exposed_since).map(|(span, since)| since + span);
@@ -466,6 +505,7 @@
                 continue;
             }
             if queue.closed && queue.waiting.is_empty() && !queue.busy {
+                lock(&self.written).take(); // the settling thread ends with it
                 return;
             }
             queue = match due.map(|at| at.saturating_duration_since(Instant::now())) {
