--- a/src/config.rs
+++ b/src/config.rs
@@ -366,6 +366,25 @@
     /// A comment line goes out on a stream that has been quiet for this long, in milliseconds.
     #[serde(default = "SseConfig::heartbeat")]
     pub heartbeat_ms: u64,
+    /// Pages of these origins may use the front, such as `https://pay.example`; of none, where it is empty.
+    #[serde(default)]
+    pub origins: Vec<String>,
+    /// Streams of jobs that were handed in, of one tenant.
+    #[serde(default = "SseConfig::streams")]
+    pub streams_per_tenant: usize,
+}
+
+/// What that file says, where the front is on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SseSettings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The longest quiet time of a stream, in microseconds.
+    pub heartbeat: u64,
+    /// Pages of these origins may use it.
+    pub origins: Vec<String>,
+    /// Streams of one tenant.
+    pub streams_per_tenant: usize,
 }
 
 impl SseConfig {
@@ -373,18 +392,38 @@
         5_000
     }
 
+    fn streams() -> usize {
+        1_024
+    }
+
     /// Reads the file. A file that is not there leaves the front off, unless it was `named` by the user.
-    pub fn load(file: &Path, named: bool) -> Result<Option<(SocketAddr, u64)>, ConfigError> {
+    pub fn load(file: &Path, named: bool) -> Result<Option<SseSettings>, ConfigError> {
         if !named && !file.exists() {
             return Ok(None);
         }
-        let read: SseConfig = toml::from_str(&read_file(file)?)
-            .map_err(|e| ConfigError::Malformed(file.display().to_string(), e.to_string()))?;
+        let wrong = |what: String| ConfigError::Malformed(file.display().to_string(), what);
+        let read: SseConfig = toml::from_str(&read_file(file)?).map_err(|e| wrong(e.to_string()))?;
         if read.heartbeat_ms == 0 {
-            let what = "heartbeat_ms is not above 0".to_owned();
-            return Err(ConfigError::Malformed(file.display().to_string(), what));
+            return Err(wrong("heartbeat_ms is not above 0".to_owned()));
+        }
+        if read.streams_per_tenant == 0 {
+            return Err(wrong("streams_per_tenant is not above 0".to_owned()));
+        }
+        // What a browser sends as its origin: scheme and host, nothing behind it.
+        let plain = |o: &&String| {
+            o.split_once("://")
+                .is_some_and(|(scheme, host)| !scheme.is_empty() && !host.is_empty() && !host.contains('/'))
+                && o.bytes().all(|b| b.is_ascii_graphic())
+        };
+        if let Some(bad) = read.origins.iter().find(|o| !plain(o)) {
+            return Err(wrong(format!("origins: {bad:?} is no origin such as https://pay.example")));
         }
         let listen = read.listen.map(|text| address("listen of the SSE front", &text)).transpose()?;
-        Ok(listen.map(|at| (at, read.heartbeat_ms * 1000)))
+        Ok(listen.map(|listen| SseSettings {
+            listen,
+            heartbeat: read.heartbeat_ms * 1000,
+            origins: read.origins,
+            streams_per_tenant: read.streams_per_tenant,
+        }))
     }
 }
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -58,6 +58,25 @@
     pub evicted: u64,
 }
 
+/// Jobs apart from their streams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamFigures {
+    /// Jobs that are known.
+    pub jobs: usize,
+    /// Streams that watch them.
+    pub watchers: usize,
+    /// Bytes that their events take.
+    pub bytes: usize,
+    /// Jobs handed in to be watched.
+    pub handed_in: u64,
+    /// Events that watchers were told they had missed.
+    pub missed: u64,
+    /// Progress left out for slow watchers.
+    pub coalesced: u64,
+    /// Finished jobs forgotten before their time.
+    pub evicted: u64,
+}
+
 /// The figures of this process, counted from its start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Figures {
@@ -77,6 +96,8 @@
     pub bad_reloads: u64,
     /// Where keyed jobs are noted.
     pub state: Option<StateFigures>,
+    /// Where the SSE front is on.
+    pub streams: Option<StreamFigures>,
 }
 
 /// The figures, a line each.
@@ -103,6 +124,15 @@
         line("state_repeats_bound", state.repeats_bound, 'c');
         line("state_evicted", state.evicted, 'c');
     }
+    if let Some(streams) = &figures.streams {
+        line("streams_jobs", streams.jobs as u64, 'g');
+        line("streams_watchers", streams.watchers as u64, 'g');
+        line("streams_bytes", streams.bytes as u64, 'g');
+        line("streams_handed_in", streams.handed_in, 'c');
+        line("streams_missed", streams.missed, 'c');
+        line("streams_coalesced", streams.coalesced, 'c');
+        line("streams_evicted", streams.evicted, 'c');
+    }
     answer("200 OK", text)
 }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod platform;
 pub mod sse;
+pub mod watch;
 
 /// Names that the deployment gives to headers, paths and cookies.
 pub mod names {
--- a/src/front/sse.rs
+++ b/src/front/sse.rs
@@ -42,14 +42,8 @@
 
 /// The final event and the end of the stream.
 pub fn last(answer: Answer) -> Vec<Piece> {
-    let (name, data) = match answer {
-        Answer::Served(result) => ("done", json!({ "result": String::from_utf8_lossy(&result) })),
-        Answer::Deny(None) => ("deny", json!({})),
-        Answer::Deny(Some(us)) => ("deny", json!({ "retry_after": us.div_ceil(1000) as f64 / 1000.0 })),
-        Answer::Failed => ("failed", json!({ "status": 500, "reason": "failed" })),
-        Answer::TimedOut => ("failed", json!({ "status": 504, "reason": "timed out" })),
-    };
-    let mut out = chunk(write_event(name, &data.to_string()));
+    let (name, data) = super::watch::final_event(answer);
+    let mut out = chunk(write_event(name, &data));
     out.push("0\r\n\r\n".into());
     out
 }
--- a/src/http/events.rs
+++ b/src/http/events.rs
@@ -10,6 +10,8 @@
     pub name: String,
     /// Its data, lines joined by a line feed.
     pub data: String,
+    /// The stream's last event id when it was dispatched; it holds for later events until another comes.
+    pub id: String,
 }
 
 /// An event grew past all bounds.
@@ -24,6 +26,8 @@
     past_start: bool,
     event: StreamEvent,
     has_data: bool,
+    last_id: String,
+    retry: Option<u64>,
 }
 
 impl EventStream {
@@ -47,13 +51,24 @@
         Ok(())
     }
 
+    /// The last event id that a reconnect would send; empty where there is none.
+    pub fn last_id(&self) -> &str {
+        &self.last_id
+    }
+
+    /// How long the stream wants a reconnect to wait, in milliseconds, if it said so.
+    pub fn retry(&self) -> Option<u64> {
+        self.retry
+    }
+
     fn end_line(&mut self, line: &[u8]) -> Option<StreamEvent> {
         let line = match std::mem::replace(&mut self.past_start, true) {
             false => line.strip_prefix(b"\xef\xbb\xbf").unwrap_or(line),
             true => line,
         };
         if line.is_empty() {
-            let event = std::mem::take(&mut self.event);
+            let mut event = std::mem::take(&mut self.event);
+            event.id.clone_from(&self.last_id);
             return std::mem::take(&mut self.has_data).then_some(event);
         }
         let text = String::from_utf8_lossy(line);
@@ -68,7 +83,11 @@
                 self.event.data.push_str(value);
                 self.has_data = true;
             }
-            _ => {} // comments (an empty field name), id, retry and whatever is unknown
+            "id" if !value.contains('\0') => self.last_id = value.to_owned(),
+            "retry" if !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit()) => {
+                self.retry = value.parse().ok().or(self.retry);
+            }
+            _ => {} // comments (an empty field name), ids with NUL, and whatever is unknown
         }
         None
     }
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -128,6 +128,7 @@
             reloads: self.counts.reloads,
             bad_reloads: self.counts.bad_reloads,
             state: self.state_figures(),
+            streams: self.stream_figures(),
         }
     }
 }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -6,9 +6,11 @@
 use super::{ACCEPT_TIMER, ACCEPTS, Role, Server, Token};
 use crate::core::{Answer, SessionId};
 use crate::front::platform::{self, Raw, Reject, Route};
-use crate::front::sse;
+use crate::front::watch::Frame;
+use crate::front::{sse, watch};
 use crate::http::{self, Chunked, Framing, MAX_BODY, MAX_HEAD, Piece};
 use crate::interface::Micros;
+use mothproxy_streams::WatcherId;
 use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
 use rustix::net::SocketFlags;
@@ -38,7 +40,7 @@
 /// Accepting is tried again after this where there was no room.
 const ACCEPT_PAUSE: Micros = 20_000;
 
-enum State {
+pub(super) enum State {
     Reading,
     Chunks {
         bytes: Rc<Vec<u8>>,
@@ -51,14 +53,25 @@
         keep_alive: bool,
         stream: Option<Stream>,
     },
+    /// It watches a job that was handed in.
+    Watching(Watching),
     /// The last answer is being written; then the connection lingers and closes.
     Ending {
         lingers: bool,
     },
 }
 
+/// A stream of a job that goes its own way.
+pub(super) struct Watching {
+    pub watcher: WatcherId,
+    pub keep: bool,
+    pub frame: Frame,
+    /// When something was last written on it.
+    pub last: Micros,
+}
+
 #[derive(Clone, Copy)]
-struct Stream {
+pub(super) struct Stream {
     begun: bool,
     /// When something was last written on it.
     last: Micros,
@@ -66,7 +79,7 @@
 
 pub(super) struct Front {
     sse: bool,
-    state: State,
+    pub(super) state: State,
     idle_since: Option<Micros>,
     /// When it was accepted, until its first whole request.
     unasked_since: Option<Micros>,
@@ -225,7 +238,7 @@
         }
         if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
             let most = match &front.state {
-                State::Waiting { .. } => conn.inbox.len() + AHEAD,
+                State::Waiting { .. } | State::Watching(_) => conn.inbox.len() + AHEAD,
                 _ => MAX_HEAD + MAX_BODY,
             };
             let before = conn.inbox.len();
@@ -253,6 +266,17 @@
                     break;
                 }
                 State::Waiting { .. } => break,
+                State::Watching(_) => {
+                    self.pump(&mut conn, &mut front);
+                    // What the socket takes at once makes room for more.
+                    if !conn.flush() {
+                        return self.front_gone(token, conn, front);
+                    }
+                    let more = conn.outbox.is_empty() && matches!(front.state, State::Watching(_));
+                    if !more || !self.has_more(&front) {
+                        break;
+                    }
+                }
                 State::Reading if conn.inbox.is_empty() || self.handed => break,
                 State::Reading => match http::read_request(&conn.inbox) {
                     Ok(None) => break,
@@ -337,6 +361,9 @@
         if raw.head.framing != Framing::Absent && !http::may_begin_request(&conn.inbox) {
             return self.reject(conn, front, Reject::Bad);
         }
+        if front.sse && self.watch_request(token, conn, front, &raw, keep_alive) {
+            return;
+        }
         let mut refused_news = false;
         let refused = match platform::route(self.core.names(), &self.classes, &raw, !front.sse) {
             Ok(Route::Ready) if self.takes_leave() => Some(Reject::NotReady),
@@ -371,6 +398,18 @@
                 self.core.turned_away(arrival.class);
                 Some(Reject::NoRoom)
             }
+            Ok(Route::Session(arrival)) if front.sse && watch::wants_async(&raw) => {
+                let elsewhere = self.open_elsewhere(&arrival.name);
+                let mut arrival = arrival;
+                if self.core.keys().is_some() {
+                    arrival.token = platform::token(&self.classes, &raw, arrival.class);
+                }
+                match (elsewhere, self.core.key_reused(self.now, &arrival)) {
+                    (true, _) => Some(Reject::Doubled),
+                    (_, true) => Some(Reject::KeyReused),
+                    _ => self.hand_in(conn, raw, arrival, keep_alive).err(),
+                }
+            }
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
                 if self.core.keys().is_some() {
@@ -423,6 +462,7 @@
             State::Reading if conn.inbox.is_empty() && written => Some(self.now + IDLE),
             State::Reading | State::Chunks { .. } => Some(conn.timer.unwrap_or(self.now + REQUEST_TIME)),
             State::Waiting { stream: Some(stream), .. } if stream.begun => Some(stream.last + heartbeat),
+            State::Watching(held) => Some(held.last + heartbeat),
             State::Waiting { .. } => None,
         };
         if at != conn.timer {
@@ -434,16 +474,21 @@
             self.idle_fronts.insert((self.now, token));
         }
         // A client that sends on while its request is answered is read only so far.
-        let read = !matches!(front.state, State::Waiting { .. }) || conn.inbox.len() < AHEAD;
+        let waits = matches!(front.state, State::Waiting { .. } | State::Watching(_));
+        let read = !waits || conn.inbox.len() < AHEAD;
         self.watch_for(token, &mut conn, read);
         self.put(token, conn, Role::Front(front));
     }
 
     /// The connection is over; a session it waited for has lost its client.
     fn front_gone(&mut self, token: Token, conn: Conn, front: Front) {
-        if let State::Waiting { session, .. } = front.state {
-            self.drop_request(session);
-            self.core.hung_up(self.now, session);
+        match &front.state {
+            State::Waiting { session, .. } => {
+                self.drop_request(*session);
+                self.core.hung_up(self.now, *session);
+            }
+            State::Watching(held) => self.watcher_gone(held.watcher),
+            _ => {}
         }
         if front.unasked_since.is_some() {
             self.unasked_fronts.remove(&(front.heard, token));
@@ -540,6 +585,13 @@
                 }
                 self.front_settle(token, conn, front);
             }
+            State::Watching(held) => {
+                held.last = self.now;
+                if conn.outbox.is_empty() {
+                    conn.outbox.push(watch::heartbeat(held.frame));
+                }
+                self.front_settle(token, conn, front);
+            }
             State::Waiting { .. } => self.front_settle(token, conn, front),
             State::Reading | State::Chunks { .. } if !conn.outbox.is_empty() => {
                 self.front_gone(token, conn, front); // it does not read its answer
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -6,6 +6,7 @@
 use super::backend::Back;
 use super::conn::Conn;
 use super::frontend::{Front, Handed};
+use super::watch::HandedJob;
 use super::{HAND_TIMER, HOME, Role, Server, TWIN, Token};
 use crate::config::ServerList;
 use crate::core::moved::{Lesson, Moved};
@@ -62,6 +63,8 @@
     News,
     /// What the elder still holds.
     Open(Open),
+    /// A job apart from its streams; its session's request follows.
+    Job(HandedJob),
     /// The elder wants something noted of a keyed job: the bytes behind it where `kept`, else the key is forgotten.
     Write { ticket: Option<u64>, key: String, kept: bool },
     /// Whether it was.
@@ -101,6 +104,13 @@
     told: Open,
 }
 
+impl Twin {
+    /// A session of this id is here now.
+    pub(super) fn forget_name(&mut self, name: &str) {
+        self.open.names.remove(name);
+    }
+}
+
 /// What the younger gets at its start.
 pub(super) struct Inherited {
     link: OwnedFd,
@@ -302,6 +312,10 @@
                     twin.open = open;
                 }
             }
+            Note::Job(handed) => match split(handed.session(), bytes) {
+                Some((raw, _)) => self.take_job(handed, raw),
+                None => self.counts.rejects += 1,
+            },
             Note::Write { ticket, key, kept } => {
                 self.note_for_elder(ticket, &key, kept.then(|| bytes.to_vec()))
             }
@@ -365,6 +379,7 @@
                 None => {}
             }
         }
+        self.hand_jobs();
         let open = self.open_here();
         if let Some(twin) = self.twin.as_mut().filter(|twin| twin.told != open)
             && send(&twin.link, &Note::Open(open.clone()), &[], &[]).is_ok()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,8 +10,9 @@
 mod peers;
 mod reload;
 mod stop;
+mod watch;
 
-use crate::config::{Config, ConfigError, MachineLimits};
+use crate::config::{Config, ConfigError, MachineLimits, SseSettings};
 use crate::core::{Command, Core, SessionId};
 use crate::interface::{Class, Micros, WorkerId};
 use crate::invariant;
@@ -28,6 +29,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use watch::{Streams, Watch};
 
 /// Descriptors that are no connections: epoll, listeners, signals, log, datagrams, and some to spare.
 const SPARE_FDS: usize = 40;
@@ -69,6 +71,7 @@
 const TWIN: Token = Token(u64::MAX - 11);
 const HAND_TIMER: u64 = u64::MAX - 12;
 const NOTES: Token = Token(u64::MAX - 13);
+const RELAY_TIMER: u64 = u64::MAX - 14;
 
 /// What a connection is for.
 enum Role {
@@ -189,6 +192,8 @@
     peers: Option<UdpSocket>,
     /// Where keyed jobs are noted, if they are.
     notes: Option<Notes>,
+    /// Jobs apart from their streams, where the SSE front is on.
+    watch_jobs: Option<Watch>,
     slots: Vec<Slot>,
     free: Vec<usize>,
     live: usize,
@@ -266,7 +271,7 @@
     /// `folder` is where the processes of one dispatcher meet at an upgrade; without it there is no handover.
     pub fn open(
         mut config: Config,
-        sse: Option<(SocketAddr, Micros)>,
+        sse: Option<SseSettings>,
         folder: Option<&std::path::Path>,
         state: Option<StateDir>,
     ) -> Result<Server, NetError> {
@@ -290,7 +295,11 @@
             (old_platform, old_sse, old_peers) = (from.platform.take(), from.sse.take(), from.peers.take());
         }
         let platform = listen_or(old_platform, config.listen, patient)?;
-        let sse = sse.map(|(at, beat)| listen_or(old_sse, at, patient).map(|l| (l, beat))).transpose()?;
+        let watch_jobs = sse.as_ref().map(|set| {
+            Watch::new(Streams { origins: set.origins.clone(), per_tenant: set.streams_per_tenant })
+        });
+        let sse =
+            sse.map(|set| listen_or(old_sse, set.listen, patient).map(|l| (l, set.heartbeat))).transpose()?;
         let admin = config.admin.map(listen).transpose()?;
         let old_peers = old_peers.filter(|s| config.peer_listen.is_some_and(|at| is_at(s.local_addr(), at)));
         let peers = match (old_peers, config.peer_listen) {
@@ -339,6 +348,7 @@
             handed: false,
             peers,
             notes: None,
+            watch_jobs,
             slots: Vec::new(),
             free: Vec::new(),
             live: 0,
@@ -442,7 +452,13 @@
                 }
                 Command::Answer { session, frontend, answer } => {
                     self.drop_request(session);
-                    self.answer(Token(frontend), session, answer);
+                    match frontend & watch::JOB {
+                        0 => self.answer(Token(frontend), session, answer),
+                        _ => self.job_answered(frontend & !watch::JOB, answer),
+                    }
+                }
+                Command::Tell { frontend, share } if frontend & watch::JOB != 0 => {
+                    self.job_told(frontend & !watch::JOB, share);
                 }
                 Command::Tell { frontend, share } => self.tell(Token(frontend), share),
                 Command::Probe(worker) => self.probe(worker),
@@ -455,6 +471,7 @@
                     self.summary();
                     self.core.remind(self.now + SUMMARY, SUMMARY_TIMER);
                 }
+                Command::Due(RELAY_TIMER) => self.sweep_jobs(),
                 Command::Due(STOP_TIMER) => self.stop_step(),
                 Command::Due(HAND_TIMER) => self.hand_step(),
                 Command::Due(DRAIN_TIMER) => self.drain_step(),
--- /dev/null
+++ b/src/net/watch.rs
@@ -0,0 +1,404 @@
+//! Jobs apart from their streams, on connections: what `mothproxy_streams` decides is written here, and nothing is decided.
+
+use super::conn::Conn;
+use super::frontend::{Front, State, Watching};
+use super::handover::{HandedSession, Note};
+use super::{RELAY_TIMER, Role, Server, Token};
+use crate::core::{Answer, Arrival, SessionId};
+use crate::front::platform::{Raw, Reject};
+use crate::front::{admin::StreamFigures, watch};
+use crate::http::Piece;
+use crate::interface::Micros;
+use mothproxy_streams::{Carried, Denied, Effect, JobId, Limits, Next, Relay, WatcherId};
+use std::collections::HashMap;
+
+/// Frontends of sessions that no connection waits for: this and the job's number.
+pub(super) const JOB: u64 = 1 << 63;
+/// Time passes for the relay this often.
+const SWEEP: Micros = 500_000;
+/// A watcher's connection is given more once it has less than this left to write.
+const AHEAD: usize = 2 * 1024;
+/// When a client is told to come back: usually, under load, and while this process lets go.
+const RETRY: Micros = 500_000;
+const RETRY_LOADED: Micros = 2_000_000;
+const RETRY_LEAVING: Micros = 3_000_000;
+
+/// What the SSE front is told by its file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Streams {
+    /// Pages of these origins may use the front.
+    pub origins: Vec<String>,
+    /// Streams of one tenant.
+    pub per_tenant: usize,
+}
+
+/// Jobs and their watchers, where the SSE front is on.
+pub(super) struct Watch {
+    relay: Relay,
+    origins: Vec<String>,
+    sessions: HashMap<JobId, SessionId>,
+    /// Connections by watcher.
+    tokens: HashMap<WatcherId, Token>,
+    sweeping: bool,
+    effects: Vec<Effect>,
+    handed_in: u64,
+}
+
+impl Watch {
+    pub fn new(streams: Streams) -> Watch {
+        let limits = Limits { streams_per_tenant: streams.per_tenant, ..Limits::default() };
+        Watch {
+            relay: Relay::new(limits),
+            origins: streams.origins,
+            sessions: HashMap::new(),
+            tokens: HashMap::new(),
+            sweeping: false,
+            effects: Vec::new(),
+            handed_in: 0,
+        }
+    }
+}
+
+/// Random numbers that nobody can guess; `None` where the system gives none.
+fn secret<const N: usize>() -> Option<[u8; N]> {
+    let mut bytes = [0; N];
+    getrandom::fill(&mut bytes).ok()?;
+    Some(bytes)
+}
+
+/// A job with its session, on its way to the younger process.
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct HandedJob {
+    job: Carried,
+    session: Option<HandedSession>,
+}
+
+impl HandedJob {
+    pub fn session(&self) -> Option<&HandedSession> {
+        self.session.as_ref()
+    }
+}
+
+impl Server {
+    /// Takes a job whose client will watch it later. What is written is its answer; an error refuses it.
+    pub(super) fn hand_in(
+        &mut self,
+        conn: &mut Conn,
+        raw: Raw,
+        mut arrival: Arrival,
+        keep_alive: bool,
+    ) -> Result<(), Reject> {
+        let ends = watch::ends_unwatched(&raw).ok_or(Reject::Bad)?;
+        let Some(watching) = &mut self.watch_jobs else { return Err(Reject::NoSuchPath) };
+        let cors = watch::cors(&raw, &watching.origins);
+        let (Some(public), Some(token)) = (secret::<8>(), secret::<16>()) else { return Err(Reject::NoRoom) };
+        let (public, token) = (u64::from_le_bytes(public), u128::from_le_bytes(token));
+        let tenant = arrival.tenant.map_or(0, |t| 1 + u32::from(t.0));
+        let taken = watching.relay.take(self.now, public, token, tenant, ends);
+        let job = taken.map_err(|_| Reject::NoRoom)?;
+        arrival.frontend = JOB | job;
+        let Some(session) = self.core.arrived(self.now, arrival) else {
+            watching.relay.carry(job);
+            return Err(Reject::Doubled);
+        };
+        watching.sessions.insert(job, session);
+        watching.handed_in += 1;
+        self.requests.insert(session, raw);
+        self.sweep_later();
+        conn.outbox.push(watch::handed_in(public, token, &cors, keep_alive));
+        Ok(())
+    }
+
+    /// A request at a job's place, or a preflight. False where it is neither.
+    pub(super) fn watch_request(
+        &mut self,
+        token: Token,
+        conn: &mut Conn,
+        front: &mut Front,
+        raw: &Raw,
+        keep: bool,
+    ) -> bool {
+        let Some(watching) = &mut self.watch_jobs else { return false };
+        let cors = watch::cors(raw, &watching.origins);
+        let method = &raw.bytes[raw.head.method.clone()];
+        let Some(wanted) = watch::wanted(raw) else {
+            if method == b"OPTIONS" {
+                conn.outbox.push(watch::preflight(&cors, keep));
+            }
+            return method == b"OPTIONS";
+        };
+        let body = method != b"HEAD";
+        match method {
+            b"GET" | b"HEAD" => {}
+            b"OPTIONS" => {
+                conn.outbox.push(watch::preflight(&cors, keep));
+                return true;
+            }
+            _ => {
+                conn.outbox.push(watch::wrong_method(keep));
+                return true;
+            }
+        }
+        if !watch::takes_streams(raw) {
+            let text = "it comes as text/event-stream only";
+            conn.outbox.push(watch::plain("406 Not Acceptable", &cors, text, keep, body));
+            return true;
+        }
+        // An id or token that cannot be read is as wrong as any other.
+        let (public, secret) = (wanted.public.unwrap_or(0), wanted.token.unwrap_or(0));
+        let watched = match (wanted.public, wanted.token) {
+            (Some(_), Some(_)) => watching.relay.watch(public, secret, wanted.after),
+            _ => Err(Denied::Unknown),
+        };
+        let watcher = match watched {
+            Ok(watcher) => watcher,
+            Err(why) => {
+                let answer = match why {
+                    Denied::Unknown => {
+                        watch::plain("403 Forbidden", &cors, "no such stream for this token", keep, body)
+                    }
+                    Denied::Over => watch::plain("204 No Content", &cors, "", keep, false),
+                    Denied::TooManyStreams | Denied::Full => {
+                        let extra = format!("Retry-After: 2\r\n{cors}");
+                        watch::plain("429 Too Many Requests", &extra, "too many streams", keep, body)
+                    }
+                };
+                conn.outbox.push(answer);
+                return true;
+            }
+        };
+        let frame = if watch::is_old(raw) { watch::Frame::Plain } else { watch::Frame::Chunked };
+        let keep = keep && frame == watch::Frame::Chunked;
+        if !body {
+            watching.relay.leave(self.now, watcher);
+            conn.outbox.push(watch::stream_head(frame, &cors, keep));
+            return true;
+        }
+        watching.tokens.insert(watcher, token);
+        conn.outbox.push(watch::stream_head(frame, &cors, keep));
+        conn.outbox.push(watch::retry(frame, self.retry()));
+        front.state = State::Watching(Watching { watcher, keep, frame, last: self.now });
+        true
+    }
+
+    /// How long a client that loses its stream now should stay away.
+    fn retry(&self) -> Micros {
+        if self.takes_leave() || self.handed {
+            RETRY_LEAVING
+        } else if self.fronts * 4 >= self.budget.fronts * 3 {
+            RETRY_LOADED
+        } else {
+            RETRY
+        }
+    }
+
+    /// Gives a watcher's connection what comes next, as much as it can write soon.
+    pub(super) fn pump(&mut self, conn: &mut Conn, front: &mut Front) {
+        let State::Watching(held) = &mut front.state else { return };
+        let Some(watching) = &mut self.watch_jobs else { return };
+        while conn.outbox.len() < AHEAD {
+            let pieces = match watching.relay.pull(held.watcher) {
+                Next::Nothing => return,
+                Next::Missed(count) => watch::missed(held.frame, count),
+                Next::Event { event, last: false } => watch::event(held.frame, &event),
+                Next::Event { event, last: true } => {
+                    conn.outbox.push(watch::event(held.frame, &event));
+                    conn.outbox.push(held.frame.end());
+                    watching.relay.leave(self.now, held.watcher);
+                    watching.tokens.remove(&held.watcher);
+                    front.state = if held.keep { State::Reading } else { State::Ending { lingers: false } };
+                    return;
+                }
+            };
+            conn.outbox.push(pieces);
+            held.last = self.now;
+        }
+    }
+
+    /// Whether a watcher could be given more at once.
+    pub(super) fn has_more(&self, front: &Front) -> bool {
+        let State::Watching(held) = &front.state else { return false };
+        self.watch_jobs.as_ref().is_some_and(|w| w.relay.has_more(held.watcher))
+    }
+
+    /// A watcher's connection is over.
+    pub(super) fn watcher_gone(&mut self, watcher: WatcherId) {
+        let now = self.now;
+        if let Some(watching) = &mut self.watch_jobs {
+            watching.tokens.remove(&watcher);
+            watching.relay.leave(now, watcher);
+            self.sweep_later();
+        }
+    }
+
+    /// A job without a connection of its own has got on.
+    pub(super) fn job_told(&mut self, job: JobId, share: Option<f64>) {
+        let Some(watching) = &mut self.watch_jobs else { return };
+        let effects = &mut watching.effects;
+        match share {
+            None => watching.relay.publish(job, "started", "{}".to_owned(), false, effects),
+            Some(share) => {
+                let data = serde_json::json!({ "share": share }).to_string();
+                watching.relay.publish(job, "progress", data, true, effects);
+            }
+        }
+        self.wake_watchers();
+    }
+
+    /// A job without a connection of its own has its final answer.
+    pub(super) fn job_answered(&mut self, job: JobId, answer: Answer) {
+        let now = self.now;
+        let Some(watching) = &mut self.watch_jobs else { return };
+        watching.sessions.remove(&job);
+        let (name, data) = watch::final_event(answer);
+        watching.relay.finish(now, job, name, data, &mut watching.effects);
+        self.wake_watchers();
+        self.sweep_later();
+    }
+
+    fn wake_watchers(&mut self) {
+        let Some(watching) = &mut self.watch_jobs else { return };
+        for effect in std::mem::take(&mut watching.effects) {
+            let Some(watching) = &mut self.watch_jobs else { return };
+            match effect {
+                Effect::Wake(watcher) => {
+                    let Some(token) = watching.tokens.get(&watcher).copied() else { continue };
+                    match self.take(token) {
+                        Some((conn, Role::Front(front))) => self.front_go_on(token, conn, front),
+                        Some((conn, role)) => self.put(token, conn, role),
+                        None => {} // in use right now: it pulls before it is put back
+                    }
+                }
+                Effect::End(job) => {
+                    if let Some(session) = watching.sessions.remove(&job) {
+                        watching.relay.carry(job); // nobody can ask for it any more
+                        self.drop_request(session);
+                        self.core.hung_up(self.now, session);
+                    }
+                }
+            }
+        }
+    }
+
+    fn sweep_later(&mut self) {
+        if let Some(watching) =
+            self.watch_jobs.as_mut().filter(|w| !w.sweeping && w.relay.next_due().is_some())
+        {
+            watching.sweeping = true;
+            self.core.remind(self.now + SWEEP, RELAY_TIMER);
+        }
+    }
+
+    /// Lets time pass for jobs and watchers.
+    pub(super) fn sweep_jobs(&mut self) {
+        let now = self.now;
+        let Some(watching) = &mut self.watch_jobs else { return };
+        watching.sweeping = false;
+        watching.relay.sweep(now, &mut watching.effects);
+        self.wake_watchers();
+        self.sweep_later();
+    }
+
+    /// Hands jobs over to the younger process, and tells their watchers to come back there.
+    pub(super) fn hand_jobs(&mut self) {
+        let jobs = self.watch_jobs.as_ref().map_or(Vec::new(), |w| w.relay.jobs());
+        for job in jobs {
+            let session = self.watch_jobs.as_ref().and_then(|w| w.sessions.get(&job).copied());
+            let mut raw = None;
+            let mut handed = None;
+            if let Some(session) = session {
+                if self.dispatching.keys().any(|(s, _)| *s == session) {
+                    continue; // its 202 is still to come
+                }
+                let Some(request) = self.requests.get(&session).cloned() else { continue };
+                let Some(moved) = self.core.release(session) else { continue };
+                let (broken, bytes) = (self.broken.contains(&session), request.bytes.len());
+                let body =
+                    if let Piece::Part(..) = &request.body { None } else { Some(request.body.bytes().len()) };
+                handed = Some(HandedSession { moved, keep_alive: false, stream: None, broken, bytes, body });
+                raw = Some(request);
+            }
+            self.dismiss(job);
+            let Some(watching) = &mut self.watch_jobs else { return };
+            let Some(carried) = watching.relay.carry(job) else { continue };
+            watching.sessions.remove(&job);
+            let mut bytes: Vec<&[u8]> = Vec::new();
+            if let Some(raw) = &raw {
+                bytes.push(&raw.bytes);
+                bytes.extend(Some(raw.body.bytes()).filter(|_| !matches!(raw.body, Piece::Part(..))));
+            }
+            let note = Note::Job(HandedJob { job: carried, session: handed });
+            let sent = self.send_twin(&note, &bytes);
+            if let Some(session) = session {
+                self.drop_request(session);
+            }
+            if let (false, Note::Job(back)) = (sent, note) {
+                self.take_job(back, raw); // the link is full or gone: it stays here
+                return;
+            }
+        }
+    }
+
+    /// Ends the streams of a job's watchers in an orderly way.
+    fn dismiss(&mut self, job: JobId) {
+        let Some(watching) = &self.watch_jobs else { return };
+        for watcher in watching.relay.watchers_of(job) {
+            let token = self.watch_jobs.as_ref().and_then(|w| w.tokens.get(&watcher).copied());
+            match token.and_then(|token| Some((token, self.take(token)?))) {
+                Some((token, (mut conn, Role::Front(mut front)))) => {
+                    if let State::Watching(held) = &front.state {
+                        conn.outbox.push(watch::retry(held.frame, RETRY));
+                        conn.outbox.push(held.frame.end());
+                    }
+                    front.state = State::Ending { lingers: false };
+                    self.watcher_gone(watcher);
+                    self.front_go_on(token, conn, front);
+                }
+                Some((token, (conn, role))) => self.put(token, conn, role),
+                None => self.watcher_gone(watcher),
+            }
+        }
+    }
+
+    /// Takes over a job that the elder hands over.
+    pub(super) fn take_job(&mut self, handed: HandedJob, raw: Option<Raw>) {
+        let HandedJob { job, session } = handed;
+        let Some(watching) = &mut self.watch_jobs else {
+            self.counts.rejects += 1;
+            return;
+        };
+        let Some(job) = watching.relay.receive(self.now, job) else { return };
+        if let Some((session, raw)) = session.zip(raw) {
+            if let Some(twin) = &mut self.twin {
+                twin.forget_name(&session.moved.name);
+            }
+            match self.core.adopt(session.moved, JOB | job) {
+                Some(id) => {
+                    watching.sessions.insert(job, id);
+                    self.requests.insert(id, raw);
+                    if session.broken {
+                        self.note_broken(id);
+                    }
+                }
+                // Nothing here could serve it: its watchers are told so at once.
+                None => self.job_answered(job, Answer::Failed),
+            }
+        }
+        self.sweep_later();
+    }
+
+    /// What the second address tells of streams, where they are on.
+    pub(super) fn stream_figures(&self) -> Option<StreamFigures> {
+        let watching = self.watch_jobs.as_ref()?;
+        let (jobs, watchers) = watching.relay.counts();
+        Some(StreamFigures {
+            jobs,
+            watchers,
+            bytes: watching.relay.bytes(),
+            handed_in: watching.handed_in,
+            missed: watching.relay.missed,
+            coalesced: watching.relay.coalesced,
+            evicted: watching.relay.evicted,
+        })
+    }
+}
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -411,10 +411,11 @@
     std::fs::write(&config_file, config.to_string()).expect("a temporary file");
     let front = if sse { "listen = \"127.0.0.1:0\"\nheartbeat_ms = 200\n" } else { "" };
     std::fs::write(&sse_file, front).expect("a temporary file");
+    // A test that brings a file of its own for the front is not given another.
+    let own = [std::ffi::OsStr::new("--sse"), sse_file.as_os_str()];
+    let own = if args.contains(&own[0]) { &[][..] } else { &own[..] };
     let mut child = Command::new(env!("CARGO_BIN_EXE_mothproxy"))
-        .arg("--sse")
-        .arg(&sse_file)
-        .args(args)
+        .args(own.iter().copied().chain(args.iter().copied()))
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
         .env_remove("GW_ADMIN_ADDR")
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -3,7 +3,7 @@
 #[path = "common/site.rs"]
 mod site;
 
-use mothproxy::config::{Config, SseConfig, flatten};
+use mothproxy::config::{Config, SseConfig, SseSettings, flatten};
 use mothproxy::front::platform;
 use mothproxy::http;
 use mothproxy::*;
@@ -63,9 +63,16 @@
         SseConfig::load(&file, true).map_err(|e| e.to_string())
     };
     assert_eq!(read(""), Ok(None));
-    let on = Some(("127.0.0.1:8444".parse().expect("an address"), 250_000));
+    let on = Some(SseSettings {
+        listen: "127.0.0.1:8444".parse().expect("an address"),
+        heartbeat: 250_000,
+        origins: Vec::new(),
+        streams_per_tenant: 1024,
+    });
     assert_eq!(read("listen = \"127.0.0.1:8444\"\nheartbeat_ms = 250"), Ok(on));
     assert!(read("listen = \"here\"").is_err_and(|e| e.contains("is not an address")));
+    assert!(read("origins = [\"pay.example/x\"]").is_err_and(|e| e.contains("pay.example/x")));
+    assert!(read("streams_per_tenant = 0").is_err_and(|e| e.contains("streams_per_tenant")));
     assert!(read("lisen = \"127.0.0.1:8444\"").is_err_and(|e| e.contains("lisen")));
     std::fs::remove_file(&file).expect("it was there");
     assert_eq!(SseConfig::load(&file, false).expect("not there is off"), None);
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -87,7 +87,11 @@
     each_round(|g| {
         let (mut wire, mut sent) = (b": hello\n\n".to_vec(), Vec::new());
         for _ in 0..usize::arbitrary(g) % 6 {
-            let event = StreamEvent { name: token(g), data: format!("{}\n{}", token(g), token(g)) };
+            let event = StreamEvent {
+                name: token(g),
+                data: format!("{}\n{}", token(g), token(g)),
+                id: String::new(),
+            };
             let text = events::write_event(&event.name, &event.data);
             let text =
                 String::from_utf8(text).expect("text").replace('\n', g.choose(&["\n", "\r\n"]).expect("two"));
@@ -160,3 +164,50 @@
     assert!(Chunked::default().decode(&[b'0'; 2_000], &mut Vec::new()).is_err());
     assert!(EventStream::default().feed(&vec![b'a'; 200_000], |_| {}).is_err());
 }
+
+/// The clauses of the standard's "Parsing an event stream" and "Interpreting an event stream", at every cut.
+#[test]
+fn event_streams_are_read_clause_by_clause() {
+    let event = |name: &str, data: &str, id: &str| StreamEvent {
+        name: name.into(),
+        data: data.into(),
+        id: id.into(),
+    };
+    let cases: Vec<(&[u8], Vec<StreamEvent>, Option<u64>)> = vec![
+        (b"\xef\xbb\xbfdata: a\n\n", vec![event("", "a", "")], None),
+        (b"\xef\xbb\xbf\xef\xbb\xbfdata: a\n\ndata: b\n\n", vec![event("", "b", "")], None),
+        (
+            b"data: a\r\rdata: b\r\n\r\ndata: c\n\n",
+            vec![event("", "a", ""), event("", "b", ""), event("", "c", "")],
+            None,
+        ),
+        (b"data\n\n", vec![event("", "", "")], None),
+        (b"data\ndata\n\n", vec![event("", "\n", "")], None),
+        (b"data:a\ndata:  b\n\n", vec![event("", "a\n b", "")], None),
+        (b": comment\n:\nfoo: bar\nDATA: x\ndata: a\n\n", vec![event("", "a", "")], None),
+        (b"event: x\n\ndata: a\n\n", vec![event("", "a", "")], None),
+        (b"event: x\nevent: y\ndata: a\n\n", vec![event("y", "a", "")], None),
+        (
+            b"id: 1\ndata: a\n\ndata: b\n\nid\ndata: c\n\n",
+            vec![event("", "a", "1"), event("", "b", "1"), event("", "c", "")],
+            None,
+        ),
+        (b"id: 1\ndata: a\n\nid: 2\0\ndata: b\n\n", vec![event("", "a", "1"), event("", "b", "1")], None),
+        (b"id: 7\n\ndata: a\n\n", vec![event("", "a", "7")], None),
+        (b"retry: 250\nretry: 3s\nretry:\ndata: a\n\n", vec![event("", "a", "")], Some(250)),
+        (b"retry: 99999999999999999999999\ndata: a\n\n", vec![event("", "a", "")], None),
+        (b"data: a\n\ndata: lost", vec![event("", "a", "")], None),
+        (b"data: a\n\ndata: lost\n", vec![event("", "a", "")], None),
+        (b"data: \xff\n\n", vec![event("", "\u{fffd}", "")], None),
+    ];
+    for (bytes, expected, retry) in &cases {
+        for cut in 0..=bytes.len() {
+            let (mut stream, mut seen) = (EventStream::default(), Vec::new());
+            for part in [&bytes[..cut], &bytes[cut..]] {
+                stream.feed(part, |event| seen.push(event)).expect("small");
+            }
+            let shown = String::from_utf8_lossy(bytes);
+            assert_eq!((&seen, stream.retry()), (expected, *retry), "{shown:?} cut at {cut}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/watch.rs
@@ -0,0 +1,394 @@
+//! Jobs apart from their streams, over real sockets: handing in, resuming, the end, the edges, upgrades, and many at once.
+
+#[path = "common/site.rs"]
+mod site;
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
+
+use eventsource_stream::Eventsource;
+use mothproxy::http::{self, Body, EventStream, StreamEvent};
+use serde_json::json;
+use stand_ins::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Hands a job in; the place of its streams.
+fn hand_in(to: SocketAddr, id: &str, body: &str, extra: &str) -> String {
+    let reply =
+        send(to, &job(id, "redeem", body, &format!("Prefer: respond-async\r\n{extra}"))).expect("an answer");
+    assert_eq!(reply.status, 202, "{}", reply.head);
+    let place = reply.field("Location").expect("a place").to_owned();
+    let told: serde_json::Value = serde_json::from_str(&reply.body).expect("JSON");
+    assert_eq!(told["stream"].as_str(), Some(place.as_str()));
+    place
+}
+
+fn get(place: &str, extra: &str) -> String {
+    format!("GET {place} HTTP/1.1\r\nHost: n0\r\n{extra}\r\n")
+}
+
+/// A stream as a client reads it.
+struct Stream {
+    conn: TcpStream,
+    events: EventStream,
+    status: u16,
+    head: String,
+    inbox: Vec<u8>,
+    body: Option<Body>,
+    raw: Vec<u8>,
+    seen: Vec<StreamEvent>,
+    ended: bool,
+}
+
+impl Stream {
+    fn open(to: SocketAddr, place: &str, extra: &str) -> Stream {
+        let mut conn = connect(to);
+        conn.write_all(get(place, extra).as_bytes()).expect("written");
+        conn.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        let mut stream = Stream {
+            conn,
+            events: EventStream::default(),
+            status: 0,
+            head: String::new(),
+            inbox: Vec::new(),
+            body: None,
+            raw: Vec::new(),
+            seen: Vec::new(),
+            ended: false,
+        };
+        while stream.body.is_none() && !stream.ended {
+            stream.step();
+        }
+        stream
+    }
+
+    /// Reads once; false at the end of the stream or of the connection.
+    fn step(&mut self) -> bool {
+        if self.ended {
+            return false;
+        }
+        let mut buf = [0; 16 * 1024];
+        match self.conn.read(&mut buf) {
+            Ok(0) | Err(_) => {
+                self.ended = true;
+                return false;
+            }
+            Ok(n) => self.inbox.extend(&buf[..n]),
+        }
+        if self.body.is_none() {
+            let Some(head) = http::read_response(&self.inbox).expect("an HTTP answer") else { return true };
+            self.status = head.status;
+            self.head = String::from_utf8_lossy(&self.inbox[..head.len]).into_owned();
+            self.inbox.drain(..head.len);
+            self.body = Some(Body::new(head.framing));
+        }
+        let Some(body) = &mut self.body else { return true };
+        let mut read = Vec::new();
+        body.feed(&mut self.inbox, &mut read).expect("a sound body");
+        self.ended = body.is_done();
+        let seen = &mut self.seen;
+        self.events.feed(&read, |event| seen.push(event)).expect("sound events");
+        self.raw.extend(read);
+        !self.ended
+    }
+
+    fn until(&mut self, count: usize) -> Vec<String> {
+        while self.seen.len() < count && self.step() {}
+        self.names()
+    }
+
+    fn names(&self) -> Vec<String> {
+        self.seen.iter().map(|e| format!("{} {}", e.id, e.name)).collect()
+    }
+
+    fn read_out(mut self) -> Stream {
+        while !self.ended && self.step() {}
+        self
+    }
+}
+
+fn front(nodes: &[Arc<Node>]) -> (Program, SocketAddr) {
+    let program = start(nodes, None, true);
+    let sse = program.sse.expect("the SSE front is on");
+    (program, sse)
+}
+
+#[test]
+fn a_job_handed_in_is_watched_resumed_and_over() {
+    let node = Node::start("s-1");
+    let (program, sse) = front(std::slice::from_ref(&node));
+    let place = hand_in(sse, "a1", "take started running=0.2 wait=more running=0.7 done=paid", "");
+    let mut first = Stream::open(sse, &place, "Accept: text/event-stream\r\n");
+    assert_eq!((first.status, first.until(2)), (200, vec!["1 started".into(), "2 progress".into()]));
+    assert!(
+        first.head.contains("Cache-Control: no-store") && first.events.retry() == Some(500),
+        "{}",
+        first.head
+    );
+    drop(first); // it drops; the job goes on
+    node.open("more");
+    until("the job is done", || {
+        let again = Stream::open(sse, &place, "Last-Event-ID: 3\r\n").read_out();
+        again.names() == ["4 done"]
+    });
+    // Two that had got to different places, one of them by the query; and one that had nothing.
+    for (extra, query, expected) in [
+        ("Last-Event-ID: 2\r\n", "", vec!["3 progress", "4 done"]),
+        ("", "&last_event_id=1", vec!["2 progress", "3 progress", "4 done"]),
+        ("Last-Event-ID: 3\r\n", "&last_event_id=1", vec!["4 done"]),
+        ("Last-Event-ID: nonsense\r\n", "", vec!["1 started", "2 progress", "3 progress", "4 done"]),
+    ] {
+        let stream = Stream::open(sse, &format!("{place}{query}"), extra).read_out();
+        assert_eq!(
+            (stream.status, stream.names()),
+            (200, expected.iter().map(|e| (*e).to_owned()).collect())
+        );
+        assert_eq!(stream.seen.last().map(|e| e.data.as_str()), Some("{\"result\":\"paid\"}"));
+    }
+    // It has the final event: there is nothing to come back for.
+    assert_eq!(send(sse, &get(&place, "Last-Event-ID: 4\r\n")).expect("an answer").status, 204);
+    let figures = program.figures();
+    assert_eq!((figures["taken"], figures["served"]), (1, 1));
+}
+
+/// Read by a library of somebody else's.
+#[test]
+fn an_independent_reader_gets_the_same_events() {
+    let node = Node::start("s-1");
+    let (_program, sse) = front(std::slice::from_ref(&node));
+    let place = hand_in(sse, "a1", "take started running=0.5 done=two\\nlines", "");
+    let mut stream = Stream::open(sse, &place, "").read_out();
+    if stream.seen.last().is_none_or(|e| e.name != "done") {
+        stream = Stream::open(sse, &place, "").read_out();
+    }
+    let chunks = stream.raw.chunks(7).map(|c| Ok::<_, std::io::Error>(c.to_vec()));
+    let read = futures_executor::block_on(async {
+        use futures_util::StreamExt;
+        futures_util::stream::iter(chunks).eventsource().collect::<Vec<_>>().await
+    });
+    let theirs: Vec<StreamEvent> = read
+        .into_iter()
+        .map(|e| e.expect("an event"))
+        .map(|e| StreamEvent { name: e.event, data: e.data, id: e.id })
+        // That library hands on `retry` alone as an event without data; the standard does not.
+        .filter(|e| !e.data.is_empty())
+        .collect();
+    assert_eq!(theirs, stream.seen);
+    assert!(theirs.len() >= 2);
+}
+
+#[test]
+fn the_edges_are_answered_as_the_protocols_say() {
+    let node = Node::start("s-1");
+    let file = std::env::temp_dir().join(format!("mothproxy-origins-{}.toml", std::process::id()));
+    std::fs::write(&file, "listen = \"127.0.0.1:0\"\norigins = [\"https://pay.example\"]\n")
+        .expect("written");
+    let args = [std::ffi::OsStr::new("--sse"), file.as_os_str()];
+    let program = start_given(std::slice::from_ref(&node), None, false, None, &args, |_| {});
+    let sse = program.sse.expect("the SSE front is on");
+    let place = hand_in(sse, "a1", "take started wait=end done=x", "Origin: https://pay.example\r\n");
+    let (path, token) = place.split_once("?token=").expect("a token");
+    let other = hand_in(sse, "a2", "take started wait=end done=x", "");
+    let others = other.split_once("?token=").expect("a token").1;
+    let unknown =
+        send(sse, &get(&format!("/streams/0000000000000000?token={token}"), "")).expect("an answer");
+    let ok = "Origin: https://pay.example\r\n";
+    let cases: &[(String, u16, &str)] = &[
+        (get(path, ""), 403, ""),
+        (get(&format!("{path}?token={others}"), ""), 403, ""), // another job's
+        (get(&format!("{path}?token=zz"), ""), 403, ""),
+        (get("/streams/", ""), 403, ""),
+        (get("/streams/../x", ""), 403, ""),
+        (get(&place, "Accept: application/json\r\n"), 406, ""),
+        (get(&place, "Accept: text/event-stream;q=0, */*\r\n"), 406, ""),
+        (get("/elsewhere", ""), 404, ""),
+        (get(&place, "").replacen("GET", "DELETE", 1), 405, "Allow: GET, HEAD, OPTIONS"),
+        (get(&place, "").replacen("GET", "HEAD", 1), 200, "text/event-stream"),
+        (
+            get(path, &format!("Authorization: Bearer {token}\r\n")).replacen("GET", "HEAD", 1),
+            200,
+            "no-store",
+        ),
+        (get(&place, "Origin: https://evil.example\r\n").replacen("GET", "OPTIONS", 1), 403, ""),
+        (get("/redeem", "").replacen("GET", "OPTIONS", 1), 403, ""),
+        (
+            get("/redeem", ok).replacen("GET", "OPTIONS", 1),
+            204,
+            "Access-Control-Allow-Origin: https://pay.example",
+        ),
+        (get(&place, ok).replacen("GET", "HEAD", 1), 200, "Access-Control-Allow-Origin: https://pay.example"),
+        (job("a3", "redeem", "x", "Prefer: respond-async\r\nX-Unwatched: perhaps\r\n"), 400, ""),
+        (job("a1", "redeem", "x", "Prefer: respond-async\r\n"), 409, ""), // that id is open
+    ];
+    for (request, status, holds) in cases {
+        let head = request.lines().next().unwrap_or("").to_owned();
+        let is_head = head.starts_with("HEAD") || *status == 204;
+        let (got, text) = if is_head {
+            let mut conn = connect(sse);
+            conn.write_all(request.as_bytes()).expect("written");
+            let (mut all, mut buf) = (Vec::new(), [0; 2048]);
+            while !all.windows(4).any(|w| w == b"\r\n\r\n") {
+                let n = conn.read(&mut buf).expect("read");
+                assert!(n > 0, "{head}");
+                all.extend(&buf[..n]);
+            }
+            assert!(all.ends_with(b"\r\n\r\n"), "{head}: a body where there is none");
+            let text = String::from_utf8_lossy(&all).into_owned();
+            (text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0), text)
+        } else {
+            let reply = send(sse, request).expect("an answer");
+            if reply.status == 403 && holds.is_empty() && !head.starts_with("OPTIONS") {
+                assert_eq!(
+                    (&reply.head, &reply.body),
+                    (&unknown.head, &unknown.body),
+                    "{head}: it tells more"
+                );
+            }
+            (reply.status, reply.head)
+        };
+        assert_eq!(got, *status, "{head}");
+        assert!(text.contains(holds), "{head}: no {holds:?} in {text}");
+    }
+    // HTTP/1.0 knows no chunks: the stream is as it is, and ends with its connection.
+    node.open("end");
+    let mut old = connect(sse);
+    old.write_all(get(&place, "").replace("HTTP/1.1", "HTTP/1.0").as_bytes()).expect("written");
+    let mut text = String::new();
+    old.read_to_string(&mut text).expect("text");
+    assert!(!text.contains("Transfer-Encoding") && text.contains("Connection: close"), "{text}");
+    assert!(text.ends_with("event: done\ndata: {\"result\":\"x\"}\n\n"), "{text}");
+    let _ = std::fs::remove_file(file);
+}
+
+#[test]
+fn a_job_that_ends_unwatched_is_given_up_and_another_goes_on() {
+    let node = Node::start("s-1");
+    let (program, sse) = front(std::slice::from_ref(&node));
+    let ends = hand_in(sse, "a1", "take started hang", "X-Unwatched: end\r\n");
+    let goes_on = hand_in(sse, "a2", "take started wait=go done=x", "");
+    let mut watched = Stream::open(sse, &ends, "");
+    assert_eq!(watched.until(1), ["1 started"]);
+    drop(watched);
+    until("it is given up", || node.saw("DELETE /jobs/a1"));
+    node.open("go");
+    until("the other is served", || {
+        Stream::open(sse, &goes_on, "").read_out().names().last().is_some_and(|n| n == "2 done")
+    });
+    let figures = program.figures();
+    assert_eq!((figures["taken"], figures["served"], figures["gone"]), (2, 1, 1));
+}
+
+#[test]
+fn an_upgrade_sends_watchers_to_the_younger_process_which_has_the_job() {
+    let (folder, node) = (tempfile::tempdir().expect("a folder"), Node::start("s-1"));
+    let nodes = std::slice::from_ref(&node);
+    let begin = |listen: &str, sse: Option<SocketAddr>| {
+        let file = folder.path().join("sse.toml");
+        let at = sse.map_or("127.0.0.1:0".to_owned(), |at| at.to_string());
+        std::fs::write(&file, format!("listen = \"{at}\"\n")).expect("written");
+        let args = [std::ffi::OsStr::new("--sse"), file.as_os_str()];
+        start_given(nodes, None, false, Some(folder.path()), &args, |config| config["listen"] = json!(listen))
+    };
+    let elder = begin("127.0.0.1:0", None);
+    let sse = elder.sse.expect("the SSE front is on");
+    let done = hand_in(sse, "a1", "take started done=before", "");
+    until("it is done", || {
+        Stream::open(sse, &done, "").read_out().names().last().is_some_and(|n| n == "2 done")
+    });
+    let place = hand_in(sse, "a2", "take started running=0.3 wait=go running=0.6 done=after", "");
+    let mut watching = Stream::open(sse, &place, "");
+    assert_eq!(watching.until(2), ["1 started", "2 progress"]);
+    let younger = begin(&elder.platform.to_string(), Some(sse));
+    assert_eq!(younger.sse, Some(sse));
+    let told = watching.read_out();
+    assert_eq!(told.names(), ["1 started", "2 progress"], "its stream ended without its final event");
+    elder.terminate();
+    assert!(elder.wait().0, "the elder ends cleanly");
+    let mut back = Stream::open(sse, &place, "Last-Event-ID: 2\r\n");
+    assert_eq!(back.status, 200);
+    node.open("go");
+    back = back.read_out();
+    assert_eq!(back.names(), ["3 progress", "4 done"]);
+    assert_eq!(Stream::open(sse, &done, "").read_out().names(), ["1 started", "2 done"], "it went over too");
+    drop(younger);
+}
+
+/// Several hundred jobs, clients that drop and come back at any point: each gets one final event, in order, none twice.
+#[test]
+fn as_many_final_events_as_jobs_under_drops_on_the_clients_side() {
+    let nodes: Vec<Arc<Node>> = (0..4).map(|n| Node::start(&format!("s-{n}"))).collect();
+    let (program, sse) = front(&nodes);
+    let (clients, each) = (12, 25);
+    let finals: usize = std::thread::scope(|scope| {
+        let client = |c: u64| {
+            let mut dice = fastrand::Rng::with_seed(c);
+            let mut finals = 0;
+            for n in 0..each {
+                let body = "take started running=0.1 pause=2 running=0.4 running=0.8 pause=1 done=x";
+                let place = hand_in(sse, &format!("j{c}-{n}"), body, "");
+                let (mut last, mut ended) = (0u64, false);
+                while !ended {
+                    let mut stream = Stream::open(sse, &place, &format!("Last-Event-ID: {last}\r\n"));
+                    assert_eq!(stream.status, 200);
+                    let stay = dice.usize(0..4);
+                    let whole = dice.bool();
+                    while (whole || stream.seen.len() < stay) && stream.step() {}
+                    if stream.seen.is_empty() {
+                        std::thread::sleep(Duration::from_millis(3)); // as `retry:` asks, only sooner
+                    }
+                    for event in &stream.seen {
+                        let id: u64 = event.id.parse().expect("a number");
+                        assert!(id > last, "{id} after {last}");
+                        last = id;
+                        let is_final = ["done", "deny", "failed"].contains(&event.name.as_str());
+                        assert!(!is_final || !ended, "a second final event");
+                        ended |= is_final;
+                    }
+                }
+                finals += 1;
+                let over = send(sse, &get(&place, &format!("Last-Event-ID: {last}\r\n"))).expect("an answer");
+                assert_eq!(over.status, 204);
+            }
+            finals
+        };
+        let threads: Vec<_> = (0..clients).map(|c| scope.spawn(move || client(c))).collect();
+        threads.into_iter().map(|t| t.join().expect("a client")).sum()
+    });
+    assert_eq!(finals as u64, clients * each);
+    let figures = program.figures();
+    assert_eq!((figures["taken"], figures["open"]), (clients * each, 0));
+    let ended = figures["served"] + figures["denied"] + figures["failed"] + figures["gone"];
+    assert_eq!(ended, clients * each);
+}
+
+/// A reader that takes a few bytes now and then loses progress, and never the end; the program holds little for it.
+#[test]
+fn a_slow_reader_loses_progress_and_not_the_end() {
+    let node = Node::start("s-1");
+    let (program, sse) = front(std::slice::from_ref(&node));
+    let place = hand_in(sse, "a1", "stream started wait=go flood=20000 wait=end done=x", "");
+    let mut slow = connect(sse);
+    slow.write_all(get(&place, "").as_bytes()).expect("written");
+    let mut buf = [0; 64];
+    assert!(slow.read(&mut buf).expect("read") > 0);
+    node.open("go");
+    until("the flood is over", || node.saw("flooded"));
+    std::thread::sleep(Duration::from_millis(300));
+    node.open("end");
+    slow.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    let (mut all, mut bytes) = (Vec::new(), [0; 4096]);
+    while !all.ends_with(b"0\r\n\r\n") {
+        let n = slow.read(&mut bytes).expect("read");
+        assert!(n > 0, "it ended early");
+        all.extend(&bytes[..n]);
+    }
+    let text = String::from_utf8_lossy(&all);
+    assert!(text.contains("event: done"), "its end is there");
+    let progress = text.matches("event: progress").count();
+    assert!(progress < 20_000, "{progress} progress events were held for it");
+    assert_eq!(node.jobs.load(Ordering::SeqCst), 1);
+    drop(program);
+}
