--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use mothproxy::config::{Config, SseConfig};
 use mothproxy::net::{NetError, Server, StateDir};
+use mothproxy::settings::{self, Settings};
 use mothproxy_store::SyncMode;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,8 +21,8 @@
     #[command(flatten)]
     serve: Serve,
     /// The form of log lines on standard error.
-    #[arg(long, value_enum, default_value_t = Form::Text, global = true)]
-    log: Form,
+    #[arg(long, value_enum, global = true)]
+    log: Option<Form>,
 }
 
 #[derive(Clone, Copy, PartialEq, ValueEnum)]
@@ -34,15 +35,18 @@
 
 #[derive(Args)]
 struct Serve {
-    /// The file that says where the SSE front listens [default: deploy/sse.toml, where it is there].
+    /// The operators' file [default: deploy/mothproxy.txtpb, where it is there].
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    /// A TOML file that says where the SSE front listens, in place of `streams` of the operators' file.
     #[arg(long, value_name = "FILE")]
     sse: Option<PathBuf>,
-    /// Where keyed jobs are noted, so that they survive a crash; without it nothing is.
+    /// Where keyed jobs are noted, so that they survive a crash, in place of `state` of the operators' file.
     #[arg(long, value_name = "DIR")]
     state: Option<PathBuf>,
     /// When notes become durable: always, interval:MS or never.
-    #[arg(long, value_name = "MODE", default_value = "always", value_parser = sync_mode)]
-    state_sync: SyncMode,
+    #[arg(long, value_name = "MODE", requires = "state", value_parser = sync_mode)]
+    state_sync: Option<SyncMode>,
 }
 
 #[derive(Subcommand)]
@@ -51,7 +55,7 @@
     Serve(Serve),
     /// Check a configuration file and change nothing.
     Check {
-        /// The configuration, as GW_CONFIG would name it.
+        /// The configuration, as GW_CONFIG would name it, or an operators' file (*.txtpb).
         file: PathBuf,
     },
     /// Work on a store's directory.
@@ -69,10 +73,22 @@
     }
 }
 
-fn serve(serve: Serve) -> Result<(), NetError> {
+fn serve(serve: Serve, form: Option<Form>) -> Result<(), Failure> {
+    let file = serve.settings.clone().unwrap_or("deploy/mothproxy.txtpb".into());
+    let settings = settings::load(&file, serve.settings.is_some());
+    log::start(form.map_or(settings.as_ref().is_ok_and(|set| set.json_log), |form| form == Form::Json));
+    let settings = settings.map_err(Failure::input)?;
+    run(serve, settings).map_err(Failure::work)
+}
+
+fn run(serve: Serve, settings: Settings) -> Result<(), NetError> {
     let config = Config::load(|name| std::env::var(name).ok())?;
-    let sse = SseConfig::load(&serve.sse.clone().unwrap_or("deploy/sse.toml".into()), serve.sse.is_some())?;
-    let state = serve.state.map(|dir| StateDir { dir, sync: serve.state_sync });
+    let sse = match &serve.sse {
+        Some(file) => SseConfig::load(file, true)?,
+        None => settings.streams,
+    };
+    let sync = serve.state_sync.unwrap_or_default();
+    let state = serve.state.map(|dir| StateDir { dir, sync }).or(settings.state);
     let name = config.name.clone();
     let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     let mut server = Server::open(config, sse, folder.as_deref(), state)?;
@@ -83,6 +99,13 @@
 }
 
 fn check(file: &std::path::Path) -> Result<(), Failure> {
+    if file.extension().is_some_and(|ending| ending == "txtpb") {
+        let set = settings::load(file, true).map_err(Failure::input)?;
+        let on = |on: bool| if on { "on" } else { "off" };
+        let (streams, state) = (on(set.streams.is_some()), on(set.state.is_some()));
+        println!("{}: sound: streams {streams}, state {state}", file.display());
+        return Ok(());
+    }
     let named = |name: &str| (name == "GW_CONFIG").then(|| file.display().to_string());
     let config = Config::load(named).map_err(Failure::input)?;
     println!(
@@ -117,12 +140,14 @@
 /// Reads the command line and does what it says.
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
-    log::start(cli.log == Form::Json);
+    if !matches!(cli.command, None | Some(Sub::Serve(_))) {
+        log::start(cli.log == Some(Form::Json));
+    }
     let done = match cli.command {
         Some(Sub::Check { file }) => check(&file),
         Some(Sub::Store(job)) => store::run(job),
-        Some(Sub::Serve(args)) => serve(args).map_err(Failure::work),
-        None => serve(cli.serve).map_err(Failure::work),
+        Some(Sub::Serve(args)) => serve(args, cli.log),
+        None => serve(cli.serve, cli.log),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/config.rs
+++ b/src/config.rs
@@ -357,7 +357,7 @@
     }
 }
 
-/// The file of the SSE front (`deploy/sse.toml`).
+/// A TOML file of the SSE front alone, where `--sse` names one.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SseConfig {
@@ -409,13 +409,7 @@
         if read.streams_per_tenant == 0 {
             return Err(wrong("streams_per_tenant is not above 0".to_owned()));
         }
-        // What a browser sends as its origin: scheme and host, nothing behind it.
-        let plain = |o: &&String| {
-            o.split_once("://")
-                .is_some_and(|(scheme, host)| !scheme.is_empty() && !host.is_empty() && !host.contains('/'))
-                && o.bytes().all(|b| b.is_ascii_graphic())
-        };
-        if let Some(bad) = read.origins.iter().find(|o| !plain(o)) {
+        if let Some(bad) = read.origins.iter().find(|o| !is_origin(o)) {
             return Err(wrong(format!("origins: {bad:?} is no origin such as https://pay.example")));
         }
         let listen = read.listen.map(|text| address("listen of the SSE front", &text)).transpose()?;
@@ -427,3 +421,10 @@
         }))
     }
 }
+
+/// Whether a text is what a browser sends as its origin: scheme and host, nothing behind it.
+pub(crate) fn is_origin(text: &str) -> bool {
+    let parts = text.split_once("://");
+    parts.is_some_and(|(scheme, host)| !scheme.is_empty() && !host.is_empty() && !host.contains('/'))
+        && text.bytes().all(|b| b.is_ascii_graphic())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod invariant;
 pub mod net;
 pub mod rules;
+pub mod settings;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,63 @@
+//! The operators' file: what it sets, and that each fault is named with file, line and field.
+
+use mothproxy::settings::{load, read};
+use mothproxy_store::SyncMode;
+use std::path::Path;
+
+const WHOLE: &str = r#"# a comment
+streams {
+  listen: "127.0.0.1:8444"
+  heartbeat_ms: 250
+  origins: ["https://pay.example", "http://localhost:3000"]
+  streams_per_tenant: 7
+}
+state { directory: "/var/lib/mothproxy" sync: INTERVAL interval_ms: 20 }
+log { form: JSON }
+"#;
+
+#[test]
+fn what_it_says_counts_and_what_is_absent_is_off() {
+    let set = read(WHOLE, "f").expect("sound");
+    let streams = set.streams.expect("on");
+    assert_eq!((streams.listen.port(), streams.heartbeat, streams.streams_per_tenant), (8444, 250_000, 7));
+    assert_eq!(streams.origins, ["https://pay.example", "http://localhost:3000"]);
+    let state = set.state.expect("on");
+    assert_eq!((state.dir.as_path(), state.sync), (Path::new("/var/lib/mothproxy"), SyncMode::Interval(20)));
+    assert!(set.json_log);
+    let none = read("", "f").expect("sound");
+    assert_eq!((none.streams, none.state, none.json_log), (None, None, false));
+    let shipped = load(Path::new("deploy/mothproxy.txtpb"), true).expect("sound");
+    assert_eq!((shipped.streams, shipped.state, shipped.json_log), (None, None, false), "off as shipped");
+    assert!(load(Path::new("/nowhere.txtpb"), false).expect("not there is off").streams.is_none());
+    assert!(load(Path::new("/nowhere.txtpb"), true).is_err_and(|e| e.to_string().contains("cannot read it")));
+}
+
+#[test]
+fn each_fault_is_named_with_line_and_field() {
+    let cases: [(&str, &[&str]); 9] = [
+        ("streams {\n  lisen: \"x\"\n}\n", &["f:2: ", "lisen"]),
+        (
+            "streams {\n  listen: \"here\"\n  heartbeat_ms: 0\n}\n",
+            &["f:2: streams.listen: \"here\"", "f:3: streams.heartbeat_ms: "],
+        ),
+        ("\n\nstreams {\n  heartbeat_ms: -3\n}\n", &["f:4: "]),
+        (
+            "streams { listen: \"127.0.0.1:1\"\n\n  origins: \"pay.example/x\" }",
+            &["f:3: streams.origins: \"pay.example/x\""],
+        ),
+        ("# heartbeat_ms: 0\nstreams {\n heartbeat_ms: 0 }", &["f:3: streams.heartbeat_ms: "]),
+        (
+            "state {\n  sync: INTERVAL\n  directory: \"/x\"\n}",
+            &["f:2: state.sync: INTERVAL needs interval_ms"],
+        ),
+        ("state {\n  sync: NEVER\n}", &["f:1: state: it has no directory"]),
+        ("state { directory: \"/x\"\n interval_ms: 5 }", &["f:2: state.interval_ms: "]),
+        ("log {\n  form: XML\n}\n", &["f:2: ", "XML"]),
+    ];
+    for (text, named) in cases {
+        let faults = read(text, "f").expect_err(text).to_string();
+        for name in named {
+            assert!(faults.contains(name), "{text:?}: {name:?} is not in {faults:?}");
+        }
+    }
+}
