--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run ci build-proof proof-store
+.PHONY: build test lint run ci build-proof proof-store demo
 
 build:
 	cargo build --locked --release
@@ -25,3 +25,7 @@
 
 proof-store: build-proof
 	target/release/examples/proof_store
+
+# A stand-in fleet, the dispatcher and a small load on loopback, with a page that follows a job.
+demo: build
+	cargo run --locked --release -q -p mothproxy-stand-ins --bin demo
--- a/tests/common/stand_ins.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,8 +1,9 @@
 //! Stand-ins for what surrounds the program: clients, card nodes and discovery, written from the protocol's and
 //! HTTP's public descriptions. All of them listen on loopback at ports that the system picks.
-#![allow(dead_code)]
+#![allow(missing_docs)]
+
+pub mod site;
 
-use super::site;
 use mothproxy::http::{self, Body};
 use serde_json::{Value, json};
 use std::collections::HashSet;
@@ -242,6 +243,21 @@
                     std::thread::sleep(Duration::from_millis(value.parse().expect("a number")));
                     continue;
                 }
+                "tick" => {
+                    // So many progress events, so many milliseconds apart, each telling when it was sent.
+                    let (count, every) = value.split_once(',').expect("COUNT,MS");
+                    let (count, every): (u32, u64) =
+                        (count.parse().expect("a number"), every.parse().expect("a number"));
+                    for _ in 0..count {
+                        std::thread::sleep(Duration::from_millis(every));
+                        let news = json!({"state": "running", "share": stamp()});
+                        let told = if streams { say(&event(&news)) } else { self.call_back(id, news) };
+                        if !told {
+                            return false;
+                        }
+                    }
+                    continue;
+                }
                 "flood" => {
                     // All at once: a client that reads nothing for 2.5 s is given up.
                     let running = |n: u32| json!({"state": "running", "share": f64::from(n % 100) / 100.0});
@@ -292,6 +308,18 @@
     }
 }
 
+/// The present time as a share: microseconds of the present 1,000 s.
+pub fn stamp() -> f64 {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    (unix.as_micros() % 1_000_000_000) as f64 / 1e9
+}
+
+/// Microseconds since such a share was written.
+pub fn since(share: f64) -> u64 {
+    let span = (stamp() - share).rem_euclid(1.0) * 1e9;
+    span as u64
+}
+
 /// A chunk with one event.
 fn event(news: &Value) -> String {
     let state = news["state"].as_str().expect("a state");
@@ -354,6 +382,14 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
+/// Where the program was built: beside this one, or beside the folder of the tests.
+pub fn program() -> PathBuf {
+    let own = std::env::current_exe().expect("this program's own place");
+    let folders = own.ancestors().skip(1).take(2);
+    let found = folders.map(|folder| folder.join("mothproxy")).find(|path| path.is_file());
+    found.expect("the program has been built: cargo build")
+}
+
 /// The program, started over real sockets.
 pub struct Program {
     child: Child,
@@ -414,7 +450,7 @@
     // A test that brings a file of its own for the front is not given another.
     let own = [std::ffi::OsStr::new("--sse"), sse_file.as_os_str()];
     let own = if args.contains(&own[0]) { &[][..] } else { &own[..] };
-    let mut child = Command::new(env!("CARGO_BIN_EXE_mothproxy"))
+    let mut child = Command::new(program())
         .args(own.iter().copied().chain(args.iter().copied()))
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
--- a/tests/common/site.rs
+++ b/crates/stand-ins/src/site.rs
@@ -1,5 +1,4 @@
 //! A small deployment as the real configuration words it.
-#![allow(dead_code)]
 
 use mothproxy::config::{Config, ServerList};
 use serde_json::{Value, json};
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -1,13 +1,8 @@
 //! Clients that send what cannot be read, or nothing, on both fronts: each gets an error or a close, and usual
 //! clients are served beside them.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
+use mothproxy_stand_ins::*;
 use serde_json::json;
-use stand_ins::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -1,12 +1,10 @@
 //! The real configuration: nested JSON under the simulator's names.
 
-#[path = "common/site.rs"]
-mod site;
-
 use mothproxy::config::{Config, SseConfig, SseSettings, flatten};
 use mothproxy::front::platform;
 use mothproxy::http;
 use mothproxy::*;
+use mothproxy_stand_ins::site;
 use serde_json::json;
 
 #[test]
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1,12 +1,7 @@
 //! The second address: readiness, figures and drain, also while callers and clients keep it busy.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
+use mothproxy_stand_ins::*;
 use serde_json::json;
-use stand_ins::*;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,11 +1,9 @@
 //! The core without sockets: exactly one final answer, call-backs in any order, drains, deadlines.
 
-#[path = "common/site.rs"]
-mod site;
-
 use mothproxy::core::keys::Token;
 use mothproxy::core::{Answer, Arrival, Command, Core, Fate, News};
 use mothproxy::*;
+use mothproxy_stand_ins::site;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
 use std::collections::BTreeMap;
--- a/tests/durable.rs
+++ b/tests/durable.rs
@@ -1,13 +1,8 @@
 //! The real program with a state directory: killed at random points under load, upgraded, and with a disk that fails.
 //! `DURABLE_RUNS` says how many times it is killed; `DURABLE_SEED` replays one.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
+use mothproxy_stand_ins::*;
 use serde_json::json;
-use stand_ins::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsStr;
 use std::net::{SocketAddr, TcpStream};
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -1,12 +1,7 @@
 //! Two dispatchers stopping at once: clients are let go only where another one can take them.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
+use mothproxy_stand_ins::*;
 use serde_json::json;
-use stand_ins::*;
 use std::io::Write;
 use std::net::{SocketAddr, UdpSocket};
 
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -1,12 +1,7 @@
 //! SIGHUP: a new configuration under a running program, and signals close together.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
+use mothproxy_stand_ins::*;
 use serde_json::{Value, json};
-use stand_ins::*;
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -1,12 +1,7 @@
 //! The program over real sockets: the platform's front, workers, discovery, bad input, a planned stop.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
+use mothproxy_stand_ins::*;
 use serde_json::json;
-use stand_ins::*;
 use std::io::Write;
 use std::process::Command;
 use std::sync::atomic::Ordering;
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -1,13 +1,8 @@
 //! Progress streams over real sockets, with stand-in clients and card nodes: each job gets exactly one final event.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
 use mothproxy::http::{self, Body, EventStream, StreamEvent};
+use mothproxy_stand_ins::*;
 use serde_json::Value;
-use stand_ins::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -1,12 +1,7 @@
 //! A second process takes over from a running one: no client is turned away, no call-back is lost, no id is open twice.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
+use mothproxy_stand_ins::*;
 use serde_json::json;
-use stand_ins::*;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -1,14 +1,9 @@
 //! Jobs apart from their streams, over real sockets: handing in, resuming, the end, the edges, upgrades, and many at once.
 
-#[path = "common/site.rs"]
-mod site;
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
 use eventsource_stream::Eventsource;
 use mothproxy::http::{self, Body, EventStream, StreamEvent};
+use mothproxy_stand_ins::*;
 use serde_json::json;
-use stand_ins::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
