--- a/crates/stand-ins/src/bin/streams-load.rs
+++ b/crates/stand-ins/src/bin/streams-load.rs
@@ -35,6 +35,9 @@
     /// The seed of the drops.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// All nodes send at the same moments.
+    #[arg(long)]
+    together: bool,
     /// As one JSON object.
     #[arg(long)]
     json: bool,
@@ -145,7 +148,11 @@
     let (sse, pid) = (program.sse.expect("the SSE front is on"), program.pid());
     let jobs = args.jobs.unwrap_or(args.streams).max(1);
     // All begin to send once every stream is open.
-    let body = format!("stream started wait=go tick={},{} done=x", args.events, args.every);
+    // Nodes do not tick together unless they are asked to.
+    let body = |n: usize| {
+        let apart = if args.together { 0 } else { n as u64 * args.every / jobs as u64 };
+        format!("stream started wait=go pause={apart} tick={},{} done=x", args.events, args.every)
+    };
     let places: Vec<String> = std::thread::scope(|scope| {
         let part = |from: usize| {
             let body = &body;
@@ -153,7 +160,7 @@
                 (from..jobs)
                     .step_by(8)
                     .map(|n| {
-                        let text = job(&format!("j{n}"), "redeem", body, "Prefer: respond-async\r\n");
+                        let text = job(&format!("j{n}"), "redeem", &body(n), "Prefer: respond-async\r\n");
                         let reply = send(sse, &text).expect("an answer");
                         assert_eq!(reply.status, 202, "{}", reply.head);
                         (n, reply.field("Location").expect("a place").to_owned())
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -73,11 +73,13 @@
 
 /// What a watcher gets next.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Next {
+pub enum Next<'a> {
     /// This event; the last one where `last` says so.
     Event {
+        /// The job.
+        job: JobId,
         /// The event.
-        event: JobEvent,
+        event: &'a JobEvent,
         /// Nothing comes after it.
         last: bool,
     },
@@ -101,7 +103,7 @@
 }
 
 /// What must be done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Effect {
     /// This watcher has something to pull.
     Wake(WatcherId),
@@ -395,7 +397,7 @@
     }
 
     /// What a watcher gets next; it counts as had.
-    pub fn pull(&mut self, id: WatcherId) -> Next {
+    pub fn pull(&mut self, id: WatcherId) -> Next<'_> {
         let Some(watcher) = self.watchers.get_mut(&id) else { return Next::Nothing };
         let Some(job) = self.jobs.get(&watcher.job) else { return Next::Nothing };
         while watcher.at < job.next {
@@ -425,7 +427,7 @@
                 continue;
             }
             let last = job.last.as_ref().is_some_and(|l| l.id == event.id);
-            return Next::Event { event: event.clone(), last };
+            return Next::Event { job: watcher.job, event, last };
         }
         Next::Nothing
     }
--- a/src/front/watch.rs
+++ b/src/front/watch.rs
@@ -6,6 +6,7 @@
 use crate::http::Piece;
 use mothproxy_streams::{JobEvent, Micros};
 use serde_json::json;
+use std::rc::Rc;
 
 /// Where streams lie.
 pub const PLACE: &str = "/streams/";
@@ -191,11 +192,11 @@
     frame.wrap(format!("retry: {}\n\n", span / 1000).into_bytes())
 }
 
-/// One event.
-pub fn event(frame: Frame, event: &JobEvent) -> Vec<Piece> {
+/// One event, as all its watchers get it.
+pub fn event(frame: Frame, event: &JobEvent) -> Rc<Vec<u8>> {
     let mut bytes = format!("id: {}\n", event.id).into_bytes();
     bytes.extend(crate::http::events::write_event(&event.name, &event.data));
-    frame.wrap(bytes)
+    Rc::new(frame.wrap(bytes).iter().flat_map(|piece| piece.bytes().iter().copied()).collect())
 }
 
 /// So many events are gone. Without an id of its own: a client that comes back does not skip more.
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -462,7 +462,8 @@
             State::Reading if conn.inbox.is_empty() && written => Some(self.now + IDLE),
             State::Reading | State::Chunks { .. } => Some(conn.timer.unwrap_or(self.now + REQUEST_TIME)),
             State::Waiting { stream: Some(stream), .. } if stream.begun => Some(stream.last + heartbeat),
-            State::Watching(held) => Some(held.last + heartbeat),
+            // Set anew only once it is due: an event more does not move it.
+            State::Watching(held) => Some(conn.timer.unwrap_or(held.last + heartbeat)),
             State::Waiting { .. } => None,
         };
         if at != conn.timer {
@@ -586,9 +587,12 @@
                 self.front_settle(token, conn, front);
             }
             State::Watching(held) => {
-                held.last = self.now;
-                if conn.outbox.is_empty() {
-                    conn.outbox.push(watch::heartbeat(held.frame));
+                let every = self.sse.as_ref().map_or(0, |(_, every)| *every);
+                if held.last + every <= self.now {
+                    held.last = self.now;
+                    if conn.outbox.is_empty() {
+                        conn.outbox.push(watch::heartbeat(held.frame));
+                    }
                 }
                 self.front_settle(token, conn, front);
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -480,6 +480,7 @@
                 Command::Due(token) => self.due(Token(token)),
             }
         }
+        self.wake_watchers();
     }
 
     /// Notes that an open session has lost a dispatch with its connection.
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -11,6 +11,7 @@
 use crate::interface::Micros;
 use mothproxy_streams::{Carried, Denied, Effect, JobId, Limits, Next, Relay, WatcherId};
 use std::collections::HashMap;
+use std::rc::Rc;
 
 /// Frontends of sessions that no connection waits for: this and the job's number.
 pub(super) const JOB: u64 = 1 << 63;
@@ -41,6 +42,8 @@
     tokens: HashMap<WatcherId, Token>,
     sweeping: bool,
     effects: Vec<Effect>,
+    /// The event that was worded last: a job's watchers get the same bytes.
+    worded: Option<(JobId, u64, watch::Frame, Rc<Vec<u8>>)>,
     handed_in: u64,
 }
 
@@ -54,6 +57,7 @@
             tokens: HashMap::new(),
             sweeping: false,
             effects: Vec::new(),
+            worded: None,
             handed_in: 0,
         }
     }
@@ -200,9 +204,19 @@
             let pieces = match watching.relay.pull(held.watcher) {
                 Next::Nothing => return,
                 Next::Missed(count) => watch::missed(held.frame, count),
-                Next::Event { event, last: false } => watch::event(held.frame, &event),
-                Next::Event { event, last: true } => {
-                    conn.outbox.push(watch::event(held.frame, &event));
+                Next::Event { job, event, last } => {
+                    let known =
+                        watching.worded.take().filter(|w| (w.0, w.1, w.2) == (job, event.id, held.frame));
+                    let worded =
+                        known.unwrap_or_else(|| (job, event.id, held.frame, watch::event(held.frame, event)));
+                    let piece = Piece::Part(worded.3.clone(), 0..worded.3.len());
+                    watching.worded = Some(worded);
+                    if !last {
+                        held.last = self.now;
+                        conn.outbox.push(vec![piece]);
+                        continue;
+                    }
+                    conn.outbox.push(vec![piece]);
                     conn.outbox.push(held.frame.end());
                     watching.relay.leave(self.now, held.watcher);
                     watching.tokens.remove(&held.watcher);
@@ -242,7 +256,6 @@
                 watching.relay.publish(job, "progress", data, true, effects);
             }
         }
-        self.wake_watchers();
     }
 
     /// A job without a connection of its own has its final answer.
@@ -252,13 +265,16 @@
         watching.sessions.remove(&job);
         let (name, data) = watch::final_event(answer);
         watching.relay.finish(now, job, name, data, &mut watching.effects);
-        self.wake_watchers();
         self.sweep_later();
     }
 
-    fn wake_watchers(&mut self) {
-        let Some(watching) = &mut self.watch_jobs else { return };
-        for effect in std::mem::take(&mut watching.effects) {
+    /// Once a turn: a watcher whose job got on several times meanwhile is woken once, and pulls the newest progress.
+    pub(super) fn wake_watchers(&mut self) {
+        let Some(watching) = self.watch_jobs.as_mut().filter(|w| !w.effects.is_empty()) else { return };
+        let mut effects = std::mem::take(&mut watching.effects);
+        effects.sort_unstable();
+        effects.dedup();
+        for effect in effects {
             let Some(watching) = &mut self.watch_jobs else { return };
             match effect {
                 Effect::Wake(watcher) => {
