--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run ci build-proof proof-store demo
+.PHONY: build test lint run ci build-proof proof-store proof-sse demo
 
 build:
 	cargo build --locked --release
@@ -17,15 +17,18 @@
 ci:
 	bash .ci/run
 
-# The store's proof, reduced, in under 50 s; building comes first and does not count.
+# Proofs, reduced, each in under 50 s and ending in one JSON line; building comes first and does not count.
 build-proof:
-	cargo build --locked --release
+	cargo build --locked --release --workspace
 	cargo test --locked --release --workspace --no-run
-	cargo build --locked --release --example proof_store
+	cargo build --locked --release --examples
 
 proof-store: build-proof
 	target/release/examples/proof_store
 
+proof-sse: build-proof
+	target/release/examples/proof_sse
+
 # A stand-in fleet, the dispatcher and a small load on loopback, with a page that follows a job.
 demo: build
 	cargo run --locked --release -q -p mothproxy-stand-ins --bin demo
--- a/examples/proof_store.rs
+++ b/examples/proof_store.rs
@@ -1,27 +1,13 @@
 //! The store's proof, reduced (`make proof-store`): histories, cuts and flips, killed processes, figures beside the raw disk.
 //! Ends in one JSON line; the exit code is not 0 where a part fails. What it runs must have been built (`make build-proof`).
 
+mod common;
+
+use common::part;
 use serde_json::{Map, Value, json};
-use std::process::{Command, ExitCode};
+use std::process::ExitCode;
 use std::time::Instant;
 
-/// Runs a command; its output, or `None` after showing it where it failed.
-fn part(name: &str, vars: &[(&str, &str)], words: &[&str]) -> Option<String> {
-    let run = Command::new(words[0]).args(&words[1..]).envs(vars.iter().copied()).output();
-    let (held, text) = match run {
-        Ok(done) => {
-            let both = [done.stdout, done.stderr].concat();
-            (done.status.success(), String::from_utf8_lossy(&both).into_owned())
-        }
-        Err(error) => (false, error.to_string()),
-    };
-    println!("{name}: {}", if held { "held" } else { "FAILED" });
-    if !held {
-        println!("{text}");
-    }
-    held.then_some(text)
-}
-
 /// The number between two texts, where they are found.
 fn number(text: &str, before: &str, after: &str) -> Option<u64> {
     let start = text.find(before)? + before.len();
