One piece of code where the change had two: handed sessions, chunks, splitmix

Need: a second read of the change. src/net/watch.rs worded a handed-over session and its bytes again beside handover.rs, sse.rs framed chunks and heartbeats beside watch.rs, and the simulated disk had the engine's splitmix64. Change: HandedSession::new and ::request, Frame::wrap and engine::spread serve both. Behaviour stays.

--- a/crates/store/src/engine.rs
+++ b/crates/store/src/engine.rs
@@ -447,7 +447,7 @@
 }
 
 /// One round of splitmix64.
-fn spread(x: u64) -> u64 {
+pub(crate) fn spread(x: u64) -> u64 {
     let mut z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/store/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -22,11 +22,9 @@
 
     /// The next number.
     pub fn roll(&mut self) -> u64 {
+        let rolled = crate::engine::spread(self.0);
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
+        rolled
     }
 
     /// Below `n`.
--- a/src/front/sse.rs
+++ b/src/front/sse.rs
@@ -2,6 +2,7 @@
 //! final event.
 
 use super::platform;
+use super::watch::Frame;
 use crate::core::Answer;
 use crate::http::{Piece, events::write_event};
 use serde_json::json;
@@ -22,7 +23,7 @@
 
 /// Bytes of the stream as one chunk.
 fn chunk(bytes: Vec<u8>) -> Vec<Piece> {
-    vec![format!("{:x}\r\n", bytes.len()).into(), Piece::Made(bytes), "\r\n".into()]
+    Frame::Chunked.wrap(bytes)
 }
 
 /// The job has started.
@@ -37,7 +38,7 @@
 
 /// A comment that keeps the stream alive.
 pub fn heartbeat() -> Vec<Piece> {
-    chunk(b": alive\n\n".to_vec())
+    super::watch::heartbeat(Frame::Chunked)
 }
 
 /// The final event and the end of the stream.
--- a/src/front/watch.rs
+++ b/src/front/watch.rs
@@ -158,7 +158,7 @@
 }
 
 impl Frame {
-    fn wrap(self, bytes: Vec<u8>) -> Vec<Piece> {
+    pub(super) fn wrap(self, bytes: Vec<u8>) -> Vec<Piece> {
         match self {
             Frame::Chunked => {
                 vec![format!("{:x}\r\n", bytes.len()).into(), Piece::Made(bytes), "\r\n".into()]
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -92,6 +92,27 @@
     pub body: Option<usize>,
 }
 
+impl HandedSession {
+    /// A session with its request, which goes behind it in the packet.
+    pub fn new(
+        moved: Moved,
+        request: &Raw,
+        keep_alive: bool,
+        stream: Option<bool>,
+        broken: bool,
+    ) -> HandedSession {
+        let apart = !matches!(request.body, Piece::Part(..));
+        let body = apart.then(|| request.body.bytes().len());
+        HandedSession { moved, keep_alive, stream, broken, bytes: request.bytes.len(), body }
+    }
+
+    /// The bytes of that request, as [`split`] reads them.
+    pub fn request(raw: &Raw) -> impl Iterator<Item = &[u8]> {
+        let apart = !matches!(raw.body, Piece::Part(..));
+        std::iter::once(raw.bytes.as_slice()).chain(apart.then(|| raw.body.bytes()))
+    }
+}
+
 /// The socket where the next version asks for what this one has.
 pub(super) struct Home(OwnedFd);
 
@@ -406,18 +427,13 @@
             let Some(moved) = self.core.release(session) else {
                 return self.put(token, conn, Role::Front(front));
             };
-            let body =
-                if let Piece::Part(..) = &request.body { None } else { Some(request.body.bytes().len()) };
             let (keep_alive, stream) = front.answers_how();
-            let (broken, bytes) = (self.broken.contains(&session), request.bytes.len());
-            handed.session = Some(HandedSession { moved, keep_alive, stream, broken, bytes, body });
+            let broken = self.broken.contains(&session);
+            handed.session = Some(HandedSession::new(moved, &request, keep_alive, stream, broken));
             raw = Some(request);
         }
         let mut bytes: Vec<&[u8]> = Vec::new();
-        if let Some(raw) = &raw {
-            bytes.push(&raw.bytes);
-            bytes.extend(Some(raw.body.bytes()).filter(|_| !matches!(raw.body, Piece::Part(..))));
-        }
+        bytes.extend(raw.iter().flat_map(HandedSession::request));
         bytes.push(&conn.inbox);
         let note = Note::Front(handed);
         let fd = conn.stream.as_fd();
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -328,21 +328,15 @@
                 }
                 let Some(request) = self.requests.get(&session).cloned() else { continue };
                 let Some(moved) = self.core.release(session) else { continue };
-                let (broken, bytes) = (self.broken.contains(&session), request.bytes.len());
-                let body =
-                    if let Piece::Part(..) = &request.body { None } else { Some(request.body.bytes().len()) };
-                handed = Some(HandedSession { moved, keep_alive: false, stream: None, broken, bytes, body });
+                let broken = self.broken.contains(&session);
+                handed = Some(HandedSession::new(moved, &request, false, None, broken));
                 raw = Some(request);
             }
             self.dismiss(job);
             let Some(watching) = &mut self.watch_jobs else { return };
             let Some(carried) = watching.relay.carry(job) else { continue };
             watching.sessions.remove(&job);
-            let mut bytes: Vec<&[u8]> = Vec::new();
-            if let Some(raw) = &raw {
-                bytes.push(&raw.bytes);
-                bytes.extend(Some(raw.body.bytes()).filter(|_| !matches!(raw.body, Piece::Part(..))));
-            }
+            let bytes: Vec<&[u8]> = raw.iter().flat_map(HandedSession::request).collect();
             let note = Note::Job(HandedJob { job: carried, session: handed });
             let sent = self.send_twin(&note, &bytes);
             if let Some(session) = session {
