In a crowd of dispatchers: fewer probes and looks, no blind sends, doubt until a probe

Ruled out: discovery (the list came 4.4 s late to all alike), CPU (10 ms a second at most), descriptors (58 of 384). A blind send (rank Unknown) was the rule where probes had found all full: 34 of 100 jobs.

Lines at fault: pick() ranked what was never probed before what is full; review() sent to shunned workers once holding had not helped; sign() cleared all distrust at a start; enter() ignored err_rps; SAMPLE and HOLD_LOOKS did not know how many look; warm_enough() let a turn pass only jobs smaller than a 100th share (redeems never).

Change, all for more than ten nodes where probes are allowed (CROWD): two probes and five looks; only what a probe has shown is sent to; one that failed needs a sign of life; reports of errors count as failures; ties by lot. A turn on a cold worker is for one job at least. avoided() moved to state.rs: it is a figure, no decision.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,9 +15,9 @@
 const RULE_BASE: [[u8; 3]; 3] = [[5, 4, 2], [4, 3, 1], [2, 1, 0]];
 /// Scores this close are a tie: report noise is as large. Another zone costs a job as much.
 const TIE: f64 = 0.1;
-/// Workers ranked for a job, half of them from the own zone, and workers probed for it at a time.
+/// Workers ranked for a job, half of them from the own zone, and workers probed for it at a time (in a crowd).
 const RANKED: usize = 32;
-const SAMPLE: usize = 4;
+const SAMPLE: [usize; 2] = [4, 2];
 /// A failure counts as an answer so many times slower than expected.
 const LONG_ANSWER: f64 = 8.0;
 /// Distrust doubles with each strike in a row, up to this many doublings of the window.
@@ -28,16 +28,15 @@
 const QUEUED: Micros = 20_000;
 /// Copies of a job out at once, at most.
 const COPIES: usize = 2;
-/// A job is copied once it has waited unstarted for this part of its slack: a cancel may stop nothing, and
-/// then a copy costs as much as a job.
+/// A job is copied once it has waited unstarted for this part of its slack: a copy may cost as much again.
 const COPY_PART: f64 = 0.5;
 /// Bounces after which a job's further attempts are spread over its slack.
 const QUICK_TRIES: usize = 2;
 /// A job of unknown size is taken for this part of its class's mean: most are smaller than the mean.
 const TYPICAL_PART: f64 = 0.3;
-/// A job is held for this part of its slack, looking again this many times, before it queues.
+/// A job is held for this part of its slack, looking again this many times (in a crowd), before it queues.
 const HOLD_PART: f64 = 0.7;
-const HOLD_LOOKS: u64 = 16;
+const HOLD_LOOKS: [u64; 2] = [16, 5];
 /// Part of the cold budget that all nodes together plan to use: a window may touch two turns.
 const COLD_SAFETY: f64 = 0.5;
 /// A turn on a cold worker is as large as this many mean jobs.
@@ -50,11 +49,15 @@
 /// did not tell any more counts as told a few seconds later.
 const MOVED_ASK: Micros = 200_000;
 const MOVED_FOR: Micros = 5_000_000;
+/// A worker that reports more errors a second than this, and more than it can have served, fails what it is sent.
+const MOST_ERRORS: f64 = 1.0;
+/// More nodes than this are a crowd: one knows little of a worker, and what all do at once is much.
+const CROWD: u32 = 10;
 const ROSTER_ALARM: u64 = 0; // and job n has alarm 1 + n
 
 /// The decision module of one node.
 pub struct Dispatcher {
-    set: Settings,
+    pub(crate) set: Settings,
     rng: fastrand::Rng,
     pub(crate) m: Memory,
 }
@@ -131,14 +134,9 @@
         }
     }
 
-    /// How many listed workers get no work now: those that drain or start no connection or job of ours.
-    pub fn avoided(&self, now: Micros) -> usize {
-        let cut = |zone| self.m.zones.get(&zone).is_some_and(|z| now < z.until);
-        let struck = |w: &Worker| w.trust.strikes > 0 && now < w.trust.until;
-        let avoids = |w: &Worker, k: RosterEntry| {
-            k.status != Status::Ready || struck(w) || (k.zone != self.set.zone && cut(k.zone))
-        };
-        self.m.workers.iter().filter(|w| w.known.is_some_and(|k| avoids(w, k))).count()
+    /// Whether so many nodes send that each must reckon with the others; where probes tell what it cannot see.
+    fn crowd(&self) -> bool {
+        self.set.may_probe && self.set.nodes > CROWD
     }
 
     fn class(&self, job: &Job) -> &Class {
@@ -310,18 +308,17 @@
         if out == 0 && self.probe_sample(id, acts) {
             return;
         }
+        // A full one only once holding has not helped; in a crowd never one that may be dead.
+        let crowd = self.crowd();
+        let queue = |rank| queue && rank != Rank::TooLong && (rank == Rank::Full || !crowd);
+        let may = |rank| rank == Rank::Fresh || out == 0 && (rank == Rank::Unknown || queue(rank));
         match self.pick(id) {
-            Some((rank, worker))
-                if rank == Rank::Fresh
-                    || (out == 0 && (rank == Rank::Unknown || (queue && rank != Rank::TooLong))) =>
-            {
-                self.send(id, worker, rank, acts) // a full one only once holding has not helped
-            }
+            Some((rank, worker)) if may(rank) => self.send(id, worker, rank, acts),
             _ => {
                 // Nothing has room: the job waits here, and then for a report that shows some. The wait also
                 // guards against probes that fail at once being asked again without end.
-                let wait = if slack > 0 { slack } else { left } / HOLD_LOOKS;
-                let until = self.m.now + wait.max(self.window() / HOLD_LOOKS);
+                let span = if slack > 0 { slack } else { left }.max(self.window());
+                let until = self.m.now + span / HOLD_LOOKS[usize::from(crowd)];
                 if let Some(job) = self.m.jobs.get_mut(&id).filter(|_| out == 0) {
                     (job.wait_until, job.sample) = (until, Vec::new());
                     self.m.hold(id);
@@ -345,10 +342,12 @@
             return false;
         }
         let mut pool = self.candidates(id);
+        pool.retain(|w| !self.crowd() || self.m.now >= self.m.at(*w).trust.until);
         self.rng.shuffle(&mut pool);
         pool.sort_by_key(|w| self.m.at(*w).known.is_some_and(|k| k.zone != self.set.zone));
-        pool.truncate(SAMPLE);
-        let stale: Vec<WorkerId> = pool.iter().copied().filter(|w| !self.fresh(*w)).collect();
+        pool.truncate(SAMPLE[usize::from(self.crowd())]);
+        let stale: Vec<WorkerId> =
+            pool.iter().copied().filter(|w| self.m.fresh(*w, self.window()).is_none()).collect();
         for &worker in &stale {
             let state = self.m.worker(worker);
             state.askers.push(id);
@@ -395,10 +394,6 @@
             as Micros
     }
 
-    fn fresh(&self, worker: WorkerId) -> bool {
-        self.m.at(worker).entry.as_ref().is_some_and(|e| self.m.now <= e.at + self.window())
-    }
-
     /// The worker's inputs (CPU, second input, free slots): its entry, charged with own grants that the
     /// report cannot show yet, or every node would keep sending to one top score until it moves.
     fn inputs(&self, worker: &Worker, entry: &Entry, kind: KindId) -> (f64, f64, f64) {
@@ -422,7 +417,8 @@
         let mut ranked: Vec<(Rank, f64, f64, WorkerId)> = Vec::new();
         let mut lowest_cpu = f64::INFINITY;
         let slack = self.latest_start(job).saturating_sub(self.m.now) as f64;
-        let asked = self.set.may_probe && self.m.tells_queue && !self.movable(job);
+        let (crowd, tells) = (self.crowd(), self.m.tells_queue);
+        let asked = crowd || self.set.may_probe && tells && !self.movable(job);
         let unseen = if asked { Rank::Unprobed } else { Rank::Unknown };
         // What only one kind can run comes first there: to other jobs it offers what that leaves.
         let spare = |k: KindId| (1.0 - self.m.bound_share(&self.set.classes, k)).clamp(LEAST_SPARE, 1.0);
@@ -436,14 +432,16 @@
             let jammed = worker.out.iter().any(|o| !o.started && self.m.now > o.at + due);
             let zone = self.m.zones.get(&known.zone).map_or(0, |z| z.until);
             let barred = self.m.now < worker.trust.until;
+            // In a crowd, one that failed must show that it lives before it gets work again.
+            let doubted = jammed || crowd && worker.heard <= worker.trust.since;
             let shunned =
-                if worker.trust.strikes > 0 { barred || jammed } else { barred && !self.set.may_probe };
+                if worker.trust.strikes > 0 { barred || doubted } else { barred && !self.set.may_probe };
             let away = known.zone != self.set.zone;
             let spare = spares.iter().find(|s| s.0 == known.kind).map_or(1.0, |s| s.1);
             let luck = -(1.0 - self.rng.f64()).ln();
             let held: f64 = worker.out.iter().map(|o| o.slots).sum();
             let soonest = slowness * (1.0 + held);
-            let entry = worker.entry.as_ref().filter(|e| self.m.now <= e.at + self.window());
+            let entry = self.m.fresh(candidate, self.window());
             let (rank, by, then) = match entry {
                 _ if shunned || away && self.m.now < zone => (Rank::Shunned, soonest, luck),
                 _ if barred || jammed => (Rank::TooLong, soonest, luck),
@@ -457,7 +455,7 @@
                     } else {
                         lowest_cpu = lowest_cpu.min(entry.cpu);
                         let score = (capability(cpu, load) * spare / TIE).round() - f64::from(u8::from(away));
-                        (Rank::Fresh, -score, slowness)
+                        (Rank::Fresh, -score, if crowd { luck * slowness } else { slowness })
                     }
                 }
                 // A cold worker whose turn it is has room: it reads as half loaded.
@@ -499,7 +497,9 @@
         let turns = ((budget / (COLD_GRANT * self.m.mean_work())) as u64).clamp(1, nodes);
         let (epoch, me) = (age / window, u64::from(self.set.me));
         let place = (me + known.tag % nodes + epoch % nodes * (nodes / 2 + 1)) % nodes;
-        place < turns && worker.cold_sent(epoch) + work <= budget / turns as f64
+        let sent = worker.cold_sent(epoch);
+        // A turn is for one job at least: where a share is smaller than a job, nobody would send any.
+        place < turns && (sent == 0.0 || sent + work <= budget / turns as f64)
     }
 
     fn send(&mut self, id: JobId, to: WorkerId, rank: Rank, acts: &mut Vec<Action>) {
@@ -522,7 +522,7 @@
 
     /// A job runs: its worker is trusted again, and its other attempts are called off.
     fn sign(&mut self, id: JobId, attempt: u32, acts: &mut Vec<Action>) {
-        let (now, window) = (self.m.now, self.window());
+        let (now, window, crowd) = (self.m.now, self.window(), self.crowd());
         let Some(job) = self.m.jobs.get_mut(&id) else { return };
         let this = job.attempts.get_mut(attempt as usize).filter(|a| a.state == State::Out);
         let Some(this) = this else { return };
@@ -530,7 +530,8 @@
         let (waited, worker) = ((now - this.at) as f64, &mut self.m.workers[this.worker.0 as usize]);
         // One that waited in a queue says that the worker is full: the next would queue for as long again.
         let queued = if waited > QUEUED as f64 { waited.min(window as f64) as Micros } else { 0 };
-        worker.trust = Trust { strikes: 0, until: now + queued };
+        let strikes = if crowd { worker.trust.strikes } else { 0 }; // there it may fail all that it starts
+        worker.trust = Trust { strikes, until: now + queued, ..worker.trust };
         worker.heard = now;
         worker.out.iter_mut().filter(|o| o.is(id, attempt)).for_each(|o| o.started = true);
         // A running quartile of the wait: three steps down for one up.
@@ -583,7 +584,7 @@
                 self.m.class_work[class].add(took);
                 self.m.learn(worker, (took / work).min(LONG_ANSWER));
                 let state = self.m.worker(worker);
-                state.trust = Trust { strikes: state.trust.strikes / 2, until: 0 };
+                state.trust = Trust { strikes: state.trust.strikes / 2, until: 0, ..state.trust };
                 zone.map(|z| self.m.zones.remove(&z));
             }
             // A bounce is newer than any report: the worker is left alone for a window, without a strike.
@@ -656,9 +657,13 @@
         let Report { free_slots, waiting, free_memory: memory, .. } = report.clean();
         // Noise aside, slots are whole: 0.96 free is one.
         let (cpu, free) = (report.clean().cpu.unwrap_or(0.5), free_slots.map(f64::round));
-        let (at, worker) = (self.m.now, self.m.worker(id));
-        let known = worker.known;
-        if let Some(last) = worker.entry.replace(Entry { at, cpu, free, waiting, memory }) {
+        let (at, known) = (self.m.now, self.m.at(id).known);
+        let slots = known.map_or(1.0, |k| self.m.slots(k.kind));
+        let served = (cpu * slots / self.m.mean_work() * 1e6).max(MOST_ERRORS);
+        if self.crowd() && report.clean().err_rps.is_some_and(|errors| errors > served) {
+            return self.strike(id);
+        }
+        if let Some(last) = self.m.worker(id).entry.replace(Entry { at, cpu, free, waiting, memory }) {
             let step = (at - last.at) as f64 - self.m.report_interval;
             self.m.report_interval += step * if step < 0.0 { 0.1 } else { 0.01 };
         }
@@ -677,6 +682,6 @@
 }
 
 fn strike(trust: &mut Trust, now: Micros, window: Micros) {
-    trust.until = now + (window << trust.strikes);
+    (trust.since, trust.until) = (now, now + (window << trust.strikes));
     trust.strikes = (trust.strikes + 1).min(MOST_STRIKES);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,10 +52,12 @@
     }
 }
 
-/// How often a worker or zone has failed in a row, and until when it is left alone.
+/// How often a worker or zone has failed in a row, when it did last, and until when it is left alone.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Trust {
     pub strikes: u32,
+    #[serde(default)]
+    pub since: Micros,
     pub until: Micros,
 }
 
@@ -221,6 +223,11 @@
         &self.workers[id.0 as usize]
     }
 
+    /// The worker's entry, if it is not older than this.
+    pub fn fresh(&self, id: WorkerId, window: Micros) -> Option<&Entry> {
+        self.at(id).entry.as_ref().filter(|e| self.now <= e.at + window)
+    }
+
     /// Lists the ready workers anew.
     pub fn index(&mut self, zone: ZoneId, cold_time: Micros) {
         let ready = self.workers.iter().filter_map(|w| w.known.filter(|k| k.status == Status::Ready));
@@ -368,6 +375,16 @@
 }
 
 impl Dispatcher {
+    /// How many listed workers get no work now: those that drain or start no connection or job of ours.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let cut = |zone| self.m.zones.get(&zone).is_some_and(|z| now < z.until);
+        let struck = |w: &Worker| w.trust.strikes > 0 && now < w.trust.until;
+        let avoids = |w: &Worker, k: RosterEntry| {
+            k.status != Status::Ready || struck(w) || (k.zone != self.set.zone && cut(k.zone))
+        };
+        self.m.workers.iter().filter(|w| w.known.is_some_and(|k| avoids(w, k))).count()
+    }
+
     /// What was learned of one class holds for another one too.
     pub fn liken(&mut self, class: usize, to: usize) {
         self.m.class_work[class] = self.m.class_work[to];
@@ -407,8 +424,9 @@
             let LearnedWorker { entry, granted_cpu, slow, trust, heard, cold } = worker;
             let own = m.worker(*id);
             own.entry = entry.map(|e| Entry { at: here(e.at), ..e });
-            own.trust = Trust { until: if trust.until > 0 { here(trust.until) } else { 0 }, ..trust };
-            own.heard = if heard > 0 { here(heard) } else { 0 };
+            let here = |at: Micros| if at > 0 { here(at) } else { 0 };
+            own.trust = Trust { until: here(trust.until), since: here(trust.since), ..trust };
+            own.heard = here(heard);
             (own.granted_cpu, own.slow, own.cold) = (granted_cpu, slow, cold);
         }
         let kind = |n: u16| places.kinds.get(usize::from(n)).copied().flatten();
