Dispatchers in groups of ten tell each other what they have out at their part of the workers

Seen: reports are a second old, and 99 others act on the same one.

Lines at fault: pick() and inputs() in rules.rs knew a worker only by its report and by this node's own grants, which at this size are one hundredth of all.

Change: src/share.rs groups nodes by number, deals the workers out to the groups and keeps what the mates say; the ranking takes the group's workers as its sample and their work as inputs; others are probed where these are full. A cold worker has room by its age.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -145,8 +145,8 @@
     },
     /// Ask a worker for its load.
     Probe(WorkerId),
-    /// Send bytes to the other dispatchers.
-    Peers(Vec<u8>),
+    /// Send bytes to another dispatcher, by its number.
+    Peer(u32, Vec<u8>),
     /// Subscribe to changes of the server table.
     Watch,
     /// Ask for the whole table once.
@@ -772,7 +772,7 @@
             }
             Action::SetAlarm(id, after) => self.deadlines.set(now + after.max(1), Deadline::Alarm(id)),
             Action::Probe(worker) => self.commands.push_back(Command::Probe(worker)),
-            Action::Tell(bytes) => self.commands.push_back(Command::Peers(bytes)),
+            Action::Tell { to, bytes } => self.commands.push_back(Command::Peer(to, bytes)),
             Action::Watch => self.commands.push_back(Command::Watch),
             Action::Fetch => self.commands.push_back(Command::Fetch),
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -549,8 +549,13 @@
     SetAlarm(AlarmId, Micros),
     /// Ask a worker for its load.
     Probe(WorkerId),
-    /// Send bytes (256 at most) to all other nodes; they may be lost.
-    Tell(Vec<u8>),
+    /// Send bytes (256 at most) to another node; they may be lost.
+    Tell {
+        /// Its number.
+        to: u32,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
     /// Subscribe to changes of the roster; one roster event or failure answers.
     Watch,
     /// Ask once for the whole roster; one roster event or failure answers.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod net;
 pub mod rules;
 pub mod settings;
+mod share;
 mod state;
 pub mod wire;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -462,7 +462,7 @@
                 }
                 Command::Tell { frontend, share } => self.tell(Token(frontend), share),
                 Command::Probe(worker) => self.probe(worker),
-                Command::Peers(bytes) => self.tell_peers(&bytes),
+                Command::Peer(to, bytes) => self.tell_peer(to, &bytes),
                 // One that a change of discovery has begun already is as good.
                 Command::Watch if self.watch.is_some() => {}
                 Command::Watch => self.call(true),
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -13,9 +13,19 @@
 /// time so long after.
 const REPEATS: u32 = 4;
 const REPEAT_AFTER: Micros = 150_000;
+/// In a larger fleet not all others stop at once: nothing that these say is worth a datagram to each of them.
+const MOST_PEERS: usize = 16;
 
 impl Server {
-    pub(super) fn tell_peers(&mut self, bytes: &[u8]) {
+    /// The module's own, to one of the others.
+    pub(super) fn tell_peer(&self, to: u32, bytes: &[u8]) {
+        let to = self.config.peers.get(to as usize).filter(|_| bytes.len() <= MOST && !self.handed);
+        if let Some((socket, to)) = self.peers.as_ref().zip(to) {
+            drop(socket.send_to(bytes, to));
+        }
+    }
+
+    fn tell_peers(&mut self, bytes: &[u8]) {
         // During an upgrade the younger process speaks for both.
         let Some(socket) = self.peers.as_ref().filter(|_| bytes.len() <= MOST && !self.handed) else {
             return;
@@ -33,19 +43,23 @@
 
     /// Says whether this dispatcher serves or stops, now and a few times more.
     pub(super) fn tell_state(&mut self) {
-        if self.peers.is_some() && self.config.settings.may_tell {
+        if self.peers.is_some() && self.config.settings.may_tell && self.tells_all() {
             self.state_repeats = REPEATS;
             self.tell_state_once();
         }
     }
 
+    fn tells_all(&self) -> bool {
+        self.config.peers.len() <= MOST_PEERS
+    }
+
     fn tell_state_once(&mut self) {
         self.tell_peers(&[if self.takes_leave() { STOPPING } else { SERVING }]);
         self.core.remind(self.now + REPEAT_AFTER, PEER_TIMER);
     }
 
     pub(super) fn tell_state_again(&mut self) {
-        if self.stopping.is_some() || self.state_repeats > 0 {
+        if (self.stopping.is_some() && self.tells_all()) || self.state_repeats > 0 {
             self.state_repeats = self.state_repeats.saturating_sub(1);
             self.tell_state_once();
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,10 +1,11 @@
-//! Every decision of the dispatcher. Its interface (settings, events, actions, ids) is src/interface.rs;
-//! src/state.rs has the types of what it remembers.
+//! Every decision of the dispatcher. Its interface is src/interface.rs; src/state.rs has what it remembers,
+//! src/share.rs what the nodes of a group tell each other.
 //!
 //! The ordinary path: reports become stamped entries; a job goes to the worker with the best fresh fuzzy
 //! capability, then to an unknown one, then, where all are full, to the one that answers soonest.
 
 use crate::interface::*;
+use crate::share::TELL_ALARM;
 use crate::state::*;
 
 /// The paper's freshness window, its ratio to the report interval, and how many times it may grow.
@@ -15,7 +16,7 @@
 const RULE_BASE: [[u8; 3]; 3] = [[5, 4, 2], [4, 3, 1], [2, 1, 0]];
 /// Scores this close are a tie: report noise is as large. Another zone costs a job as much.
 const TIE: f64 = 0.1;
-/// Workers ranked for a job, half of them from the own zone, and workers probed for it at a time (in a crowd).
+/// Workers ranked for a job, half of the own zone, and workers probed for it at a time (in a group).
 const RANKED: usize = 32;
 const SAMPLE: [usize; 2] = [4, 2];
 /// A failure counts as an answer so many times slower than expected.
@@ -34,7 +35,7 @@
 const QUICK_TRIES: usize = 2;
 /// A job of unknown size is taken for this part of its class's mean: most are smaller than the mean.
 const TYPICAL_PART: f64 = 0.3;
-/// A job is held for this part of its slack, looking again this many times (in a crowd), before it queues.
+/// A job is held for this part of its slack, looking again this many times (in a group), before it queues.
 const HOLD_PART: f64 = 0.7;
 const HOLD_LOOKS: [u64; 2] = [16, 5];
 /// Part of the cold budget that all nodes together plan to use: a window may touch two turns.
@@ -45,14 +46,11 @@
 const LEAST_SPARE: f64 = 0.1;
 /// A worker of another zone whose load is not known counts as this many times as busy.
 const AWAY: f64 = 4.0;
-/// A service of the roster that has just taken over is asked again this soon, for this long: what the old one
-/// did not tell any more counts as told a few seconds later.
+/// A service of the roster that has just taken over is asked again this soon, for this long.
 const MOVED_ASK: Micros = 200_000;
 const MOVED_FOR: Micros = 5_000_000;
-/// A worker that reports more errors a second than this, and more than it can have served, fails what it is sent.
+/// A worker that reports more errors a second than this, and more than it can have served, is failing.
 const MOST_ERRORS: f64 = 1.0;
-/// More nodes than this are a crowd: one knows little of a worker, and what all do at once is much.
-const CROWD: u32 = 10;
 const ROSTER_ALARM: u64 = 0; // and job n has alarm 1 + n
 
 /// The decision module of one node.
@@ -79,13 +77,7 @@
     /// An instance that knows nothing yet; `seed` settles all its random choices.
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
-        let m = Memory {
-            class_work: vec![Mean::default(); set.classes.len()],
-            class_sum: vec![(0.0, 0.0); set.classes.len()],
-            report_interval: PAPER_WINDOW / WINDOW_PER_INTERVAL,
-            sign_after: 4.0 * set.tick as f64,
-            ..Memory::default()
-        };
+        let m = Memory::of(&set, PAPER_WINDOW / WINDOW_PER_INTERVAL);
         Ok(Dispatcher { rng: fastrand::Rng::with_seed(seed), set, m })
     }
 
@@ -95,8 +87,7 @@
         if set.classes.len() < self.set.classes.len() {
             return Err(SettingsError::ClassGone);
         }
-        self.m.class_work.resize(set.classes.len(), Mean::default());
-        self.m.class_sum.resize(set.classes.len(), (0.0, 0.0));
+        self.m.refit(&set);
         self.set = set;
         self.m.index(self.set.zone, self.set.cold_time);
         Ok(())
@@ -128,15 +119,12 @@
             }
             Event::HungUp(job) => self.close(job, acts),
             Event::Alarm(AlarmId(ROSTER_ALARM)) => acts.push(Action::Watch),
+            Event::Alarm(AlarmId(TELL_ALARM)) => self.m.tell(acts),
             Event::Alarm(AlarmId(id)) => self.review(JobId(id - 1), acts),
             Event::Probed(echo) => self.probed(echo, acts),
-            Event::Mail { .. } => {}
+            Event::Mail { from, bytes } => self.m.share.hear(self.m.now, from, &bytes),
         }
-    }
-
-    /// Whether so many nodes send that each must reckon with the others; where probes tell what it cannot see.
-    fn crowd(&self) -> bool {
-        self.set.may_probe && self.set.nodes > CROWD
+        self.m.share.tell_soon(acts);
     }
 
     fn class(&self, job: &Job) -> &Class {
@@ -305,12 +293,14 @@
                 return;
             }
         }
-        if out == 0 && self.probe_sample(id, acts) {
+        // Others are probed only where the group's own workers have no room.
+        let grouped = self.m.share.on();
+        let own = grouped && self.pick(id).is_some_and(|(rank, _)| rank == Rank::Fresh);
+        if out == 0 && !own && self.probe_sample(id, acts) {
             return;
         }
-        // A full one only once holding has not helped; in a crowd never one that may be dead.
-        let crowd = self.crowd();
-        let queue = |rank| queue && rank != Rank::TooLong && (rank == Rank::Full || !crowd);
+        // A full one only once holding has not helped; in a group never one that may be dead.
+        let queue = |rank| queue && rank != Rank::TooLong && (rank == Rank::Full || !grouped);
         let may = |rank| rank == Rank::Fresh || out == 0 && (rank == Rank::Unknown || queue(rank));
         match self.pick(id) {
             Some((rank, worker)) if may(rank) => self.send(id, worker, rank, acts),
@@ -318,7 +308,7 @@
                 // Nothing has room: the job waits here, and then for a report that shows some. The wait also
                 // guards against probes that fail at once being asked again without end.
                 let span = if slack > 0 { slack } else { left }.max(self.window());
-                let until = self.m.now + span / HOLD_LOOKS[usize::from(crowd)];
+                let until = self.m.now + span / HOLD_LOOKS[usize::from(grouped)];
                 if let Some(job) = self.m.jobs.get_mut(&id).filter(|_| out == 0) {
                     (job.wait_until, job.sample) = (until, Vec::new());
                     self.m.hold(id);
@@ -341,11 +331,11 @@
         if !self.set.may_probe || self.m.jobs.get(&id).is_none_or(|j| !j.sample.is_empty()) {
             return false;
         }
-        let mut pool = self.candidates(id);
-        pool.retain(|w| !self.crowd() || self.m.now >= self.m.at(*w).trust.until);
+        let mut pool = self.candidates(id, true);
+        pool.retain(|w| !self.m.share.on() || self.m.now >= self.m.at(*w).trust.until);
         self.rng.shuffle(&mut pool);
         pool.sort_by_key(|w| self.m.at(*w).known.is_some_and(|k| k.zone != self.set.zone));
-        pool.truncate(SAMPLE[usize::from(self.crowd())]);
+        pool.truncate(SAMPLE[usize::from(self.m.share.on())]);
         let stale: Vec<WorkerId> =
             pool.iter().copied().filter(|w| self.m.fresh(*w, self.window()).is_none()).collect();
         for &worker in &stale {
@@ -363,10 +353,12 @@
         !stale.is_empty()
     }
 
-    /// Workers to rank for a job: its sample, cold ones whose turn it is, and some at random, home first.
-    fn candidates(&mut self, id: JobId) -> Vec<WorkerId> {
-        let mut pool = self.m.cold.clone();
-        for list in [&self.m.home, &self.m.ready] {
+    /// Workers to rank for a job: its sample and the group's; without a group, or for a `wide` look, cold ones
+    /// whose turn it is and some at random, home first.
+    fn candidates(&mut self, id: JobId, wide: bool) -> Vec<WorkerId> {
+        let mut pool: Vec<WorkerId> = self.m.share.workers().collect();
+        let lists = [&self.m.cold, &self.m.home, &self.m.ready];
+        for list in lists.into_iter().filter(|_| wide || !self.m.share.on()) {
             match list.len() <= RANKED / 2 {
                 true => pool.extend(list),
                 false => pool.extend((0..RANKED / 2).map(|_| list[self.rng.usize(..list.len())])),
@@ -394,31 +386,39 @@
             as Micros
     }
 
-    /// The worker's inputs (CPU, second input, free slots): its entry, charged with own grants that the
-    /// report cannot show yet, or every node would keep sending to one top score until it moves.
-    fn inputs(&self, worker: &Worker, entry: &Entry, kind: KindId) -> (f64, f64, f64) {
-        let slots = self.m.slots(kind).max(1.0);
+    /// The worker's inputs (CPU, second input, free slots), if it is known: what the group has out at one of its
+    /// own; else its fresh entry, charged with own grants that the report cannot show yet, or every node would
+    /// keep sending to one top score until it moves.
+    fn inputs(&self, worker: &Worker, known: &RosterEntry) -> Option<(f64, f64, f64)> {
+        let slots = self.m.slots(known.kind).max(1.0);
+        if let Some(mates) = self.m.share.load(known, self.m.now) {
+            let grown = known.started_at.map_or(1.0, |at| self.grown(self.m.now.saturating_sub(at)));
+            let (out, room) = (mates + worker.held(), (slots * grown).max(1.0));
+            return Some((out / room, out / room, (room - out).floor()));
+        }
+        let entry = self.m.fresh(known.worker, self.window())?;
         let since = entry.at.saturating_sub(self.window());
         let unseen: f64 = worker.out.iter().filter(|o| o.at >= since).map(|o| o.slots).sum();
         let cpu = (entry.cpu + unseen / slots).min(1.0);
-        match (entry.free, entry.waiting) {
+        let endless = if entry.cpu < 1.0 { f64::INFINITY } else { 0.0 };
+        Some(match (entry.free, entry.waiting) {
             (Some(free), _) => (cpu, 1.0 - (free - unseen) / slots, free - unseen),
-            (None, Some(waiting)) => (cpu, (waiting + unseen) / (waiting + unseen + slots), f64::INFINITY),
-            _ => (cpu, 0.5, f64::INFINITY),
-        }
+            (None, Some(waiting)) => (cpu, (waiting + unseen) / (waiting + unseen + slots), endless),
+            _ => (cpu, 0.5, endless),
+        })
     }
 
     /// The worker that wins the job, and whether it may have room.
     fn pick(&mut self, id: JobId) -> Option<(Rank, WorkerId)> {
-        let pool = self.candidates(id);
+        let pool = self.candidates(id, false);
         let job = self.m.jobs.get(&id)?;
         let (needs, memory) = (job.new.slots, job.new.memory);
         let due = self.sign_due(job.work).min(if self.set.tells_start { QUEUED } else { Micros::MAX });
         let mut ranked: Vec<(Rank, f64, f64, WorkerId)> = Vec::new();
         let mut lowest_cpu = f64::INFINITY;
         let slack = self.latest_start(job).saturating_sub(self.m.now) as f64;
-        let (crowd, tells) = (self.crowd(), self.m.tells_queue);
-        let asked = crowd || self.set.may_probe && tells && !self.movable(job);
+        let (grouped, tells) = (self.m.share.on(), self.m.tells_queue);
+        let asked = grouped || self.set.may_probe && tells && !self.movable(job);
         let unseen = if asked { Rank::Unprobed } else { Rank::Unknown };
         // What only one kind can run comes first there: to other jobs it offers what that leaves.
         let spare = |k: KindId| (1.0 - self.m.bound_share(&self.set.classes, k)).clamp(LEAST_SPARE, 1.0);
@@ -432,30 +432,30 @@
             let jammed = worker.out.iter().any(|o| !o.started && self.m.now > o.at + due);
             let zone = self.m.zones.get(&known.zone).map_or(0, |z| z.until);
             let barred = self.m.now < worker.trust.until;
-            // In a crowd, one that failed must show that it lives before it gets work again.
-            let doubted = jammed || crowd && worker.heard <= worker.trust.since;
+            // In a group, one that failed must show that it lives before it gets work again.
+            let doubted = jammed || grouped && worker.heard <= worker.trust.since;
             let shunned =
                 if worker.trust.strikes > 0 { barred || doubted } else { barred && !self.set.may_probe };
             let away = known.zone != self.set.zone;
             let spare = spares.iter().find(|s| s.0 == known.kind).map_or(1.0, |s| s.1);
             let luck = -(1.0 - self.rng.f64()).ln();
-            let held: f64 = worker.out.iter().map(|o| o.slots).sum();
+            let held = worker.held();
             let soonest = slowness * (1.0 + held);
             let entry = self.m.fresh(candidate, self.window());
-            let (rank, by, then) = match entry {
+            let (rank, by, then) = match self.inputs(worker, &known) {
                 _ if shunned || away && self.m.now < zone => (Rank::Shunned, soonest, luck),
                 _ if barred || jammed => (Rank::TooLong, soonest, luck),
-                Some(entry) => {
-                    let (cpu, load, free) = self.inputs(worker, entry, known.kind);
-                    let short = memory.is_some_and(|m| entry.memory.is_some_and(|have| have < m));
-                    if (entry.free.is_none() && entry.cpu >= 1.0) || free < needs || short {
-                        let behind = entry.waiting.unwrap_or(0.0) + held + 1.0;
+                Some((cpu, load, free)) => {
+                    let short = memory.zip(entry.and_then(|e| e.memory)).is_some_and(|(m, have)| have < m);
+                    if free < needs || short {
+                        let ahead = held.max(-free); // of the group, or only of this node
+                        let behind = entry.and_then(|e| e.waiting).unwrap_or(0.0) + ahead + 1.0;
                         let wait = behind * self.m.mean_work() * slowness / self.m.slots(known.kind);
                         (if wait * OVERDUE > slack { Rank::TooLong } else { Rank::Full }, soonest, luck)
                     } else {
-                        lowest_cpu = lowest_cpu.min(entry.cpu);
+                        lowest_cpu = entry.map_or(lowest_cpu, |e| lowest_cpu.min(e.cpu));
                         let score = (capability(cpu, load) * spare / TIE).round() - f64::from(u8::from(away));
-                        (Rank::Fresh, -score, if crowd { luck * slowness } else { slowness })
+                        (Rank::Fresh, -score, if grouped { luck * slowness } else { slowness })
                     }
                 }
                 // A cold worker whose turn it is has room: it reads as half loaded.
@@ -480,18 +480,25 @@
         Some((wins.0, wins.3))
     }
 
+    /// The part of its capacity that a worker has at least, this long after its start.
+    fn grown(&self, age: Micros) -> f64 {
+        self.set.cold_from + (1.0 - self.set.cold_from) * (age as f64 / self.set.cold_time as f64).min(1.0)
+    }
+
     /// Cold starts: all nodes keep within the fleet's budget without a message. Each stretch of the fall
     /// window belongs to as many nodes, in turn by number, as the budget a window ago held jobs; or to none.
+    /// In a group each of its nodes has one job at most there, and all together what it can run.
     fn warm_enough(&self, worker: &Worker, known: &RosterEntry, work: f64) -> bool {
         if self.m.is_warm(known, self.set.cold_time) {
             return true;
+        } else if self.m.share.on() {
+            let room = self.inputs(worker, known).is_some_and(|(_, _, free)| free >= 1.0);
+            return room && worker.out.is_empty() && self.m.share.load(known, self.m.now).is_some();
         }
-        let age = self.m.now.saturating_sub(known.started_at.unwrap_or(0));
-        let grown = age.saturating_sub(self.set.fall_window) as f64 / self.set.cold_time as f64;
-        let share = self.set.cold_from + (1.0 - self.set.cold_from) * grown;
+        let (age, window) = (self.m.now.saturating_sub(known.started_at.unwrap_or(0)), self.set.fall_window);
+        let grown = self.grown(age.saturating_sub(window)) * self.set.fall_multiple * COLD_SAFETY;
         let capacity = self.m.slots(known.kind) / self.m.slowness(worker, known).max(1.0);
-        let window = self.set.fall_window.max(1);
-        let budget = self.set.fall_multiple * share * capacity * window as f64 * COLD_SAFETY;
+        let (budget, window) = (grown * capacity * window as f64, window.max(1));
         let nodes = u64::from(self.set.nodes);
         // One order for all jobs and windows: with an order for each size, every size had a turn of its own.
         let turns = ((budget / (COLD_GRANT * self.m.mean_work())) as u64).clamp(1, nodes);
@@ -508,13 +515,12 @@
         let (attempt, slots, work, cold) = (job.sent(), job.new.slots, job.work, job.cold_work);
         job.attempts.push(Attempt::new(to, now, rank));
         let worker = self.m.worker(to);
-        worker.out.push(Out { job: id, attempt, at: now, slots, started: false });
         worker.granted_cpu = worker.entry.as_ref().map(|e| e.cpu);
         if let Some(started) = worker.known.and_then(|k| k.started_at) {
             let epoch = now.saturating_sub(started) / window;
             worker.cold = (epoch, worker.cold_sent(epoch) + cold);
         }
-        self.m.last_grant = Some(to);
+        self.m.grant(to, Out { job: id, attempt, at: now, slots, started: false });
         self.m.held.retain(|h| *h != id);
         acts.push(Action::Send { job: id, worker: to, limit: None });
         self.alarm(id, now + self.sign_due(work), acts);
@@ -522,7 +528,7 @@
 
     /// A job runs: its worker is trusted again, and its other attempts are called off.
     fn sign(&mut self, id: JobId, attempt: u32, acts: &mut Vec<Action>) {
-        let (now, window, crowd) = (self.m.now, self.window(), self.crowd());
+        let (now, window, grouped) = (self.m.now, self.window(), self.m.share.on());
         let Some(job) = self.m.jobs.get_mut(&id) else { return };
         let this = job.attempts.get_mut(attempt as usize).filter(|a| a.state == State::Out);
         let Some(this) = this else { return };
@@ -530,17 +536,15 @@
         let (waited, worker) = ((now - this.at) as f64, &mut self.m.workers[this.worker.0 as usize]);
         // One that waited in a queue says that the worker is full: the next would queue for as long again.
         let queued = if waited > QUEUED as f64 { waited.min(window as f64) as Micros } else { 0 };
-        let strikes = if crowd { worker.trust.strikes } else { 0 }; // there it may fail all that it starts
+        let strikes = if grouped { worker.trust.strikes } else { 0 }; // there it may fail all that it starts
         worker.trust = Trust { strikes, until: now + queued, ..worker.trust };
         worker.heard = now;
         worker.out.iter_mut().filter(|o| o.is(id, attempt)).for_each(|o| o.started = true);
-        // A running quartile of the wait: three steps down for one up.
-        self.m.sign_after *= if waited < self.m.sign_after { 0.85 } else { 1.05 };
-        self.m.sign_after = self.m.sign_after.max(self.set.tick as f64);
         let others = job.attempts.iter().enumerate().filter(|(_, a)| a.state == State::Out);
         for (n, _) in others.filter(|_| self.set.may_cancel && !job.closed) {
             acts.push(Action::Cancel { job: id, attempt: n as u32 });
         }
+        self.m.learn_wait(waited, self.set.tick as f64);
         self.wake_held(acts);
     }
 
@@ -573,7 +577,7 @@
         this.state = if outcome.never_ran() { State::NeverRan } else { State::MayHaveRun };
         let bounces = job.bounces();
         let (work, class) = (job.work, usize::from(job.new.class.0));
-        self.m.worker(worker).out.retain(|o| !o.is(id, attempt));
+        self.m.returned(worker, id, attempt);
         let zone = self.m.worker(worker).known.map(|k| k.zone);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             self.m.worker(worker).heard = now;
@@ -660,17 +664,11 @@
         let (at, known) = (self.m.now, self.m.at(id).known);
         let slots = known.map_or(1.0, |k| self.m.slots(k.kind));
         let served = (cpu * slots / self.m.mean_work() * 1e6).max(MOST_ERRORS);
-        if self.crowd() && report.clean().err_rps.is_some_and(|errors| errors > served) {
+        if self.m.share.on() && report.clean().err_rps.is_some_and(|errors| errors > served) {
             return self.strike(id);
         }
-        if let Some(last) = self.m.worker(id).entry.replace(Entry { at, cpu, free, waiting, memory }) {
-            let step = (at - last.at) as f64 - self.m.report_interval;
-            self.m.report_interval += step * if step < 0.0 { 0.1 } else { 0.01 };
-        }
-        self.m.tells_queue |= waiting.is_some();
-        let (Some(known), Some(free)) = (known, free) else { return };
-        let most = self.m.kind_slots.entry(known.kind).or_insert(1.0);
-        *most = most.max(free);
+        self.m.store(id, Entry { at, cpu, free, waiting, memory });
+        let Some(free) = free.filter(|_| known.is_some()) else { return };
         // Where reports come only in answers, one that shows room is for the oldest job that waits here.
         let oldest = self.m.held.first().copied().filter(|_| free >= 1.0 && !self.set.may_probe);
         if let Some(job) = oldest.and_then(|id| self.m.jobs.get_mut(&id)) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use crate::rules::Dispatcher;
+use crate::share::Share;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -81,6 +82,11 @@
 }
 
 impl Worker {
+    /// The slots that own attempts take or wait for there.
+    pub fn held(&self) -> f64 {
+        self.out.iter().map(|o| o.slots).sum()
+    }
+
     pub fn cold_sent(&self, epoch: u64) -> f64 {
         if self.cold.0 == epoch { self.cold.1 } else { 0.0 }
     }
@@ -179,6 +185,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Memory {
     pub now: Micros,
+    /// What the nodes of its group have told it.
+    pub share: Share,
     pub workers: Vec<Worker>,
     /// Ready workers: those of the own zone, all of them, and those not warm yet.
     pub home: Vec<WorkerId>,
@@ -209,6 +217,21 @@
 }
 
 impl Memory {
+    /// One that knows nothing yet, but for a guess at the time between reports.
+    pub fn of(set: &Settings, report_interval: f64) -> Memory {
+        let (sign_after, share) = (4.0 * set.tick as f64, Share::of(set));
+        let mut new = Memory { report_interval, sign_after, share, ..Memory::default() };
+        new.refit(set);
+        new
+    }
+
+    /// Makes room for these settings' classes, and for their group of nodes if it is another.
+    pub fn refit(&mut self, set: &Settings) {
+        self.class_work.resize(set.classes.len(), Mean::default());
+        self.class_sum.resize(set.classes.len(), (0.0, 0.0));
+        self.share.regroup(set);
+    }
+
     /// Observations of its like that a worker's or kind's own record is blended with.
     const PRIOR: f64 = 3.0;
 
@@ -237,6 +260,7 @@
         self.home = ids(&|k| k.zone == zone);
         self.cold = ids(&|k| k.started_at.is_some_and(|s| now < s.saturating_add(cold_time)));
         self.ready = ids(&|_| true);
+        self.share.deal(&ready.collect::<Vec<_>>());
     }
 
     /// Counts a job in and returns its class's mean work.
@@ -246,6 +270,13 @@
         *sum / *count
     }
 
+    /// Own work that is out at the group's workers: their tags and the slots it takes.
+    pub fn shared_out(&self) -> Vec<(u64, f64)> {
+        let held =
+            |w: WorkerId| self.at(w).known.map(|k| self.at(w).out.iter().map(move |o| (k.tag, o.slots)));
+        self.share.workers().filter_map(held).flatten().collect()
+    }
+
     pub fn mean_work(&self) -> f64 {
         let (sum, count) = self.class_sum.iter().fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
         (sum / f64::max(count, 1.0)).max(1.0)
@@ -273,6 +304,7 @@
             let worker = self.worker(worker);
             if past.out {
                 worker.out.push(Out { job: id, attempt, at, slots, started });
+                self.share.news = true;
             }
         }
     }
@@ -283,7 +315,45 @@
         let Some(this) = job.attempts.get_mut(attempt as usize) else { return };
         this.state = State::NeverRan;
         let worker = this.worker;
-        self.worker(worker).out.retain(|o| !o.is(id, attempt));
+        self.returned(worker, id, attempt);
+    }
+
+    /// A worker is granted an attempt.
+    pub fn grant(&mut self, to: WorkerId, out: Out) {
+        self.worker(to).out.push(out);
+        (self.last_grant, self.share.news) = (Some(to), true);
+    }
+
+    /// A worker has no more to do with an attempt.
+    pub fn returned(&mut self, worker: WorkerId, job: JobId, attempt: u32) {
+        self.worker(worker).out.retain(|o| !o.is(job, attempt));
+        self.share.news = true;
+    }
+
+    /// Tells the group what is out, if there is news of it or it is to be said again.
+    pub fn tell(&mut self, acts: &mut Vec<Action>) {
+        let (now, out) = (self.now, self.shared_out());
+        self.share.tell(now, out, acts);
+    }
+
+    /// A running quartile of the wait for a start: three steps down for one up.
+    pub fn learn_wait(&mut self, waited: f64, least: f64) {
+        self.sign_after *= if waited < self.sign_after { 0.85 } else { 1.05 };
+        self.sign_after = self.sign_after.max(least);
+    }
+
+    /// Stores a worker's stamped entry; the time since the one before, and the free slots, are learned from.
+    pub fn store(&mut self, id: WorkerId, entry: Entry) {
+        let Entry { at, free, waiting, .. } = entry;
+        self.tells_queue |= waiting.is_some();
+        if let Some(last) = self.worker(id).entry.replace(entry) {
+            let step = (at - last.at) as f64 - self.report_interval;
+            self.report_interval += step * if step < 0.0 { 0.1 } else { 0.01 };
+        }
+        if let Some((known, free)) = self.worker(id).known.zip(free) {
+            let most = self.kind_slots.entry(known.kind).or_insert(1.0);
+            *most = most.max(free);
+        }
     }
 
     /// Drops a job that is over and has nothing out.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -575,9 +575,9 @@
             Action::Probe(worker) => {
                 writeln!(out, "inspect\tExecutor={}", self.worker_names[worker.0 as usize])
             }
-            Action::Tell(bytes) => {
+            Action::Tell { to, bytes } => {
                 let hex = bytes.iter().fold(String::new(), |hex, b| hex + &format!("{b:02x}"));
-                writeln!(out, "notify\tWhom=all\tBlob={}", if hex.is_empty() { "-" } else { &hex })
+                writeln!(out, "notify\tWhom={to}\tBlob={}", if hex.is_empty() { "-" } else { &hex })
             }
             Action::Watch => writeln!(out, "stream_changes\tWant=1"),
             Action::Fetch => writeln!(out, "reload"),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,25 +4,22 @@
 mod common;
 use common::*;
 use mothproxy::*;
+use std::collections::{BTreeMap, BTreeSet};
 
 const NODES: u32 = 100;
+const WORKERS: u32 = 60;
+const SLOTS: f64 = 4.0;
 
-fn settings(me: u32) -> Settings {
+fn settings(me: u32, may_tell: bool) -> Settings {
     let class = Class { aim: 250 * MS, deadline: 7_500 * MS, ..class(Effect::Pure) };
-    Settings {
-        me,
-        nodes: NODES,
-        classes: vec![class],
-        may_probe: true,
-        tells_start: true,
-        ..Settings::default()
-    }
+    let base = Settings { may_probe: true, tells_start: true, ..Settings::default() };
+    Settings { me, nodes: NODES, classes: vec![class], may_tell, ..base }
 }
 
-/// A node of a crowd that knows so many workers.
-fn node(workers: u32) -> Node {
-    let mut node = Node::new(settings(7));
-    node.roster((0..workers).map(worker).collect());
+/// A node whose group has this worker and no other.
+fn node() -> Node {
+    let mut node = Node::new(Settings { nodes: 10, ..settings(7, true) });
+    node.roster(vec![worker(0)]);
     node
 }
 
@@ -30,25 +27,166 @@
     Some(Report { cpu: Some(cpu), free_slots: Some(free), err_rps: Some(errors), ..Report::default() })
 }
 
+fn tells(actions: &[Action]) -> Vec<(u32, Vec<u8>)> {
+    let tell = |a: &Action| match a {
+        Action::Tell { to, bytes } => Some((*to, bytes.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(tell).collect()
+}
+
+/// All nodes over all workers, with jobs that run for a while and datagrams that arrive at once.
+struct Fleet {
+    nodes: Vec<Node>,
+    running: BTreeMap<u32, Vec<(u32, u64)>>,
+    most: usize,
+    told: usize,
+    probed: BTreeSet<WorkerId>,
+}
+
+impl Fleet {
+    fn new(may_tell: bool) -> Fleet {
+        let mut nodes: Vec<Node> = (0..NODES).map(|me| Node::new(settings(me, may_tell))).collect();
+        for node in &mut nodes {
+            node.roster((0..WORKERS).map(worker).collect());
+            node.report(0, 0.0, SLOTS); // workers of this kind have four slots
+        }
+        Fleet { nodes, running: BTreeMap::new(), most: 0, told: 0, probed: BTreeSet::new() }
+    }
+
+    /// Does what one node wants done: probes answer that all is idle, as reports do that are older than the work.
+    fn act(&mut self, from: u32, actions: Vec<Action>) {
+        for (job, to) in sends(&actions) {
+            let there = self.running.entry(to.0).or_default();
+            there.push((from, job));
+            self.most = self.most.max(there.len());
+            let started = self.nodes[from as usize].feed(Event::Started { job: JobId(job), attempt: 0 });
+            self.act(from, started);
+        }
+        for worker in probes(&actions) {
+            self.probed.insert(worker);
+            let echo = self.nodes[from as usize].echo(worker.0, Outcome::Ok, report(0.0, SLOTS, 0.0));
+            self.act(from, echo);
+        }
+        for (to, bytes) in tells(&actions) {
+            self.told += 1;
+            let heard = self.nodes[to as usize].feed(Event::Mail { from, bytes });
+            self.act(to, heard);
+        }
+    }
+
+    fn pass(&mut self, span: Micros) {
+        for n in 0..NODES {
+            let actions = self.nodes[n as usize].pass(span);
+            self.act(n, actions);
+        }
+    }
+
+    /// The oldest job of a worker ends.
+    fn end(&mut self, worker: u32) {
+        if let Some(there) = self.running.get_mut(&worker).filter(|there| !there.is_empty()) {
+            let (node, job) = there.remove(0);
+            let actions = self.nodes[node as usize].end(job, 0, WorkerId(worker), Outcome::Ok);
+            self.act(node, actions);
+        }
+    }
+
+    /// Two jobs for each node, one node after the other, 3 ms apart.
+    fn fill(&mut self) {
+        for n in 0..2 * NODES {
+            let actions = self.nodes[(n % NODES) as usize].arrive(u64::from(n), 0, 7_000 * MS);
+            self.act(n % NODES, actions);
+            self.pass(3 * MS);
+        }
+    }
+}
+
+/// All took the same worker on the same old report: 33 jobs in 1.5 s to one with five slots, and none to its like.
+#[test]
+fn a_group_knows_what_its_nodes_have_out() {
+    let mut fleet = Fleet::new(true);
+    fleet.fill();
+    let used = fleet.running.values().filter(|there| !there.is_empty()).count();
+    assert!(fleet.most <= SLOTS as usize, "{} jobs at once on one worker", fleet.most);
+    assert!(used > 50, "200 jobs went to {used} of 60 workers");
+    // Two jobs begin at each node and none ends: two messages to each of nine mates.
+    assert!(fleet.told <= 2 * 100 * 9, "{} messages", fleet.told);
+    // What has ended is known as soon.
+    (0..WORKERS).for_each(|w| (0..4).for_each(|_| fleet.end(w)));
+    fleet.pass(3 * MS);
+    fleet.fill();
+    assert!(fleet.most <= SLOTS as usize, "{} jobs at once on one worker", fleet.most);
+}
+
+/// The measure for the test above: without messages the same reports pile the same jobs up.
+#[test]
+fn without_messages_reports_pile_work_up() {
+    let mut fleet = Fleet::new(false);
+    fleet.fill();
+    assert!(fleet.most > SLOTS as usize, "{} jobs at once on one worker", fleet.most);
+}
+
+#[test]
+fn a_message_that_is_not_understood_says_nothing() {
+    let mut node = node();
+    node.report(0, 0.0, 1.0);
+    for (from, bytes) in
+        [(3, vec![]), (3, vec![9; 300]), (3, b"W".to_vec()), (3, vec![b'W', 0, 0, 1]), (999, vec![b'W'])]
+    {
+        assert!(node.feed(Event::Mail { from, bytes }).is_empty());
+    }
+    assert_eq!(sends(&node.arrive(1, 0, 5_000 * MS)).len(), 1);
+}
+
+/// What a mate that died had out is forgotten; one that lives says it again.
+#[test]
+fn what_a_mate_has_said_is_said_again_or_forgotten() {
+    let mut sender = Node::new(Settings { nodes: 10, ..settings(3, true) });
+    let mut node = node();
+    for n in [&mut sender, &mut node] {
+        n.roster(vec![worker(0)]);
+        n.report(0, 0.0, 1.0); // a single slot
+    }
+    sender.arrive(1, 0, 60_000 * MS);
+    let first = tells(&sender.pass(10 * MS));
+    let mine = |told: &[(u32, Vec<u8>)]| told.iter().find(|t| t.0 == 7).map(|t| t.1.clone());
+    let bytes = mine(&first).expect("it is told");
+    assert!(bytes.len() <= 16, "a longer datagram has a higher price: {bytes:?}");
+    node.feed(Event::Mail { from: 3, bytes });
+    node.arrive(1, 0, 60_000 * MS);
+    let sent = sends(&node.pass(100 * MS));
+    assert!(sent.is_empty(), "the only slot is taken: {sent:?}");
+    sender.feed(Event::Started { job: JobId(1), attempt: 0 });
+    assert!(mine(&tells(&sender.pass(2_500 * MS))).is_some(), "it is said again");
+    node.pass(5_000 * MS);
+    assert!(!sends(&node.arrive(2, 0, 5_000 * MS)).is_empty(), "the mate has been silent for too long");
+}
+
 /// Each job was sent blindly where its probes found nothing free: most of what 100 dispatchers sent queued.
 #[test]
-fn a_crowd_sends_nothing_to_workers_that_it_has_not_probed() {
-    let mut node = node(60);
-    let asked = probes(&node.arrive(1, 0, 5_000 * MS));
+fn where_the_group_has_no_room_two_others_are_probed_and_none_is_guessed_at() {
+    let mut node = Node::new(settings(7, true));
+    node.roster((0..WORKERS).map(worker).collect());
+    let mut asked = Vec::new();
+    for job in 0..20 {
+        asked = probes(&node.arrive(job, 0, 5_000 * MS));
+        if !asked.is_empty() {
+            break;
+        }
+    }
     assert!(!asked.is_empty() && asked.len() <= 2, "{asked:?}");
     let mut actions = Vec::new();
     for worker in asked {
         actions.extend(node.echo(worker.0, Outcome::Ok, report(1.0, 0.0, 0.0)));
     }
-    assert!(sends(&actions).is_empty(), "58 workers are unknown, and none is guessed at: {actions:?}");
+    assert!(sends(&actions).is_empty(), "{actions:?}");
 }
 
 /// 160 connections a second were refused by workers that every dispatcher had to find dead by itself, again and again.
 #[test]
 fn a_worker_that_failed_gets_nothing_before_it_has_shown_life() {
-    let mut node = node(1);
-    node.arrive(1, 0, 5_000 * MS);
-    let to = sends(&node.echo(0, Outcome::Ok, report(0.1, 4.0, 0.0)))[0].1;
+    let mut node = node();
+    let to = sends(&node.arrive(1, 0, 5_000 * MS))[0].1;
     let mut again = node.end(1, 0, to, Outcome::ConnectFailed);
     again.extend(node.pass(2_000 * MS));
     again.extend(node.arrive(2, 0, 5_000 * MS));
@@ -59,32 +197,47 @@
 /// A worker that fails what it is sent within milliseconds looks idle: 160 jobs a second went to seven of them.
 #[test]
 fn a_worker_that_reports_errors_counts_as_failing() {
-    let mut node = node(1);
-    node.arrive(1, 0, 5_000 * MS);
-    assert!(sends(&node.echo(0, Outcome::Ok, report(0.4, 4.0, 20.0))).is_empty());
+    let mut node = node();
+    node.arrive(0, 0, 5_000 * MS);
+    node.end(0, 0, WorkerId(0), Outcome::Ok);
+    node.echo(0, Outcome::Ok, report(0.4, 4.0, 20.0));
+    assert!(sends(&node.arrive(1, 0, 5_000 * MS)).is_empty());
     node.pass(6_000 * MS);
     node.arrive(2, 0, 5_000 * MS);
     assert!(!sends(&node.echo(0, Outcome::Ok, report(0.4, 4.0, 0.0))).is_empty(), "it has stopped failing");
 }
 
-/// A fair share of a cold worker's budget was smaller than a large job: such jobs never went to one.
+/// Without a group: a fair share of a cold worker's budget was smaller than a large job, and no node ever sent one.
 #[test]
 fn a_share_smaller_than_a_job_still_lets_a_job_through() {
     let (cold, warm) = (RosterEntry { started_at: Some(1_000 * MS), ..worker(0) }, worker(1));
     let mut taken = 0;
     for me in 0..NODES {
-        let mut node = Node::new(settings(me));
+        let mut node = Node::new(settings(me, false));
         node.roster(vec![cold, warm]);
         // Small jobs, so that a large one is far above the mean.
         for job in 0..10 {
             node.arrive_sized(job, 0, 5_000 * MS, 100 * MS);
             node.feed(Event::HungUp(JobId(job)));
         }
-        node.report(1, 0.5, 4.0); // workers of this kind have four slots
+        node.report(1, 0.5, SLOTS); // workers of this kind have four slots
         node.report(1, 1.0, 0.0);
         node.arrive_sized(10, 0, 5_000 * MS, 2_000 * MS);
-        taken += sends(&node.echo(0, Outcome::Ok, report(0.0, 4.0, 0.0))).len();
+        taken += sends(&node.echo(0, Outcome::Ok, report(0.0, SLOTS, 0.0))).len();
     }
     assert!(taken > 0, "no node of {NODES} may send a large job to a cold worker");
     assert!(taken < 10, "{taken} nodes do at once");
 }
+
+/// In a group: all nodes want a cold worker at once, and together send no more than it can run.
+#[test]
+fn a_group_fills_a_cold_worker_no_further_than_it_can_run() {
+    let mut fleet = Fleet::new(true);
+    let cold = |w| RosterEntry { started_at: Some(900 * MS), ..worker(w) };
+    for node in &mut fleet.nodes {
+        node.roster((0..WORKERS).map(cold).collect());
+    }
+    fleet.fill();
+    assert!(!fleet.running.is_empty());
+    assert!(fleet.most <= 2, "{} jobs on one worker at two fifths of its capacity", fleet.most);
+}
