--- a/src/rules.rs
+++ b/src/rules.rs
@@ -353,8 +353,8 @@
         !stale.is_empty()
     }
 
-    /// Workers to rank for a job: its sample and the group's; without a group, or for a `wide` look, cold ones
-    /// whose turn it is and some at random, home first.
+    /// Workers to rank for a job: its sample and the group's; without a group, or for a `wide` look, cold
+    /// ones whose turn it is and some at random, home first.
     fn candidates(&mut self, id: JobId, wide: bool) -> Vec<WorkerId> {
         let mut pool: Vec<WorkerId> = self.m.share.workers().collect();
         let lists = [&self.m.cold, &self.m.home, &self.m.ready];
@@ -386,9 +386,9 @@
             as Micros
     }
 
-    /// The worker's inputs (CPU, second input, free slots), if it is known: what the group has out at one of its
-    /// own; else its fresh entry, charged with own grants that the report cannot show yet, or every node would
-    /// keep sending to one top score until it moves.
+    /// The worker's inputs (CPU, second input, free slots), if it is known: what the group has out at one of
+    /// its own; else its fresh entry, charged with own grants that the report cannot show yet, or every node
+    /// would keep sending to one top score until it moves.
     fn inputs(&self, worker: &Worker, known: &RosterEntry) -> Option<(f64, f64, f64)> {
         let slots = self.m.slots(known.kind).max(1.0);
         if let Some(mates) = self.m.share.load(known, self.m.now) {
