A cold worker's room in a group is the planned part of its fall budget, up to its slots

Runs on cold workers take 1.8 times as long at first and as long as on warm ones after 4 s, no matter whether one or four jobs run there (durations by age and number running, from the logs): cold costs speed, not slots.

Line at fault: inputs() in rules.rs gave a cold worker its grown share of the slots; the rule allows 4 times its capacity, of which the plan is to use half (COLD_SAFETY).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -392,8 +392,10 @@
     fn inputs(&self, worker: &Worker, known: &RosterEntry) -> Option<(f64, f64, f64)> {
         let slots = self.m.slots(known.kind).max(1.0);
         if let Some(mates) = self.m.share.load(known, self.m.now) {
-            let grown = known.started_at.map_or(1.0, |at| self.grown(self.m.now.saturating_sub(at)));
-            let (out, room) = (mates + worker.held(), (slots * grown).max(1.0));
+            let age = known.started_at.map_or(self.set.cold_time, |at| self.m.now.saturating_sub(at));
+            let planned = if age < self.set.cold_time { self.set.fall_multiple * COLD_SAFETY } else { 1.0 };
+            let room = slots * (planned * self.grown(age)).min(1.0);
+            let (out, room) = (mates + worker.held(), room.max(1.0));
             return Some((out / room, out / room, (room - out).floor()));
         }
         let entry = self.m.fresh(known.worker, self.window())?;
