A group that is full is lent slots by other groups, instead of probing their workers

Line at fault: review() had probe_sample() ask workers of other groups, whose reports are a second old.

Change: share.rs carries wishes, offers and what a guest has out; rules.rs decides which worker is lent (lend) and which job an offer is for (wake_held).

The test without the bench gives 60 jobs to ten nodes whose six workers have 24 slots: all run at once, at most four at a worker.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,6 +46,17 @@
     Cell,
 }
 
+impl Group {
+    /// Whether a worker drops the repeat of what this first one, if it is listed, may have run.
+    pub fn joins(self, first: Option<&RosterEntry>, to: &RosterEntry) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => first.is_some_and(|first| first.zone == to.zone),
+            Group::Cell => first.is_some_and(|first| first.cell == to.cell),
+        }
+    }
+}
+
 /// What may be done with a job that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! capability, then to an unknown one, then, where all are full, to the one that answers soonest.
 
 use crate::interface::*;
-use crate::share::TELL_ALARM;
+use crate::share::{Heard, TELL_ALARM};
 use crate::state::*;
 
 /// The paper's freshness window, its ratio to the report interval, and how many times it may grow.
@@ -37,7 +37,7 @@
 const TYPICAL_PART: f64 = 0.3;
 /// A job is held for this part of its slack, looking again this many times (in a group), before it queues.
 const HOLD_PART: f64 = 0.7;
-const HOLD_LOOKS: [u64; 2] = [16, 5];
+const HOLD_LOOKS: [u64; 2] = [16, 10];
 /// Part of the cold budget that all nodes together plan to use: a window may touch two turns.
 const COLD_SAFETY: f64 = 0.5;
 /// A turn on a cold worker is as large as this many mean jobs.
@@ -122,26 +122,36 @@
             Event::Alarm(AlarmId(TELL_ALARM)) => self.m.tell(acts),
             Event::Alarm(AlarmId(id)) => self.review(JobId(id - 1), acts),
             Event::Probed(echo) => self.probed(echo, acts),
-            Event::Mail { from, bytes } => self.m.share.hear(self.m.now, from, &bytes),
+            Event::Mail { from, bytes } => match self.m.share.hear(self.m.now, from, &bytes) {
+                Heard::Wish(zone) => self.lend(from, zone, acts),
+                Heard::Offer => self.wake_held(acts),
+                Heard::Nothing => {}
+            },
         }
         self.m.share.tell_soon(acts);
     }
 
+    /// A node of another group, whose own workers are full, gets a slot at the least used of this group's
+    /// that is trusted and has one free, near it if there is one.
+    fn lend(&mut self, to: u32, zone: ZoneId, acts: &mut Vec<Action>) {
+        let room = |id: WorkerId| {
+            let (worker, known) = (self.m.at(id), self.m.at(id).known?);
+            let (cpu, _, free) = self.inputs(worker, &known)?;
+            let trusted = worker.trust.strikes == 0 && self.m.now >= worker.trust.until;
+            (trusted && free >= 1.0).then_some((known.zone != zone, cpu, known))
+        };
+        let rooms = self.m.share.workers().filter_map(room);
+        if let Some((.., best)) = rooms.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
+            self.m.share.offer(self.m.now, to, &best, acts);
+        }
+    }
+
     fn class(&self, job: &Job) -> &Class {
         &self.set.classes[usize::from(job.new.class.0)]
     }
 
     fn roster(&mut self, kind: RosterKind, entries: &[RosterEntry], acts: &mut Vec<Action>) {
-        if kind != RosterKind::Changes {
-            self.m.workers.iter_mut().for_each(|w| w.known = None);
-        }
-        for entry in entries {
-            let worker = self.m.worker(entry.worker);
-            if worker.known.is_some_and(|k| k.started_at != entry.started_at) {
-                (worker.entry, worker.trust) = (None, Trust::default());
-            }
-            worker.known = (entry.status != Status::Gone).then_some(*entry);
-        }
+        self.m.list(kind, entries);
         self.m.index(self.set.zone, self.set.cold_time);
         match kind {
             RosterKind::Cached => self.ask_later(0, acts),
@@ -214,8 +224,7 @@
         let slots = |id: &WorkerId| self.m.at(*id).known.map_or(0.0, |k| self.m.slots(k.kind));
         let share = self.m.ready.iter().map(slots).sum::<f64>() / f64::from(self.set.nodes);
         let work = (self.m.held.len() + 1) as f64 * self.m.mean_work() * self.m.slow.value.max(1.0);
-        let clear = if share > 0.0 { work / share } else { f64::INFINITY };
-        Some((clear.min(most as f64) as Micros).max(self.set.tick))
+        Some(((work / share).min(most as f64) as Micros).max(self.set.tick))
     }
 
     /// Whether a job may be sent (again) to this worker, by its class and by what may have run.
@@ -228,23 +237,12 @@
             Effect::Pure => true,
             Effect::SideEffect => risky.next().is_none(),
             Effect::Token { group, memory } => risky.all(|a| {
-                let first = self.m.at(a.worker).known;
-                let grouped = |f: RosterEntry| match group {
-                    Group::All => true,
-                    Group::Zone => f.zone == to.zone,
-                    Group::Cell => f.cell == to.cell,
-                };
-                self.m.now + self.set.tick < a.at + memory
-                    && (group == Group::All || first.is_some_and(grouped))
+                let in_time = self.m.now + self.set.tick < a.at + memory;
+                in_time && group.joins(self.m.at(a.worker).known.as_ref(), to)
             }),
         }
     }
 
-    /// Whether a job that waits at a worker may be taken elsewhere, and that it waits would show.
-    fn movable(&self, job: &Job) -> bool {
-        self.class(job).effect != Effect::SideEffect && self.set.may_cancel && self.set.tells_start
-    }
-
     /// When the job must start at the latest to be in time.
     fn latest_start(&self, job: &Job) -> Micros {
         let class = self.class(job);
@@ -275,8 +273,8 @@
         let queue = slack > 0 && self.m.now >= hold_end;
         let sign_due = self.sign_due(job.work);
         if let Some(last) = self.m.jobs.get_mut(&id).and_then(Job::newest_unstarted) {
-            if self.m.now < last.at + sign_due {
-                let due = last.at + sign_due;
+            let due = last.at + sign_due;
+            if self.m.now < due {
                 return self.alarm(id, due, acts);
             }
             // A worker that does not start what its report had room for is not believed for a while.
@@ -293,8 +291,7 @@
                 return;
             }
         }
-        // Others are probed only where the group's own workers have no room.
-        let grouped = self.m.share.on();
+        let grouped = self.m.share.on(); // others are asked for only where the own ones have no room
         let own = grouped && self.pick(id).is_some_and(|(rank, _)| rank == Rank::Fresh);
         if out == 0 && !own && self.probe_sample(id, acts) {
             return;
@@ -312,6 +309,7 @@
                 if let Some(job) = self.m.jobs.get_mut(&id).filter(|_| out == 0) {
                     (job.wait_until, job.sample) = (until, Vec::new());
                     self.m.hold(id);
+                    self.m.share.wish(self.set.zone, self.rng.u32(..), acts);
                 }
                 self.alarm(id, until, acts);
             }
@@ -332,7 +330,10 @@
             return false;
         }
         let mut pool = self.candidates(id, true);
-        pool.retain(|w| !self.m.share.on() || self.m.now >= self.m.at(*w).trust.until);
+        // With other groups to ask for a slot, only those of its own that failed and have rested since.
+        let (on, lends) = (self.m.share.on(), self.m.share.lends());
+        let rested = |w: &Worker| self.m.now >= w.trust.until && (!lends || w.doubted());
+        pool.retain(|w| !on || rested(self.m.at(*w)));
         self.rng.shuffle(&mut pool);
         pool.sort_by_key(|w| self.m.at(*w).known.is_some_and(|k| k.zone != self.set.zone));
         pool.truncate(SAMPLE[usize::from(self.m.share.on())]);
@@ -358,7 +359,7 @@
     fn candidates(&mut self, id: JobId, wide: bool) -> Vec<WorkerId> {
         let mut pool: Vec<WorkerId> = self.m.share.workers().collect();
         let lists = [&self.m.cold, &self.m.home, &self.m.ready];
-        for list in lists.into_iter().filter(|_| wide || !self.m.share.on()) {
+        for list in lists.into_iter().filter(|_| wide && !self.m.share.lends() || !self.m.share.on()) {
             match list.len() <= RANKED / 2 {
                 true => pool.extend(list),
                 false => pool.extend((0..RANKED / 2).map(|_| list[self.rng.usize(..list.len())])),
@@ -366,6 +367,7 @@
         }
         let Some(job) = self.m.jobs.get(&id) else { return Vec::new() };
         pool.extend(&job.sample);
+        pool.extend(self.m.share.offers(self.m.now));
         pool.sort_unstable();
         pool.dedup();
         let kind = self.class(job).kind;
@@ -391,6 +393,9 @@
     /// would keep sending to one top score until it moves.
     fn inputs(&self, worker: &Worker, known: &RosterEntry) -> Option<(f64, f64, f64)> {
         let slots = self.m.slots(known.kind).max(1.0);
+        if self.m.share.on_offer(known.worker, self.m.now) {
+            return Some((0.5, 0.5, 1.0));
+        }
         if let Some(mates) = self.m.share.load(known, self.m.now) {
             let age = known.started_at.map_or(self.set.cold_time, |at| self.m.now.saturating_sub(at));
             let planned = if age < self.set.cold_time { self.set.fall_multiple * COLD_SAFETY } else { 1.0 };
@@ -419,8 +424,11 @@
         let mut ranked: Vec<(Rank, f64, f64, WorkerId)> = Vec::new();
         let mut lowest_cpu = f64::INFINITY;
         let slack = self.latest_start(job).saturating_sub(self.m.now) as f64;
-        let (grouped, tells) = (self.m.share.on(), self.m.tells_queue);
-        let asked = grouped || self.set.may_probe && tells && !self.movable(job);
+        // Where a probe would tell, a job that could not be taken away again is not sent blindly.
+        let movable =
+            self.class(job).effect != Effect::SideEffect && self.set.may_cancel && self.set.tells_start;
+        let grouped = self.m.share.on();
+        let asked = grouped || self.set.may_probe && self.m.tells_queue && !movable;
         let unseen = if asked { Rank::Unprobed } else { Rank::Unknown };
         // What only one kind can run comes first there: to other jobs it offers what that leaves.
         let spare = |k: KindId| (1.0 - self.m.bound_share(&self.set.classes, k)).clamp(LEAST_SPARE, 1.0);
@@ -435,9 +443,9 @@
             let zone = self.m.zones.get(&known.zone).map_or(0, |z| z.until);
             let barred = self.m.now < worker.trust.until;
             // In a group, one that failed must show that it lives before it gets work again.
-            let doubted = jammed || grouped && worker.heard <= worker.trust.since;
-            let shunned =
-                if worker.trust.strikes > 0 { barred || doubted } else { barred && !self.set.may_probe };
+            let failed = worker.trust.strikes > 0;
+            let doubted = failed && (barred || jammed || grouped && worker.doubted());
+            let shunned = doubted || barred && !failed && !self.set.may_probe;
             let away = known.zone != self.set.zone;
             let spare = spares.iter().find(|s| s.0 == known.kind).map_or(1.0, |s| s.1);
             let luck = -(1.0 - self.rng.f64()).ln();
@@ -495,7 +503,8 @@
             return true;
         } else if self.m.share.on() {
             let room = self.inputs(worker, known).is_some_and(|(_, _, free)| free >= 1.0);
-            return room && worker.out.is_empty() && self.m.share.load(known, self.m.now).is_some();
+            return self.m.share.on_offer(known.worker, self.m.now)
+                || room && worker.out.is_empty() && self.m.share.load(known, self.m.now).is_some();
         }
         let (age, window) = (self.m.now.saturating_sub(known.started_at.unwrap_or(0)), self.set.fall_window);
         let grown = self.grown(age.saturating_sub(window)) * self.set.fall_multiple * COLD_SAFETY;
@@ -516,13 +525,7 @@
         let Some(job) = self.m.jobs.get_mut(&id) else { return };
         let (attempt, slots, work, cold) = (job.sent(), job.new.slots, job.work, job.cold_work);
         job.attempts.push(Attempt::new(to, now, rank));
-        let worker = self.m.worker(to);
-        worker.granted_cpu = worker.entry.as_ref().map(|e| e.cpu);
-        if let Some(started) = worker.known.and_then(|k| k.started_at) {
-            let epoch = now.saturating_sub(started) / window;
-            worker.cold = (epoch, worker.cold_sent(epoch) + cold);
-        }
-        self.m.grant(to, Out { job: id, attempt, at: now, slots, started: false });
+        self.m.grant(to, Out { job: id, attempt, at: now, slots, started: false }, cold, window);
         self.m.held.retain(|h| *h != id);
         acts.push(Action::Send { job: id, worker: to, limit: None });
         self.alarm(id, now + self.sign_due(work), acts);
@@ -628,8 +631,7 @@
 
     /// Distrust: the entry is cleared and the worker left alone, twice as long each time.
     fn strike(&mut self, id: WorkerId) {
-        let (now, window) = (self.m.now, self.window());
-        let worker = self.m.worker(id);
+        let (now, window, worker) = (self.m.now, self.window(), self.m.worker(id));
         worker.entry = None;
         strike(&mut worker.trust, now, window);
     }
@@ -641,11 +643,9 @@
         worker.probing = false;
         if outcome == Outcome::Ok {
             worker.heard = self.m.now;
-        }
-        match report {
-            Some(report) if outcome == Outcome::Ok => self.enter(id, &report, acts),
-            _ if outcome == Outcome::Ok => {}
-            _ => self.strike(id),
+            report.iter().for_each(|report| self.enter(id, report, acts));
+        } else {
+            self.strike(id);
         }
         self.m.echo_after.add(elapsed.min(self.window()) as f64);
         for job in askers {
--- a/src/share.rs
+++ b/src/share.rs
@@ -5,7 +5,7 @@
 //! of it about a second later. Knowledge only: what follows from it is decided in src/rules.rs.
 
 use crate::interface::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Nodes that tell each other: each message goes to all but one of them.
 const GROUP: u32 = 10;
@@ -15,23 +15,47 @@
 const NEWS_WITHIN: Micros = 2_000;
 /// The alarm at which a node tells its group what there is to tell.
 pub(crate) const TELL_ALARM: u64 = u64::MAX;
-/// The first byte of a message.
-const MESSAGE: u8 = b'W';
+/// A slot that was offered is kept for this long, for a node that does not say whether it uses it.
+const OFFERED_FOR: Micros = 60_000;
+/// The first byte of a message: what its sender has out at the group's workers; what it has out at those of the receiver's
+/// group, by an offer of the receiver's; a wish for a slot, in this zone if there is one; an offer of a slot at this worker.
+const OUT: u8 = b'W';
+const GUEST: u8 = b'G';
+const WISH: u8 = b'A';
+const OFFER: u8 = b'O';
 /// The most workers that a message names; it is no longer than a datagram may be.
 const MOST: usize = 120;
 
+/// What a message leaves to be decided.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Heard {
+    Nothing,
+    /// A node of another group wants a slot, in this zone if there is one.
+    Wish(ZoneId),
+    /// A node of another group offers a slot.
+    Offer,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Share {
+    nodes: u32,
     group: u32,
     groups: u32,
     /// The other nodes of the group.
     pub mates: Vec<u32>,
     /// The group's part of the ready workers, by the short tags that messages name them by.
     workers: BTreeMap<u16, WorkerId>,
-    /// What each mate has out, by tag, and when it said so.
+    /// All ready workers, by their short tags.
+    listed: BTreeMap<u16, WorkerId>,
+    /// What each mate has out, by tag, and when it said so; and each node of another group at workers of this one.
     said: BTreeMap<u32, (Micros, Vec<u16>)>,
-    /// What was told last, and when.
-    told: (Vec<u16>, Micros),
+    /// Slots that were offered and are not known to be used: to whom, where, until when.
+    offered: Vec<(u32, u16, Micros)>,
+    /// Slots that others have offered: where, by whom, until when; once used, by whom.
+    offers: BTreeMap<WorkerId, (u32, Micros)>,
+    lenders: BTreeMap<WorkerId, u32>,
+    /// What was told last, and when: to the mates, and to each lender.
+    told: BTreeMap<Option<u32>, (Vec<u16>, Micros)>,
     /// Something has changed that may be worth a message.
     pub news: bool,
 }
@@ -55,7 +79,7 @@
         let mates = (0..set.nodes)
             .filter(|n| set.may_tell && set.may_probe && n % groups == group && *n != set.me)
             .collect();
-        Share { group, groups, mates, ..Share::default() }
+        Share { nodes: set.nodes, group, groups, mates, ..Share::default() }
     }
 
     /// The group under other settings; what was said is kept if it is the same.
@@ -71,12 +95,18 @@
         !self.mates.is_empty()
     }
 
+    /// Whether there are other groups to ask for a slot.
+    pub fn lends(&self) -> bool {
+        self.on() && self.groups > 1
+    }
+
     /// Deals the ready workers out to the groups, zone by zone: each goes to the group that ranks highest for it among
     /// those that have not had their part yet, so that one more or less moves few others.
     pub fn deal(&mut self, ready: &[RosterEntry]) {
         let (mut sorted, groups) = (ready.to_vec(), u64::from(self.groups.max(1)));
         sorted.sort_unstable_by_key(|k| (k.zone, k.tag));
         self.workers.clear();
+        self.listed = ready.iter().map(|k| (short(k.tag), k.worker)).collect();
         for zone in sorted.chunk_by(|a, b| a.zone == b.zone) {
             let part = zone.len().div_ceil(groups as usize);
             let mut had = vec![0; groups as usize];
@@ -96,12 +126,51 @@
         self.workers.values().copied().filter(|_| self.on())
     }
 
-    /// What the mates have out at a worker of the group, in slots; `None` for another worker.
+    /// What others have out, by what they have said, at a worker of the group, in slots; `None` for another worker.
     pub fn load(&self, known: &RosterEntry, now: Micros) -> Option<f64> {
         let tag = short(known.tag);
         self.workers.get(&tag).filter(|w| self.on() && **w == known.worker)?;
         let fresh = self.said.values().filter(|(at, _)| now < at + SAID_FOR);
-        Some(fresh.flat_map(|(_, out)| out).filter(|t| **t == tag).count() as f64)
+        let offered = self.offered.iter().filter(|(_, at, until)| *at == tag && now < *until);
+        Some((fresh.flat_map(|(_, out)| out).filter(|t| **t == tag).count() + offered.count()) as f64)
+    }
+
+    /// The workers at which slots are on offer.
+    pub fn offers(&self, now: Micros) -> impl Iterator<Item = WorkerId> {
+        self.offers.iter().filter(move |(_, (_, until))| now < *until).map(|(worker, _)| *worker)
+    }
+
+    /// Whether a slot at this worker is on offer.
+    pub fn on_offer(&self, worker: WorkerId, now: Micros) -> bool {
+        self.offers.get(&worker).is_some_and(|(_, until)| now < *until)
+    }
+
+    /// The offer for this worker, if there is one, is used.
+    pub fn use_offer(&mut self, worker: WorkerId) {
+        if let Some((lender, _)) = self.offers.remove(&worker) {
+            self.lenders.insert(worker, lender);
+        }
+    }
+
+    /// Asks a node of another group, any, for a slot.
+    pub fn wish(&self, zone: ZoneId, luck: u32, acts: &mut Vec<Action>) {
+        let (nodes, groups) = (self.nodes, self.groups);
+        if self.lends() {
+            // One of the other groups, and one of its nodes.
+            let group = (self.group + 1 + luck % (groups - 1)) % groups;
+            let size = (nodes - group).div_ceil(groups);
+            let to = group + (luck / groups) % size * groups;
+            acts.push(Action::Tell { to, bytes: vec![WISH, zone.0 as u8] });
+        }
+    }
+
+    /// Offers a slot at a worker of the group.
+    pub fn offer(&mut self, now: Micros, to: u32, known: &RosterEntry, acts: &mut Vec<Action>) {
+        let tag = short(known.tag);
+        self.offered.push((to, tag, now + OFFERED_FOR));
+        self.news = true;
+        let [high, low] = tag.to_be_bytes();
+        acts.push(Action::Tell { to, bytes: vec![OFFER, high, low] });
     }
 
     /// Has the alarm set at which news is told.
@@ -111,34 +180,73 @@
         }
     }
 
-    /// Tells the mates what is out, by tag and slots, if that is news or is to be said again.
-    pub fn tell(&mut self, now: Micros, out: Vec<(u64, f64)>, acts: &mut Vec<Action>) {
+    /// Tells the mates, and lenders, what is out at their workers if that is news or is to be said again. `out` are this
+    /// node's own attempts: the worker, its tag and the slots.
+    pub fn tell(&mut self, now: Micros, out: &[(WorkerId, u64, f64)], acts: &mut Vec<Action>) {
+        if !self.on() {
+            return;
+        }
         let times = |slots: f64| slots.ceil().clamp(1.0, 16.0) as usize;
-        let tags = out.into_iter().flat_map(|(tag, slots)| std::iter::repeat_n(short(tag), times(slots)));
-        let mut tags: Vec<u16> = tags.collect();
-        tags.sort_unstable();
-        tags.truncate(MOST);
-        let again = !tags.is_empty() && now >= self.told.1 + SAID_FOR / 2;
-        if self.on() && (again || tags != self.told.0) {
+        let tags = |here: &dyn Fn(WorkerId) -> bool| {
+            let here = out.iter().filter(|(worker, ..)| here(*worker));
+            here.flat_map(|(_, tag, slots)| std::iter::repeat_n(short(*tag), times(*slots))).collect()
+        };
+        self.offered.retain(|(.., until)| now < *until);
+        let mut own: Vec<u16> = tags(&|w| self.workers.values().any(|own| *own == w));
+        own.extend(self.offered.iter().map(|(_, tag, _)| *tag));
+        let guests = self.said.iter().filter(|(n, (at, _))| !self.mates.contains(n) && now < at + SAID_FOR);
+        own.extend(guests.flat_map(|(_, (_, out))| out));
+        let mut due = vec![(None, own)];
+        for lender in self.lenders.values().copied().collect::<BTreeSet<u32>>() {
+            due.push((Some(lender), tags(&|w| self.lenders.get(&w) == Some(&lender))));
+        }
+        for (to, mut tags) in due {
+            tags.sort_unstable();
+            tags.truncate(MOST);
+            let last = self.told.entry(to).or_default();
+            let again = !tags.is_empty() && now >= last.1 + SAID_FOR / 2;
+            if !again && tags == last.0 {
+                continue;
+            }
+            let first = if to.is_some() { GUEST } else { OUT };
             let bytes: Vec<u8> =
-                std::iter::once(MESSAGE).chain(tags.iter().flat_map(|t| t.to_be_bytes())).collect();
-            acts.extend(self.mates.iter().map(|to| Action::Tell { to: *to, bytes: bytes.clone() }));
+                std::iter::once(first).chain(tags.iter().flat_map(|t| t.to_be_bytes())).collect();
+            let mates = self.mates.iter().copied().filter(|_| to.is_none());
+            acts.extend(to.into_iter().chain(mates).map(|to| Action::Tell { to, bytes: bytes.clone() }));
             if !tags.is_empty() {
                 acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), SAID_FOR / 2));
+            } else if let Some(lender) = to {
+                self.lenders.retain(|_, by| *by != lender);
+                self.told.remove(&to);
+                continue;
             }
-            self.told = (tags, now);
+            self.told.insert(to, (tags, now));
         }
     }
 
-    /// A mate's message. Others are not understood, and say nothing.
-    pub fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) {
-        if let Some((&MESSAGE, tags)) = bytes.split_first()
-            && tags.len() % 2 == 0
-            && self.mates.contains(&from)
-        {
-            let tags = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]])).collect();
-            self.said.insert(from, (now, tags));
+    /// A message. One that is not understood says nothing.
+    pub fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) -> Heard {
+        let mate = self.mates.contains(&from);
+        match bytes {
+            [OUT | GUEST, tags @ ..] if tags.len() % 2 == 0 && mate == (bytes[0] == OUT) && self.on() => {
+                let tags = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]])).collect();
+                self.said.insert(from, (now, tags));
+                if !mate {
+                    self.offered.retain(|(to, ..)| *to != from);
+                    self.news = true;
+                }
+            }
+            [WISH, zone] if !mate => return Heard::Wish(ZoneId(u16::from(*zone))),
+            [OFFER, high, low] if !mate => {
+                let worker = self.listed.get(&u16::from_be_bytes([*high, *low])).copied();
+                if let Some(worker) = worker.filter(|w| !self.workers.values().any(|own| own == w)) {
+                    self.offers.insert(worker, (from, now + OFFERED_FOR / 2));
+                    return Heard::Offer;
+                }
+            }
+            _ => {}
         }
+        Heard::Nothing
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,11 @@
 }
 
 impl Worker {
+    /// It has failed and has given no sign of life since.
+    pub fn doubted(&self) -> bool {
+        self.trust.strikes > 0 && self.heard <= self.trust.since
+    }
+
     /// The slots that own attempts take or wait for there.
     pub fn held(&self) -> f64 {
         self.out.iter().map(|o| o.slots).sum()
@@ -270,13 +275,6 @@
         *sum / *count
     }
 
-    /// Own work that is out at the group's workers: their tags and the slots it takes.
-    pub fn shared_out(&self) -> Vec<(u64, f64)> {
-        let held =
-            |w: WorkerId| self.at(w).known.map(|k| self.at(w).out.iter().map(move |o| (k.tag, o.slots)));
-        self.share.workers().filter_map(held).flatten().collect()
-    }
-
     pub fn mean_work(&self) -> f64 {
         let (sum, count) = self.class_sum.iter().fold((0.0, 0.0), |a, c| (a.0 + c.0, a.1 + c.1));
         (sum / f64::max(count, 1.0)).max(1.0)
@@ -318,12 +316,33 @@
         self.returned(worker, id, attempt);
     }
 
-    /// A worker is granted an attempt.
-    pub fn grant(&mut self, to: WorkerId, out: Out) {
-        self.worker(to).out.push(out);
+    /// A worker is granted an attempt, which counts for so much on a cold one; by stretches of this length.
+    pub fn grant(&mut self, to: WorkerId, out: Out, cold: f64, stretch: Micros) {
+        let (now, worker) = (self.now, self.worker(to));
+        worker.granted_cpu = worker.entry.as_ref().map(|e| e.cpu);
+        if let Some(started) = worker.known.and_then(|k| k.started_at) {
+            let epoch = now.saturating_sub(started) / stretch;
+            worker.cold = (epoch, worker.cold_sent(epoch) + cold);
+        }
+        worker.out.push(out);
+        self.share.use_offer(to);
         (self.last_grant, self.share.news) = (Some(to), true);
     }
 
+    /// Enters what the roster says. One that has started anew is known no longer.
+    pub fn list(&mut self, kind: RosterKind, entries: &[RosterEntry]) {
+        if kind != RosterKind::Changes {
+            self.workers.iter_mut().for_each(|w| w.known = None);
+        }
+        for entry in entries {
+            let worker = self.worker(entry.worker);
+            if worker.known.is_some_and(|k| k.started_at != entry.started_at) {
+                (worker.entry, worker.trust) = (None, Trust::default());
+            }
+            worker.known = (entry.status != Status::Gone).then_some(*entry);
+        }
+    }
+
     /// A worker has no more to do with an attempt.
     pub fn returned(&mut self, worker: WorkerId, job: JobId, attempt: u32) {
         self.worker(worker).out.retain(|o| !o.is(job, attempt));
@@ -332,8 +351,10 @@
 
     /// Tells the group what is out, if there is news of it or it is to be said again.
     pub fn tell(&mut self, acts: &mut Vec<Action>) {
-        let (now, out) = (self.now, self.shared_out());
-        self.share.tell(now, out, acts);
+        let held =
+            |w: &Worker| w.known.map(|k| w.out.iter().map(move |o| (k.worker, k.tag, o.slots)).collect());
+        let out: Vec<Vec<(WorkerId, u64, f64)>> = self.workers.iter().filter_map(held).collect();
+        self.share.tell(self.now, &out.concat(), acts);
     }
 
     /// A running quartile of the wait for a start: three steps down for one up.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -91,10 +91,10 @@
         }
     }
 
-    /// Two jobs for each node, one node after the other, 3 ms apart.
-    fn fill(&mut self) {
-        for n in 0..2 * NODES {
-            let actions = self.nodes[(n % NODES) as usize].arrive(u64::from(n), 0, 7_000 * MS);
+    /// So many jobs for each node, one node after the other, 3 ms apart.
+    fn fill(&mut self, times: u32) {
+        for n in 0..times * NODES {
+            let actions = self.nodes[(n % NODES) as usize].arrive(u64::from(1_000 + n), 0, 7_000 * MS);
             self.act(n % NODES, actions);
             self.pass(3 * MS);
         }
@@ -105,7 +105,7 @@
 #[test]
 fn a_group_knows_what_its_nodes_have_out() {
     let mut fleet = Fleet::new(true);
-    fleet.fill();
+    fleet.fill(2);
     let used = fleet.running.values().filter(|there| !there.is_empty()).count();
     assert!(fleet.most <= SLOTS as usize, "{} jobs at once on one worker", fleet.most);
     assert!(used > 50, "200 jobs went to {used} of 60 workers");
@@ -114,7 +114,7 @@
     // What has ended is known as soon.
     (0..WORKERS).for_each(|w| (0..4).for_each(|_| fleet.end(w)));
     fleet.pass(3 * MS);
-    fleet.fill();
+    fleet.fill(2);
     assert!(fleet.most <= SLOTS as usize, "{} jobs at once on one worker", fleet.most);
 }
 
@@ -122,7 +122,7 @@
 #[test]
 fn without_messages_reports_pile_work_up() {
     let mut fleet = Fleet::new(false);
-    fleet.fill();
+    fleet.fill(2);
     assert!(fleet.most > SLOTS as usize, "{} jobs at once on one worker", fleet.most);
 }
 
@@ -162,24 +162,54 @@
     assert!(!sends(&node.arrive(2, 0, 5_000 * MS)).is_empty(), "the mate has been silent for too long");
 }
 
-/// Each job was sent blindly where its probes found nothing free: most of what 100 dispatchers sent queued.
+/// 373 jobs in 25 s found their group full and went where a probe showed room: 211 of them queued there, and what the group
+/// of that worker knew was wrong from then on.
 #[test]
-fn where_the_group_has_no_room_two_others_are_probed_and_none_is_guessed_at() {
-    let mut node = Node::new(settings(7, true));
-    node.roster((0..WORKERS).map(worker).collect());
-    let mut asked = Vec::new();
-    for job in 0..20 {
-        asked = probes(&node.arrive(job, 0, 5_000 * MS));
-        if !asked.is_empty() {
-            break;
-        }
+fn a_group_that_is_full_is_lent_slots_by_others_and_none_is_guessed_at() {
+    let mut fleet = Fleet::new(true);
+    // 60 jobs for the ten nodes of one group, whose six workers have 24 slots.
+    for n in 0..60 {
+        let node = n % 10 * 10;
+        let actions = fleet.nodes[node as usize].arrive(u64::from(n), 0, 7_000 * MS);
+        fleet.act(node, actions);
+        fleet.pass(3 * MS);
     }
-    assert!(!asked.is_empty() && asked.len() <= 2, "{asked:?}");
-    let mut actions = Vec::new();
-    for worker in asked {
-        actions.extend(node.echo(worker.0, Outcome::Ok, report(1.0, 0.0, 0.0)));
+    fleet.pass(100 * MS);
+    let running: usize = fleet.running.values().map(Vec::len).sum();
+    assert_eq!(running, 60, "all run at once");
+    assert!(fleet.most <= SLOTS as usize, "{} jobs at once on one worker", fleet.most);
+    assert!(fleet.probed.is_empty(), "{:?}", fleet.probed);
+    // The lenders know it: what their own nodes send goes elsewhere.
+    fleet.fill(1);
+    assert!(fleet.most <= SLOTS as usize, "{} jobs at once on one worker", fleet.most);
+}
+
+/// A slot that was offered is kept for a moment, is free again if it is not taken, and counts until what took it has ended.
+#[test]
+fn an_offered_slot_is_kept_for_a_moment() {
+    let ten = |me| Node::new(settings(me, true));
+    let (mut lender, mut mate) = (ten(0), ten(10));
+    for node in [&mut lender, &mut mate] {
+        // The group's one worker, with one slot.
+        let part = (0..WORKERS).map(worker).collect::<Vec<_>>();
+        node.roster(part);
+        node.report(0, 0.0, 1.0);
+    }
+    let wish = Event::Mail { from: 1, bytes: vec![b'A', 0] };
+    let offers =
+        |actions: &[Action]| tells(actions).iter().filter(|(to, b)| *to == 1 && b[0] == b'O').count();
+    // Six workers with one slot each, then none.
+    let made: usize = (0..8).map(|_| offers(&lender.feed(wish.clone()))).sum();
+    assert_eq!(made, 6);
+    for (to, bytes) in tells(&lender.pass(5 * MS)) {
+        if to == 10 {
+            mate.feed(Event::Mail { from: 0, bytes });
+        }
     }
-    assert!(sends(&actions).is_empty(), "{actions:?}");
+    assert_eq!(offers(&mate.feed(wish.clone())), 0, "the mate knows of them");
+    assert!(sends(&mate.arrive(1, 0, 5_000 * MS)).is_empty());
+    lender.pass(100 * MS);
+    assert_eq!(offers(&lender.feed(wish)), 1, "none of them was taken");
 }
 
 /// 160 connections a second were refused by workers that every dispatcher had to find dead by itself, again and again.
@@ -237,7 +267,7 @@
     for node in &mut fleet.nodes {
         node.roster((0..WORKERS).map(cold).collect());
     }
-    fleet.fill();
+    fleet.fill(2);
     assert!(!fleet.running.is_empty());
     assert!(fleet.most <= 2, "{} jobs on one worker at two fifths of its capacity", fleet.most);
 }
