Which workers a node doubts is told to its mates and lenders

Ruled out: probes of the dead (few), late discovery (the same with the list fresh). At fault: pick and lend in src/rules.rs looked at the node's own strikes only.

Messages W and G now carry the tags of the workers their sender doubts; a mate leaves such a worker alone until it has had a sign of life from it itself. Test: what_one_of_a_group_found_dead_the_others_leave_alone.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -137,7 +137,7 @@
         let room = |id: WorkerId| {
             let (worker, known) = (self.m.at(id), self.m.at(id).known?);
             let (cpu, _, free) = self.inputs(worker, &known)?;
-            let trusted = worker.trust.strikes == 0 && self.m.now >= worker.trust.until;
+            let trusted = !self.m.doubts(worker) && self.m.now >= worker.trust.until;
             (trusted && free >= 1.0).then_some((known.zone != zone, cpu, known))
         };
         let rooms = self.m.share.workers().filter_map(room);
@@ -332,7 +332,7 @@
         let mut pool = self.candidates(id, true);
         // With other groups to ask for a slot, only those of its own that failed and have rested since.
         let (on, lends) = (self.m.share.on(), self.m.share.lends());
-        let rested = |w: &Worker| self.m.now >= w.trust.until && (!lends || w.doubted());
+        let rested = |w: &Worker| self.m.now >= w.trust.until && (!lends || self.m.doubts(w));
         pool.retain(|w| !on || rested(self.m.at(*w)));
         self.rng.shuffle(&mut pool);
         pool.sort_by_key(|w| self.m.at(*w).known.is_some_and(|k| k.zone != self.set.zone));
@@ -444,7 +444,7 @@
             let barred = self.m.now < worker.trust.until;
             // In a group, one that failed must show that it lives before it gets work again.
             let failed = worker.trust.strikes > 0;
-            let doubted = failed && (barred || jammed || grouped && worker.doubted());
+            let doubted = failed && (barred || jammed) || grouped && self.m.doubts(worker);
             let shunned = doubted || barred && !failed && !self.set.may_probe;
             let away = known.zone != self.set.zone;
             let spare = spares.iter().find(|s| s.0 == known.kind).map_or(1.0, |s| s.1);
@@ -631,8 +631,7 @@
 
     /// Distrust: the entry is cleared and the worker left alone, twice as long each time.
     fn strike(&mut self, id: WorkerId) {
-        let (now, window, worker) = (self.m.now, self.window(), self.m.worker(id));
-        worker.entry = None;
+        let (now, window, worker) = (self.m.now, self.window(), self.m.fail(id));
         strike(&mut worker.trust, now, window);
     }
 
--- a/src/share.rs
+++ b/src/share.rs
@@ -17,8 +17,9 @@
 pub(crate) const TELL_ALARM: u64 = u64::MAX;
 /// A slot that was offered is kept for this long, for a node that does not say whether it uses it.
 const OFFERED_FOR: Micros = 60_000;
-/// The first byte of a message: what its sender has out at the group's workers; what it has out at those of the receiver's
-/// group, by an offer of the receiver's; a wish for a slot, in this zone if there is one; an offer of a slot at this worker.
+/// The first byte of a message: what its sender has out at the group's workers, and which of them it doubts; the same of
+/// those of the receiver's group, by an offer of the receiver's; a wish for a slot, in this zone if there is one; an offer
+/// of a slot at this worker. In the first two the number of doubted ones comes next, then their tags, then those of the work.
 const OUT: u8 = b'W';
 const GUEST: u8 = b'G';
 const WISH: u8 = b'A';
@@ -36,6 +37,22 @@
     Offer,
 }
 
+/// What a node has said: when, where it has work out, and which workers it doubts; by their tags.
+#[derive(Debug, Default)]
+struct Said {
+    at: Micros,
+    out: Vec<u16>,
+    doubted: Vec<u16>,
+}
+
+/// A worker as this node sees it: its tag, the slots of each own attempt that is out there, and whether it is doubted.
+pub(crate) struct Seen {
+    pub worker: WorkerId,
+    pub tag: u64,
+    pub out: Vec<f64>,
+    pub doubted: bool,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Share {
     nodes: u32,
@@ -47,15 +64,15 @@
     workers: BTreeMap<u16, WorkerId>,
     /// All ready workers, by their short tags.
     listed: BTreeMap<u16, WorkerId>,
-    /// What each mate has out, by tag, and when it said so; and each node of another group at workers of this one.
-    said: BTreeMap<u32, (Micros, Vec<u16>)>,
+    /// What each mate has said; and each node of another group of workers of this one.
+    said: BTreeMap<u32, Said>,
     /// Slots that were offered and are not known to be used: to whom, where, until when.
     offered: Vec<(u32, u16, Micros)>,
     /// Slots that others have offered: where, by whom, until when; once used, by whom.
     offers: BTreeMap<WorkerId, (u32, Micros)>,
     lenders: BTreeMap<WorkerId, u32>,
-    /// What was told last, and when: to the mates, and to each lender.
-    told: BTreeMap<Option<u32>, (Vec<u16>, Micros)>,
+    /// What was told last: to the mates, and to each lender.
+    told: BTreeMap<Option<u32>, Said>,
     /// Something has changed that may be worth a message.
     pub news: bool,
 }
@@ -130,9 +147,19 @@
     pub fn load(&self, known: &RosterEntry, now: Micros) -> Option<f64> {
         let tag = short(known.tag);
         self.workers.get(&tag).filter(|w| self.on() && **w == known.worker)?;
-        let fresh = self.said.values().filter(|(at, _)| now < at + SAID_FOR);
         let offered = self.offered.iter().filter(|(_, at, until)| *at == tag && now < *until);
-        Some((fresh.flat_map(|(_, out)| out).filter(|t| **t == tag).count() + offered.count()) as f64)
+        let out = self.fresh(now).flat_map(|(_, said)| &said.out).filter(|t| **t == tag);
+        Some((out.count() + offered.count()) as f64)
+    }
+
+    /// Whether another has said that it doubts this worker, later than this.
+    pub fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
+        let tag = short(known.tag);
+        self.fresh(now).any(|(_, said)| said.at > since && said.doubted.contains(&tag))
+    }
+
+    fn fresh(&self, now: Micros) -> impl Iterator<Item = (&u32, &Said)> {
+        self.said.iter().filter(move |(_, said)| now < said.at + SAID_FOR)
     }
 
     /// The workers at which slots are on offer.
@@ -180,47 +207,50 @@
         }
     }
 
-    /// Tells the mates, and lenders, what is out at their workers if that is news or is to be said again. `out` are this
-    /// node's own attempts: the worker, its tag and the slots.
-    pub fn tell(&mut self, now: Micros, out: &[(WorkerId, u64, f64)], acts: &mut Vec<Action>) {
+    /// Tells the mates, and lenders, what there is to know of their workers if that is news or is to be said again.
+    pub fn tell(&mut self, now: Micros, seen: &[Seen], acts: &mut Vec<Action>) {
         if !self.on() {
             return;
         }
-        let times = |slots: f64| slots.ceil().clamp(1.0, 16.0) as usize;
-        let tags = |here: &dyn Fn(WorkerId) -> bool| {
-            let here = out.iter().filter(|(worker, ..)| here(*worker));
-            here.flat_map(|(_, tag, slots)| std::iter::repeat_n(short(*tag), times(*slots))).collect()
+        let times = |slots: &f64| slots.ceil().clamp(1.0, 16.0) as usize;
+        let of = |here: &dyn Fn(WorkerId) -> bool| {
+            let here: Vec<&Seen> = seen.iter().filter(|s| here(s.worker)).collect();
+            let out =
+                here.iter().flat_map(|s| std::iter::repeat_n(short(s.tag), s.out.iter().map(times).sum()));
+            let doubted = here.iter().filter(|s| s.doubted).map(|s| short(s.tag)).take(MOST / 2);
+            Said { at: now, out: out.collect(), doubted: doubted.collect() }
         };
         self.offered.retain(|(.., until)| now < *until);
-        let mut own: Vec<u16> = tags(&|w| self.workers.values().any(|own| *own == w));
-        own.extend(self.offered.iter().map(|(_, tag, _)| *tag));
-        let guests = self.said.iter().filter(|(n, (at, _))| !self.mates.contains(n) && now < at + SAID_FOR);
-        own.extend(guests.flat_map(|(_, (_, out))| out));
-        let mut due = vec![(None, own)];
-        for lender in self.lenders.values().copied().collect::<BTreeSet<u32>>() {
-            due.push((Some(lender), tags(&|w| self.lenders.get(&w) == Some(&lender))));
-        }
-        for (to, mut tags) in due {
-            tags.sort_unstable();
-            tags.truncate(MOST);
+        let mut own = of(&|w| self.workers.values().any(|own| *own == w));
+        own.out.extend(self.offered.iter().map(|(_, tag, _)| *tag));
+        own.out
+            .extend(self.fresh(now).filter(|(n, _)| !self.mates.contains(n)).flat_map(|(_, said)| &said.out));
+        let lenders = self.lenders.values().copied().collect::<BTreeSet<u32>>();
+        let lent = |by: u32| (Some(by), of(&|w| self.lenders.get(&w) == Some(&by)));
+        for (to, mut said) in
+            std::iter::once((None, own)).chain(lenders.into_iter().map(lent)).collect::<Vec<_>>()
+        {
+            said.out.sort_unstable();
+            said.out.truncate(MOST - said.doubted.len());
+            said.doubted.sort_unstable();
             let last = self.told.entry(to).or_default();
-            let again = !tags.is_empty() && now >= last.1 + SAID_FOR / 2;
-            if !again && tags == last.0 {
+            let (nothing, was) = (said.out.is_empty(), (&last.out, &last.doubted));
+            if was == (&said.out, &said.doubted) && (nothing || now < last.at + SAID_FOR / 2) {
                 continue;
             }
-            let first = if to.is_some() { GUEST } else { OUT };
-            let bytes: Vec<u8> =
-                std::iter::once(first).chain(tags.iter().flat_map(|t| t.to_be_bytes())).collect();
+            let first = [if to.is_some() { GUEST } else { OUT }, said.doubted.len() as u8];
+            let tags = said.doubted.iter().chain(&said.out).flat_map(|t| t.to_be_bytes());
+            let bytes: Vec<u8> = first.into_iter().chain(tags).collect();
             let mates = self.mates.iter().copied().filter(|_| to.is_none());
             acts.extend(to.into_iter().chain(mates).map(|to| Action::Tell { to, bytes: bytes.clone() }));
-            if !tags.is_empty() {
+            if !nothing {
                 acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), SAID_FOR / 2));
-            } else if let Some(lender) = to {
+            }
+            self.told.insert(to, said);
+            if let Some(lender) = to.filter(|_| nothing) {
                 self.lenders.retain(|_, by| *by != lender);
                 self.told.remove(&to);
-                continue;
             }
-            self.told.insert(to, (tags, now));
         }
     }
 
@@ -228,9 +258,15 @@
     pub fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) -> Heard {
         let mate = self.mates.contains(&from);
         match bytes {
-            [OUT | GUEST, tags @ ..] if tags.len() % 2 == 0 && mate == (bytes[0] == OUT) && self.on() => {
-                let tags = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]])).collect();
-                self.said.insert(from, (now, tags));
+            [OUT | GUEST, doubted, tags @ ..]
+                if mate == (bytes[0] == OUT)
+                    && tags.len() % 2 == 0
+                    && tags.len() / 2 >= usize::from(*doubted)
+                    && self.on() =>
+            {
+                let mut tags = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]]));
+                let doubted = tags.by_ref().take(usize::from(*doubted)).collect();
+                self.said.insert(from, Said { at: now, doubted, out: tags.collect() });
                 if !mate {
                     self.offered.retain(|(to, ..)| *to != from);
                     self.news = true;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::*;
 use crate::rules::Dispatcher;
-use crate::share::Share;
+use crate::share::{Seen, Share};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -351,10 +351,27 @@
 
     /// Tells the group what is out, if there is news of it or it is to be said again.
     pub fn tell(&mut self, acts: &mut Vec<Action>) {
-        let held =
-            |w: &Worker| w.known.map(|k| w.out.iter().map(move |o| (k.worker, k.tag, o.slots)).collect());
-        let out: Vec<Vec<(WorkerId, u64, f64)>> = self.workers.iter().filter_map(held).collect();
-        self.share.tell(self.now, &out.concat(), acts);
+        let seen = |w: &Worker| {
+            let (known, out) = (w.known?, w.out.iter().map(|o| o.slots).collect::<Vec<_>>());
+            let seen = Seen { worker: known.worker, tag: known.tag, out, doubted: w.doubted() };
+            (!seen.out.is_empty() || seen.doubted).then_some(seen)
+        };
+        let seen: Vec<Seen> = self.workers.iter().filter_map(seen).collect();
+        self.share.tell(self.now, &seen, acts);
+    }
+
+    /// A worker that has failed: its entry is cleared, and the group is told.
+    pub fn fail(&mut self, id: WorkerId) -> &mut Worker {
+        self.share.news = true;
+        let worker = self.worker(id);
+        worker.entry = None;
+        worker
+    }
+
+    /// Whether a worker has failed, here or at a mate, and has given no sign of life here since.
+    pub fn doubts(&self, worker: &Worker) -> bool {
+        let by_mates = |known| self.share.doubted(known, worker.heard, self.now);
+        worker.doubted() || worker.known.as_ref().is_some_and(by_mates)
     }
 
     /// A running quartile of the wait for a start: three steps down for one up.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -130,9 +130,14 @@
 fn a_message_that_is_not_understood_says_nothing() {
     let mut node = node();
     node.report(0, 0.0, 1.0);
-    for (from, bytes) in
-        [(3, vec![]), (3, vec![9; 300]), (3, b"W".to_vec()), (3, vec![b'W', 0, 0, 1]), (999, vec![b'W'])]
-    {
+    for (from, bytes) in [
+        (3, vec![]),
+        (3, vec![9; 300]),
+        (3, b"W".to_vec()),
+        (3, vec![b'W', 2, 0, 1]),
+        (3, vec![b'W', 0, 0, 1]),
+        (999, vec![b'W']),
+    ] {
         assert!(node.feed(Event::Mail { from, bytes }).is_empty());
     }
     assert_eq!(sends(&node.arrive(1, 0, 5_000 * MS)).len(), 1);
@@ -224,6 +229,27 @@
     assert!(!sends(&node.echo(0, Outcome::Ok, report(0.1, 4.0, 0.0))).is_empty(), "it lives again");
 }
 
+/// Ten nodes each found out by themselves that a worker of theirs was dead: 818 refused connections on a day, and 30 since.
+#[test]
+fn what_one_of_a_group_found_dead_the_others_leave_alone() {
+    let mut first = Node::new(Settings { nodes: 10, ..settings(3, true) });
+    first.roster(vec![worker(0)]);
+    let to = sends(&first.arrive(1, 0, 5_000 * MS))[0].1;
+    first.end(1, 0, to, Outcome::ConnectFailed);
+    let told = tells(&first.pass(5 * MS));
+    let mut mate = node();
+    for (_, bytes) in told.into_iter().filter(|t| t.0 == 7) {
+        mate.feed(Event::Mail { from: 3, bytes });
+    }
+    let asked = mate.arrive(1, 0, 5_000 * MS);
+    assert!(sends(&asked).is_empty(), "{asked:?}");
+    assert_eq!(probes(&asked), [WorkerId(0)], "it asks for itself");
+    assert!(
+        !sends(&mate.echo(0, Outcome::Ok, report(0.1, 4.0, 0.0))).is_empty(),
+        "what it has seen since counts"
+    );
+}
+
 /// A worker that fails what it is sent within milliseconds looks idle: 160 jobs a second went to seven of them.
 #[test]
 fn a_worker_that_reports_errors_counts_as_failing() {
