A whole list from discovery that names nobody leaves the table in force

Need: the issue asks that an empty list never empties what is known. Seen with a test: after such a list every job was answered 503. At fault: Servers::take (src/core/servers.rs) marks whoever a whole list does not name as gone, also when it names nobody. Now such a list is dropped and counted in bad_lists (Servers::emptied_by). A worker that is named nowhere is still gone as soon as a list names another. Test: a_whole_list_of_nobody_empties_nothing, fails without.

--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -87,6 +87,11 @@
         self.servers.iter().enumerate().map(|(n, s)| (WorkerId(n as u32), s))
     }
 
+    /// Whether a whole list names nobody though some are known: discovery has lost its table, not the fleet its workers.
+    pub(crate) fn emptied_by(&self, list: &ServerList) -> bool {
+        list.reset && list.rows.is_empty() && self.listed() > 0
+    }
+
     /// Takes a list in and words it for the module. `since_unix` turns Unix time in milliseconds into the
     /// module's time.
     pub(crate) fn take(
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -125,6 +125,10 @@
         match list {
             Some(list) => {
                 call.answered = true;
+                if self.core.servers.emptied_by(&list) {
+                    self.counts.bad_lists += 1;
+                    return;
+                }
                 self.core.listed(self.now, &list, false);
                 // A new service may answer with changes though it was asked for everything. Workers that it has
                 // never heard of would then stay in the table: the whole list is asked for once.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -229,6 +229,37 @@
     assert_eq!(program.figures()["bad_lists"], 1);
 }
 
+/// Discovery that has lost its table says that there is nobody: no dispatcher may believe that, or the whole fleet stops.
+#[test]
+fn a_whole_list_of_nobody_empties_nothing() {
+    let (node, other) = (Node::start("s-1"), Node::start("s-2"));
+    let whole = |rows| json!({"generation": 1, "reset": true, "instances": rows});
+    let discovery = Discovery::start(whole(json!([node.row("up")])));
+    let program = start_with(&[node.clone(), other.clone()], Some(discovery.address), false, |config| {
+        config["known"]["instances"] = json!([node.row("up")]);
+    });
+    let served = |id: String| {
+        let reply = send(program.platform, &job(&id, "balance", "take started done=x", ""));
+        assert_eq!(reply.expect("an answer").status, 200);
+    };
+    until("a watch", || discovery.calls.load(Ordering::SeqCst) > 0);
+    let change = json!({"generation": 2, "reset": false, "instances": [other.row("up")]});
+    discovery.push(&whole(json!([])).to_string(), whole(json!([])));
+    discovery.push(&change.to_string(), whole(json!([])));
+    let mut n = 0..;
+    until("the other one has a job", || {
+        served(format!("e{}", n.next().unwrap_or(0)));
+        other.jobs.load(Ordering::SeqCst) > 0
+    });
+    let before = node.jobs.load(Ordering::SeqCst);
+    until("the first one still has jobs", || {
+        served(format!("e{}", n.next().unwrap_or(0)));
+        node.jobs.load(Ordering::SeqCst) > before
+    });
+    let figures = program.figures();
+    assert!(figures["bad_lists"] >= 1 && figures["workers"] == 2, "{figures:?}");
+}
+
 #[test]
 fn at_a_planned_stop_everything_taken_is_answered() {
     let node = Node::start("s-1");
