--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,18 +10,27 @@
     pub now: Micros,
     pub actions: Vec<Action>,
     pub alarms: Vec<(Micros, AlarmId)>,
+    /// The time that the module has taken.
+    pub spent: std::time::Duration,
 }
 
 impl Node {
     pub fn new(settings: Settings) -> Node {
-        let dispatcher = Dispatcher::new(settings, 7).expect("settings agree");
-        Node { dispatcher, now: 1_000 * MS, actions: Vec::new(), alarms: Vec::new() }
+        Node::seeded(settings, 7)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64) -> Node {
+        let dispatcher = Dispatcher::new(settings, seed).expect("settings agree");
+        let spent = std::time::Duration::ZERO;
+        Node { dispatcher, now: 1_000 * MS, actions: Vec::new(), alarms: Vec::new(), spent }
     }
 
     /// Feeds one event and returns what it led to; alarms are kept for `pass`.
     pub fn feed(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        let begun = std::time::Instant::now();
         self.dispatcher.handle(self.now, event, &mut actions);
+        self.spent += begun.elapsed();
         for action in &actions {
             if let Action::SetAlarm(id, after) = action {
                 self.alarms.push((self.now + after, *id));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -38,20 +38,33 @@
 /// All nodes over all workers, with jobs that run for a while and datagrams that arrive at once.
 struct Fleet {
     nodes: Vec<Node>,
+    links: BTreeSet<(u32, WorkerId)>,
+    asked: usize,
+    sent: usize,
     running: BTreeMap<u32, Vec<(u32, u64)>>,
     most: usize,
     told: usize,
     probed: BTreeSet<WorkerId>,
+    probes: usize,
 }
 
 impl Fleet {
     fn new(may_tell: bool) -> Fleet {
-        let mut nodes: Vec<Node> = (0..NODES).map(|me| Node::new(settings(me, may_tell))).collect();
+        Fleet::of(NODES, may_tell)
+    }
+
+    fn of(count: u32, may_tell: bool) -> Fleet {
+        let ask_within = Some(2_000 * MS);
+        let set =
+            |me| Settings { nodes: count, roster_on_request: true, ask_within, ..settings(me, may_tell) };
+        let node = |me| Node::seeded(set(me), u64::from(me));
+        let mut nodes: Vec<Node> = (0..count).map(node).collect();
         for node in &mut nodes {
             node.roster((0..WORKERS).map(worker).collect());
             node.report(0, 0.0, SLOTS); // workers of this kind have four slots
         }
-        Fleet { nodes, running: BTreeMap::new(), most: 0, told: 0, probed: BTreeSet::new() }
+        let (running, probed, links) = Default::default();
+        Fleet { nodes, links, asked: 0, sent: 0, running, most: 0, told: 0, probed, probes: 0 }
     }
 
     /// Does what one node wants done: probes answer that all is idle, as reports do that are older than the work.
@@ -59,15 +72,24 @@
         for (job, to) in sends(&actions) {
             let there = self.running.entry(to.0).or_default();
             there.push((from, job));
+            self.sent += 1;
+            self.links.insert((from, to));
             self.most = self.most.max(there.len());
             let started = self.nodes[from as usize].feed(Event::Started { job: JobId(job), attempt: 0 });
             self.act(from, started);
         }
         for worker in probes(&actions) {
             self.probed.insert(worker);
+            self.probes += 1;
+            self.links.insert((from, worker));
             let echo = self.nodes[from as usize].echo(worker.0, Outcome::Ok, report(0.0, SLOTS, 0.0));
             self.act(from, echo);
         }
+        if actions.iter().any(|a| matches!(a, Action::Watch)) {
+            self.asked += 1;
+            let refused = self.nodes[from as usize].feed(Event::RosterFailed);
+            self.act(from, refused);
+        }
         for (to, bytes) in tells(&actions) {
             self.told += 1;
             let heard = self.nodes[to as usize].feed(Event::Mail { from, bytes });
@@ -76,7 +98,7 @@
     }
 
     fn pass(&mut self, span: Micros) {
-        for n in 0..NODES {
+        for n in 0..self.nodes.len() as u32 {
             let actions = self.nodes[n as usize].pass(span);
             self.act(n, actions);
         }
@@ -314,3 +336,55 @@
     assert!(!fleet.running.is_empty());
     assert!(fleet.most <= 2, "{} jobs on one worker at two fifths of its capacity", fleet.most);
 }
+
+/// What the same traffic costs when more dispatchers share it: 1,000 jobs of 300 ms, one each 3 ms, over 60 workers with 240
+/// slots; then discovery refuses everybody for 4 s. `--nocapture` prints the table of `docs/design/fleet.md`.
+#[test]
+fn what_a_job_costs_is_bounded_however_many_dispatchers_there_are() {
+    println!(
+        "| dispatchers | microseconds a job | links | probes a job | datagrams a job | calls in 4 s | in 50 ms |"
+    );
+    for count in [3, 10, 30, 100] {
+        let mut fleet = Fleet::of(count, true);
+        let mut ends = Vec::new();
+        fleet.nodes.iter_mut().for_each(|n| n.spent = Default::default());
+        for n in 0..1_000_u32 {
+            let actions = fleet.nodes[(n % count) as usize].arrive(u64::from(n), 0, 7_000 * MS);
+            fleet.act(n % count, actions);
+            fleet.pass(3 * MS);
+            let there =
+                fleet.running.iter().find(|(_, jobs)| jobs.iter().any(|(_, job)| *job == u64::from(n)));
+            ends.push(there.map(|(worker, _)| *worker));
+            // Jobs end in the order they came; one that found no room at once is not waited for.
+            if let Some(Some(worker)) = n.checked_sub(100).map(|ended| ends[ended as usize]) {
+                fleet.end(worker);
+            }
+        }
+        let each = |n: usize| n as f64 / 1_000.0;
+        let spent: std::time::Duration = fleet.nodes.iter().map(|n| n.spent).sum();
+        let (micros, links) = (spent.as_micros() as f64 / 1_000.0, fleet.links.len());
+        let (probes, told) = (each(fleet.probes), each(fleet.told));
+        assert!(
+            fleet.sent >= 1_000 && fleet.most <= SLOTS as usize,
+            "{} sent, {} at once",
+            fleet.sent,
+            fleet.most
+        );
+        // A start and an end, each to the other nine of the group.
+        assert!(told <= 2.5 * 9.0 && probes <= 0.1, "{count}: {told} datagrams and {probes} probes a job");
+        for n in 0..count {
+            let actions = fleet.nodes[n as usize].feed(Event::RosterFailed);
+            fleet.act(n, actions);
+        }
+        let asked: Vec<usize> = (0..80)
+            .map(|_| {
+                let before = fleet.asked;
+                fleet.pass(50 * MS);
+                fleet.asked - before
+            })
+            .collect();
+        let (all, most) = (asked.iter().sum::<usize>(), asked.iter().max().copied().unwrap_or(0));
+        println!("| {count} | {micros:.0} | {links} | {probes:.2} | {told:.1} | {all} | {most} |");
+        assert!(all > 0 && most <= count as usize / 2 + 2, "{most} of {count} asked within 50 ms");
+    }
+}
