A group only where every address is known; more than 10,000 dispatchers are refused

Need: settings that name more dispatchers than there are, or none, must give service or a plain message. Seen in the code: with Siblings above the number of peers, or no peer_listen, src/share.rs formed a group that heard nothing and took silence for idle workers; with Siblings of 4 billion Share::of and Share::deal would loop for as long.

Config::read forms a group only with peer_listen and the address of each; Settings::check refuses above 10,000; mates are counted by steps. Tests: there_is_a_group_only_where_every_address_is_known, settings_that_contradict_each_other_are_refused.

--- a/src/config.rs
+++ b/src/config.rs
@@ -149,6 +149,9 @@
     pub admin: Option<SocketAddr>,
     /// The dispatchers of the tier, this one included, by number.
     pub peers: Vec<SocketAddr>,
+    /// Whether the others may be told that this one serves or stops. The module tells them more only where the address of
+    /// each is known.
+    pub may_tell_state: bool,
     /// An address that reaches all of them.
     pub peers_all: Option<SocketAddr>,
     /// The server table as last held.
@@ -329,12 +332,16 @@
             Ok(_) => Err(ConfigError::BadSettings(format!("{path} is not above 0"))),
             Err(what) => Err(ConfigError::BadSettings(what)),
         };
-        let (settings, names) = settings(&profile, &known_names.0).map_err(ConfigError::BadSettings)?;
+        let (mut settings, names) = settings(&profile, &known_names.0).map_err(ConfigError::BadSettings)?;
         let (classes, tenants) = (names.classes.names().len(), names.tenants.names().len());
         if classes != settings.classes.len() || tenants != settings.tenants.len() {
             return Err(ConfigError::BadSettings("two classes or tenants have one name".to_owned()));
         }
         settings.check().map_err(|e| ConfigError::BadSettings(e.to_string()))?;
+        let peer_listen = optional("peer_listen")?;
+        let may_tell_state = settings.may_tell;
+        // Without everybody's address a group would take silence for idle workers.
+        settings.may_tell &= peer_listen.is_some() && peers.len() == settings.nodes as usize;
         Ok(Config {
             file: file.to_owned(),
             shape: root.clone(),
@@ -344,7 +351,8 @@
             named_discovery: optional("discovery")?,
             seed: seed.ok_or_else(|| malformed("seed is not a hexadecimal number".into()))?,
             limits,
-            peer_listen: optional("peer_listen")?,
+            peer_listen,
+            may_tell_state,
             admin: either("GW_ADMIN_ADDR", "admin_addr").map(|t| address("admin_addr", &t)).transpose()?,
             peers,
             peers_all: optional("peers_all")?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -226,6 +226,9 @@
     }
 }
 
+/// The most nodes there may be: each deals all workers out to all groups at every list.
+pub const MOST_NODES: u32 = 10_000;
+
 /// Why [`crate::Dispatcher::new`] did not take the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SettingsError {
@@ -233,6 +236,8 @@
     NoClasses,
     /// `me` is not below `nodes`.
     NotAmongNodes,
+    /// There are more than [`MOST_NODES`].
+    TooManyNodes,
     /// No attempt is allowed.
     NoAttempts,
     /// A class leaves no time.
@@ -248,6 +253,7 @@
         f.write_str(match self {
             SettingsError::NoClasses => "settings name no class of jobs",
             SettingsError::NotAmongNodes => "this node's number is not below the count of nodes",
+            SettingsError::TooManyNodes => "there are more than 10,000 nodes",
             SettingsError::NoAttempts => "settings allow no attempt",
             SettingsError::NoTime => "a class has a deadline or an aim that is not above 0",
             SettingsError::ClassGone => "settings lack a class of the running module",
@@ -268,6 +274,8 @@
             Err(SettingsError::NoClasses)
         } else if self.me >= self.nodes {
             Err(SettingsError::NotAmongNodes)
+        } else if self.nodes > MOST_NODES {
+            Err(SettingsError::TooManyNodes)
         } else if self.max_attempts == 0 {
             Err(SettingsError::NoAttempts)
         } else if self.classes.iter().any(|c| c.deadline == 0 || c.aim == 0) {
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -43,7 +43,7 @@
 
     /// Says whether this dispatcher serves or stops, now and a few times more.
     pub(super) fn tell_state(&mut self) {
-        if self.peers.is_some() && self.config.settings.may_tell && self.tells_all() {
+        if self.peers.is_some() && self.config.may_tell_state && self.tells_all() {
             self.state_repeats = REPEATS;
             self.tell_state_once();
         }
--- a/src/share.rs
+++ b/src/share.rs
@@ -96,9 +96,8 @@
     pub fn of(set: &Settings) -> Share {
         let groups = set.nodes.div_ceil(GROUP).max(1);
         let group = set.me % groups;
-        let mates = (0..set.nodes)
-            .filter(|n| set.may_tell && set.may_probe && n % groups == group && *n != set.me)
-            .collect();
+        let mates = (group..set.nodes).step_by(groups as usize);
+        let mates = mates.filter(|n| set.may_tell && set.may_probe && *n != set.me).collect();
         Share { nodes: set.nodes, me: set.me, group, groups, mates, ..Share::default() }
     }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -45,6 +45,31 @@
     assert_eq!(flat.len(), 5);
 }
 
+/// A group that cannot reach one of its nodes would take its silence for idle workers.
+#[test]
+fn there_is_a_group_only_where_every_address_is_known() {
+    let mut text = site::config("127.0.0.1:1", "127.0.0.1:2", json!([]));
+    text["settings"]["Siblings"] = json!(3);
+    text["settings"]["Limits"]["Peers"] = json!(true);
+    text["peer_listen"] = json!("127.0.0.1:7");
+    let told = |count: u16, listens: bool| {
+        let mut text = text.clone();
+        text["peers"] = (0..count).map(|n| json!(format!("127.0.0.1:{}", 7 + n))).collect();
+        if !listens {
+            text.as_object_mut().map(|text| text.remove("peer_listen"));
+        }
+        let config = site::read(&text);
+        (config.settings.may_tell, config.may_tell_state)
+    };
+    assert_eq!(told(3, true), (true, true));
+    assert_eq!((told(2, true), told(0, true), told(3, false)), ((false, true), (false, true), (false, true)));
+    for (count, why) in [(0, "not below the count"), (100_000, "more than 10,000")] {
+        text["settings"]["Siblings"] = json!(count);
+        let refused = Config::read(&text.to_string(), "config.json", |_| None).err().map(|e| e.to_string());
+        assert!(refused.as_ref().is_some_and(|e| e.contains(why)), "{refused:?}");
+    }
+}
+
 #[test]
 fn the_environment_wins_over_the_file() {
     let config = site::config("127.0.0.1:1", "127.0.0.1:2", json!([])).to_string();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -219,6 +219,10 @@
         refused(Settings { me: 3, nodes: 3, ..Settings::default() }),
         Some(SettingsError::NotAmongNodes)
     );
+    assert_eq!(
+        refused(Settings { nodes: u32::MAX, ..Settings::default() }),
+        Some(SettingsError::TooManyNodes)
+    );
     assert_eq!(refused(Settings { max_attempts: 0, ..Settings::default() }), Some(SettingsError::NoAttempts));
     assert_eq!(
         refused(Settings { fall_multiple: f64::NAN, ..Settings::default() }),
