A configuration that is out of order ends the program with exit code 2

Need: bad input ends with a message and exit code 2; serve ended with 1 (run in src/cli/mod.rs made every fault a failure at work). Faults of the configuration and of settings are now input. Test: a_bad_configuration_is_a_plain_message asks for 2 in each case, and has counts of dispatchers of 0 and 4 billion. Nothing of the serving path changed.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -78,7 +78,10 @@
     let settings = settings::load(&file, serve.settings.is_some());
     log::start(form.map_or(settings.as_ref().is_ok_and(|set| set.json_log), |form| form == Form::Json));
     let settings = settings.map_err(Failure::input)?;
-    run(serve, settings).map_err(Failure::work)
+    run(serve, settings).map_err(|error| match error {
+        NetError::Config(_) | NetError::Settings(_) => Failure::input(error),
+        _ => Failure::work(error),
+    })
 }
 
 fn run(serve: Serve, settings: Settings) -> Result<(), NetError> {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -321,7 +321,7 @@
             .env_remove("GW_LISTEN")
             .output()
             .expect("the program starts");
-        (program.status.success(), String::from_utf8_lossy(&program.stderr).into_owned())
+        (program.status.code(), String::from_utf8_lossy(&program.stderr).into_owned())
     };
     let stem = std::env::temp_dir().join(format!("mothproxy-bad-{}", std::process::id()));
     let good = site::config("127.0.0.1:0", "127.0.0.1:1", json!([]));
@@ -336,6 +336,8 @@
         (without("known"), "known is missing"),
         (good.to_string().replace("127.0.0.1:0", "here"), "listen is not an address: \"here\""),
         (good.to_string().replace("\"MaxAttempts\":3", "\"MaxAttempts\":0"), "settings allow no attempt"),
+        (good.to_string().replace("\"Siblings\":1", "\"Siblings\":0"), "not below the count of nodes"),
+        (good.to_string().replace("\"Siblings\":1", "\"Siblings\":4e9"), "more than 10,000 nodes"),
         (
             good.to_string().replace("\"MaxAttempts\":3", "\"MaxAttempts\":\"x\""),
             "Limits.MaxAttempts is not a number",
@@ -343,13 +345,13 @@
     ];
     for (text, message) in cases {
         std::fs::write(&stem, text).expect("a temporary file");
-        let (fine, said) = run(&stem, &[]);
-        assert!(!fine && said.contains(message) && !said.contains("panicked"), "{message}: {said}");
+        let (code, said) = run(&stem, &[]);
+        assert!(code == Some(2) && said.contains(message) && !said.contains("panicked"), "{message}: {said}");
     }
     std::fs::write(&stem, good.to_string()).expect("a temporary file");
-    let (fine, said) = run(&stem, &["--sse", "/nowhere/sse.toml"]);
-    assert!(!fine && said.contains("cannot read /nowhere/sse.toml"), "{said}");
+    let (code, said) = run(&stem, &["--sse", "/nowhere/sse.toml"]);
+    assert!(code == Some(2) && said.contains("cannot read /nowhere/sse.toml"), "{said}");
     std::fs::remove_file(&stem).expect("it was there");
-    let (fine, said) = run(&stem, &[]);
-    assert!(!fine && said.contains("cannot read"), "{said}");
+    let (code, said) = run(&stem, &[]);
+    assert!(code == Some(2) && said.contains("cannot read"), "{said}");
 }
