Tests: a node's event of 1 MiB, and a client that reads a byte a second

The stand-in node has a word for one event of so many bytes. Seen: an event above 128 KiB ends its stream as a break would (EventStream::feed), one of 100,000 bytes is read whole, and a stream beside it goes on; a keyed job whose streams broke at all workers of its cell is held until its time is over, in case another comes, as the module holds any such job. A client of a byte a second gets all, in order, with the final event, and others are served meanwhile. No code of the program changed.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -268,6 +268,15 @@
                     self.seen.lock().expect("a lock").push("flooded".to_owned());
                     continue;
                 }
+                "big" => {
+                    // One event of so many bytes.
+                    let news =
+                        json!({"state": "running", "filler": "x".repeat(value.parse().expect("a number"))});
+                    if !say(&event(&news)) {
+                        return false;
+                    }
+                    continue;
+                }
                 "stale" => continue, // see serve()
                 "mute" if value != self.name => continue,
                 "mute" => {
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -159,6 +159,61 @@
     assert_eq!(program.figures()["served"], 1);
 }
 
+/// What a node sends in one event is bounded: past 128 KiB its stream is given up like one that broke, and nothing else is.
+#[test]
+fn an_event_of_a_mebibyte_ends_its_stream_and_no_other() {
+    let (nodes, program, sse) = fleet(2);
+    let mut other = connect(sse);
+    let other_body = "stream started wait=big running=0.5 done=y";
+    other.write_all(job("f0", "balance", other_body, ACCEPT).as_bytes()).expect("written");
+    until("it runs", || nodes.iter().any(|node| node.jobs.load(std::sync::atomic::Ordering::SeqCst) > 0));
+    // The job is held for another worker until its time is over.
+    let extra = format!("{ACCEPT}X-Time-Left-Ms: 1500\r\n");
+    let seen = watch(sse, &job("f1", "redeem", "stream started big=1048576 done=x", &extra), |_| false);
+    assert_eq!((seen.names().last(), seen.finals(), seen.whole), (Some(&"failed"), 1, true));
+    // One that just fits is read whole, and says nothing that is passed on but that the job runs.
+    let seen = watch(sse, &job("f2", "redeem", "stream started big=100000 done=x", ACCEPT), |_| false);
+    assert_eq!((seen.names().last(), seen.finals()), (Some(&"done"), 1));
+    nodes.iter().for_each(|node| node.open("big"));
+    let seen = read_stream(&mut other, |_| false);
+    assert_eq!((seen.names().last(), seen.finals()), (Some(&"done"), 1));
+    let figures = program.figures();
+    assert_eq!((figures["served"], figures["failed"], figures["open"]), (2, 1, 0));
+}
+
+/// A client that reads a byte a second while its job runs and ends: what it was sent waits for it, whole and in order.
+#[test]
+fn a_client_of_one_byte_a_second_gets_its_final_event() {
+    let (_nodes, program, sse) = fleet(2);
+    let mut slow = connect(sse);
+    slow.write_all(job("g0", "balance", "stream started tick=10,20 done=x", ACCEPT).as_bytes())
+        .expect("written");
+    let mut first = [0; 4];
+    for byte in &mut first {
+        std::thread::sleep(std::time::Duration::from_secs(1));
+        slow.read_exact(std::slice::from_mut(byte)).expect("a byte");
+        // Others are served meanwhile.
+        let quick =
+            watch(sse, &job(&format!("g{byte}"), "balance", "stream started done=y", ACCEPT), |_| false);
+        assert_eq!((quick.names().last(), quick.finals()), (Some(&"done"), 1));
+    }
+    assert_eq!(&first, b"HTTP");
+    let mut rest = Vec::new();
+    while !rest.ends_with(b"0\r\n\r\n") {
+        let mut byte = [0];
+        slow.read_exact(&mut byte).expect("the rest");
+        rest.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&rest);
+    assert_eq!(text.matches("event: done").count(), 1, "{text}");
+    let at = |what: &str| text.find(what);
+    assert!(
+        at("event: started") < at("event: progress") && at("event: progress") < at("event: done"),
+        "{text}"
+    );
+    assert_eq!(program.figures()["served"], 5);
+}
+
 /// The proof asked for: some hundred streams at once, drops and stalls among them. Finals seen and clients gone
 /// add up to the jobs taken, and only those are gone that dropped.
 #[test]
