Tests: final events equal jobs under scripted faults on the nodes' side

The stand-in node can break off inside an event. 128 jobs with eight scripts (cut before and after the stream, inside an event, a stall after a tick, lost, a cut and a second end after the result), watchers that drop and come back: one final event each, ids in order, 204 after it, none open, and as many results told as the ledger served.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -268,6 +268,13 @@
                     self.seen.lock().expect("a lock").push("flooded".to_owned());
                     continue;
                 }
+                "half" => {
+                    // An event breaks off in its middle.
+                    let text = event(&json!({"state": "running", "share": 0.5}));
+                    say(&text[..text.len() / 2]);
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return false;
+                }
                 "big" => {
                     // One event of so many bytes.
                     let news =
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -313,6 +313,71 @@
     drop(younger);
 }
 
+/// Watches a job to its end, dropping and coming back at any point: its one final event, after all others. Then it is over.
+fn follow(sse: SocketAddr, place: &str, dice: &mut fastrand::Rng) -> String {
+    let (mut last, mut end) = (0u64, None);
+    while end.is_none() {
+        let mut stream = Stream::open(sse, place, &format!("Last-Event-ID: {last}\r\n"));
+        assert_eq!(stream.status, 200);
+        let stay = dice.usize(0..4);
+        let whole = dice.bool();
+        while (whole || stream.seen.len() < stay) && stream.step() {}
+        if stream.seen.is_empty() {
+            std::thread::sleep(Duration::from_millis(3)); // as `retry:` asks, only sooner
+        }
+        for event in &stream.seen {
+            let id: u64 = event.id.parse().expect("a number");
+            assert!(id > last, "{id} after {last}");
+            assert_eq!(end, None, "{} after the final event", event.name);
+            last = id;
+            end = ["done", "deny", "failed"].contains(&event.name.as_str()).then(|| event.name.clone());
+        }
+    }
+    let over = send(sse, &get(place, &format!("Last-Event-ID: {last}\r\n"))).expect("an answer");
+    assert_eq!(over.status, 204);
+    end.unwrap_or_default()
+}
+
+/// Faults on the nodes' side as well: streams that are cut, break off inside an event, stall after a tick, or end twice. The
+/// watchers drop and come back all the while: each job still has one final event, in order, and none is left open.
+#[test]
+fn as_many_final_events_as_jobs_under_faults_on_the_nodes_side() {
+    const FAULTS: [&str; 8] = [
+        "cut",
+        "stream started cut",
+        "stream started running=0.1 cut",
+        "stream started running=0.2 half",
+        "stream started running=0.3 hang",
+        "stream started running=0.4 lost",
+        "stream started running=0.5 pause=2 done=x cut",
+        "stream started running=0.6 done=x failed",
+    ];
+    let nodes: Vec<Arc<Node>> = (0..4).map(|n| Node::start(&format!("s-{n}"))).collect();
+    let (program, sse) = front(&nodes);
+    let (clients, each) = (8, 16);
+    let ends: Vec<String> = std::thread::scope(|scope| {
+        let client = |c: u64| {
+            let mut dice = fastrand::Rng::with_seed(c);
+            let job = |n: u64| {
+                let fault = FAULTS[(c + n) as usize % FAULTS.len()];
+                let place = hand_in(sse, &format!("k{c}-{n}"), fault, "X-Time-Left-Ms: 400\r\n");
+                follow(sse, &place, &mut dice)
+            };
+            (0..each).map(job).collect::<Vec<_>>()
+        };
+        let threads: Vec<_> = (0..clients).map(|c| scope.spawn(move || client(c))).collect();
+        threads.into_iter().flat_map(|t| t.join().expect("a client")).collect()
+    });
+    let count = |name: &str| ends.iter().filter(|end| *end == name).count() as u64;
+    assert!(count("done") > 0 && count("done") < clients * each, "{ends:?}");
+    let figures = program.figures();
+    assert_eq!((figures["taken"], figures["open"]), (clients * each, 0));
+    assert_eq!(
+        (figures["served"], figures["denied"] + figures["failed"]),
+        (count("done"), clients * each - count("done"))
+    );
+}
+
 /// Several hundred jobs, clients that drop and come back at any point: each gets one final event, in order, none twice.
 #[test]
 fn as_many_final_events_as_jobs_under_drops_on_the_clients_side() {
@@ -326,28 +391,8 @@
             for n in 0..each {
                 let body = "take started running=0.1 pause=2 running=0.4 running=0.8 pause=1 done=x";
                 let place = hand_in(sse, &format!("j{c}-{n}"), body, "");
-                let (mut last, mut ended) = (0u64, false);
-                while !ended {
-                    let mut stream = Stream::open(sse, &place, &format!("Last-Event-ID: {last}\r\n"));
-                    assert_eq!(stream.status, 200);
-                    let stay = dice.usize(0..4);
-                    let whole = dice.bool();
-                    while (whole || stream.seen.len() < stay) && stream.step() {}
-                    if stream.seen.is_empty() {
-                        std::thread::sleep(Duration::from_millis(3)); // as `retry:` asks, only sooner
-                    }
-                    for event in &stream.seen {
-                        let id: u64 = event.id.parse().expect("a number");
-                        assert!(id > last, "{id} after {last}");
-                        last = id;
-                        let is_final = ["done", "deny", "failed"].contains(&event.name.as_str());
-                        assert!(!is_final || !ended, "a second final event");
-                        ended |= is_final;
-                    }
-                }
+                follow(sse, &place, &mut dice);
                 finals += 1;
-                let over = send(sse, &get(&place, &format!("Last-Event-ID: {last}\r\n"))).expect("an answer");
-                assert_eq!(over.status, 204);
             }
             finals
         };
