Test: a reconnect while the final event is being written gets it, once on each connection

A watcher with a receive buffer of 4 KiB that reads nothing during 20,000 progress events comes back on another connection once a third has seen the end: both have the final event once, ids in order, then 204. No fault of the program was found.

--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -40,7 +40,10 @@
 
 impl Stream {
     fn open(to: SocketAddr, place: &str, extra: &str) -> Stream {
-        let mut conn = connect(to);
+        Stream::on(connect(to), place, extra)
+    }
+
+    fn on(mut conn: TcpStream, place: &str, extra: &str) -> Stream {
         conn.write_all(get(place, extra).as_bytes()).expect("written");
         conn.set_read_timeout(Some(PATIENCE)).expect("a socket option");
         let mut stream = Stream {
@@ -434,3 +437,35 @@
     assert_eq!(node.jobs.load(Ordering::SeqCst), 1);
     drop(program);
 }
+
+/// A watcher whose final event is still on its way to it comes back on another connection: it has the end on both, once on each.
+#[test]
+fn a_reconnect_while_the_final_event_is_being_written_gets_it_too() {
+    let node = Node::start("s-1");
+    let (program, sse) = front(std::slice::from_ref(&node));
+    let place = hand_in(sse, "a1", "stream started wait=go flood=20000 done=x", "");
+    let slow = connect(sse);
+    rustix::net::sockopt::set_socket_recv_buffer_size(&slow, 4096).expect("a socket option");
+    let mut slow = Stream::on(slow, &place, "");
+    assert_eq!(slow.until(1), ["1 started"]);
+    let quick = Stream::open(sse, &place, "");
+    node.open("go");
+    // Another has the whole of it: the job is over, and the slow one has read nothing since its start.
+    let quick = quick.read_out();
+    let end = quick.names().last().cloned().unwrap_or_default();
+    assert!(end.ends_with(" done"), "{end}");
+    let back = Stream::open(sse, &place, "Last-Event-ID: 1\r\n").read_out();
+    let slow = slow.read_out();
+    for stream in [&back, &slow] {
+        let names = stream.names();
+        assert_eq!((names.last(), names.iter().filter(|n| n.ends_with(" done")).count()), (Some(&end), 1));
+        // What was left out is told by an event without an id.
+        let ids = stream.seen.iter().filter(|e| !e.id.is_empty());
+        let ids: Vec<u64> = ids.map(|e| e.id.parse().expect("a number")).collect();
+        assert!(ids.is_sorted_by(|a, b| a < b), "{ids:?}");
+        assert!(names.len() < 20_000, "progress is left out");
+    }
+    let last = end.split(' ').next().unwrap_or_default();
+    let over = send(sse, &get(&place, &format!("Last-Event-ID: {last}\r\n"))).expect("an answer");
+    assert_eq!((over.status, program.figures()["served"]), (204, 1));
+}
