A group is formed anew whenever the count of dispatchers changes

Cause: Share::regroup (src/share.rs) compared mates and the number of groups. From 92 to 91 dispatchers both stay the same for most, and the old count stayed: wishes, and work that changes groups, were told to a number that is no more. It compares the count itself now, as docs/operate/fleet.md says. Test: no_wish_goes_to_a_node_that_is_no_more, fails without.

--- a/src/share.rs
+++ b/src/share.rs
@@ -104,7 +104,7 @@
     /// The group under other settings; what was said is kept if it is the same.
     pub fn regroup(&mut self, set: &Settings) {
         let new = Share::of(set);
-        if (&new.mates, new.groups) != (&self.mates, self.groups) {
+        if (&new.mates, new.nodes) != (&self.mates, self.nodes) {
             *self = new;
         }
     }
@@ -373,6 +373,16 @@
         assert_eq!(moved, 0, "the older ones stay where they are");
     }
 
+    /// The group of node 0 is the same with 92 nodes and with 91; who may be asked for a slot is not.
+    #[test]
+    fn no_wish_goes_to_a_node_that_is_no_more() {
+        let mut share = Share::of(&Settings { nodes: 92, ..settings(0) });
+        share.regroup(&Settings { nodes: 91, ..settings(0) });
+        let mut acts = Vec::new();
+        (0..1_000).for_each(|luck| share.wish(ZoneId(0), luck, &mut acts));
+        assert!(acts.iter().all(|act| matches!(act, Action::Tell { to, .. } if *to < 91)), "{acts:?}");
+    }
+
     #[test]
     fn a_node_by_itself_or_without_messages_has_no_group() {
         for set in [Settings { nodes: 1, ..settings(0) }, Settings { may_tell: false, ..settings(0) }] {
