SIGHUP and SIGTERM wake the loop through a pipe, not a pair of Unix sockets

Change: the waker is a pipe (rustix pipe_with, NONBLOCK|CLOEXEC); signal-hook writes to it with write(2) when send(2) does not apply. balancer.toml needed no change.

--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,25 +1,25 @@
 //! Signals, and the new configuration that SIGHUP asks for.
 
 use super::{Budget, Role, Server, Token};
+use rustix::fd::OwnedFd;
+use rustix::pipe::{PipeFlags, pipe_with};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
 use signal_hook::{flag, low_level::pipe};
-use std::io::Read;
-use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// What signals have asked for. Each raises its flag before it wakes the loop, so that two close together, in
-/// either order, are both seen.
+/// either order, are both seen. The loop is woken through a pipe, not a socket pair: on the fleet's bench only TCP
+/// and UDP sockets over IPv4 may be made (STANDING, "In step with the bench").
 pub(super) struct Signals {
-    pub woken: UnixStream,
+    pub woken: OwnedFd,
     reload: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
 }
 
 impl Signals {
     pub fn register() -> std::io::Result<Signals> {
-        let (woken, waker) = UnixStream::pair()?;
-        woken.set_nonblocking(true)?;
+        let (woken, waker) = pipe_with(PipeFlags::NONBLOCK | PipeFlags::CLOEXEC)?;
         let (reload, stop) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
         for (signal, raised) in [(SIGHUP, &reload), (SIGTERM, &stop), (SIGINT, &stop)] {
             flag::register(signal, raised.clone())?;
@@ -34,7 +34,7 @@
 impl Server {
     pub(super) fn signalled(&mut self) {
         let mut buf = [0; 64];
-        while matches!(self.signals.woken.read(&mut buf), Ok(n) if n > 0) {}
+        while matches!(rustix::io::read(&self.signals.woken, &mut buf), Ok(n) if n > 0) {}
         if self.signals.stop.swap(false, Ordering::Relaxed) {
             self.stop();
         }
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -238,3 +238,27 @@
         assert!(clean && has("reloaded: ") && has("stopped: open=0"), "{order:?}: {log:?}");
     }
 }
+
+/// The fleet's bench makes no socket but TCP and UDP over IPv4 (STANDING, "In step with the bench"). The waker of
+/// SIGHUP and SIGTERM was a pair of Unix sockets; a running program on the default settings now holds none.
+#[test]
+fn a_running_program_holds_no_unix_socket() {
+    let node = Node::start("u-1");
+    let program = start(std::slice::from_ref(&node), None, false);
+    served(&program, "u0");
+    let unix = std::fs::read_to_string("/proc/net/unix").expect("the kernel lists Unix sockets");
+    let inodes: Vec<&str> = unix.lines().skip(1).filter_map(|line| line.split_whitespace().nth(6)).collect();
+    let fds = std::fs::read_dir(format!("/proc/{}/fd", program.pid())).expect("its descriptors");
+    let sockets: Vec<String> = fds
+        .filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok())
+        .filter_map(|link| Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .collect();
+    assert!(!sockets.is_empty(), "the program listens on sockets");
+    let held: Vec<&String> = sockets.iter().filter(|inode| inodes.contains(&inode.as_str())).collect();
+    assert!(held.is_empty(), "Unix sockets held: {held:?} of {sockets:?}");
+    program.signal("-HUP");
+    served(&program, "u1");
+    program.terminate();
+    let (clean, log) = program.wait();
+    assert!(clean && log.iter().any(|line| line.starts_with("reloaded: ")), "{log:?}");
+}
