make bench-decision: the module's time a job at 10 to 10,000 workers, by criterion

In a group, candidates() (src/rules.rs) starts from self.m.share.workers(): the group's whole part of the fleet, ranked one by one in pick and sorted whole (ranked.sort_by), for each job.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run ci build-proof proof-store proof-sse demo
+.PHONY: build test lint run ci build-proof proof-store proof-sse demo bench-decision
 
 build:
 	cargo build --locked --release
@@ -32,3 +32,7 @@
 # A stand-in fleet, the dispatcher and a small load on loopback, with a page that follows a job.
 demo: build
 	cargo run --locked --release -q -p mothproxy-stand-ins --bin demo
+
+# The module's time for one job at 10 to 10,000 workers; the last line gives the ratio of 10,000 to 10.
+bench-decision:
+	cargo bench --locked --bench decision
