--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -386,3 +386,32 @@
         assert!(all > 0 && most <= count as usize / 2 + 2, "{most} of {count} asked within 50 ms");
     }
 }
+
+/// The module's time a job must not follow the size of the group's part of the fleet (issue 21). Every worker of the
+/// part was ranked and sorted for each job: at 10,000 workers and 30 dispatchers 750 times as long as at 10
+/// (`make bench-decision`). Compared here at 20 and 2,000 workers, as the least of five rounds each, so that a busy
+/// machine slows both sides alike. Ranking the whole part: 107 times as slow in a debug build, 73 in release; ranking at
+/// most `RANKED` of it: 22 and 10.
+#[test]
+fn a_job_costs_the_module_about_as_much_in_a_part_of_20_workers_as_of_2000() {
+    let least = |workers: u32| {
+        let mut node = Node::new(Settings { nodes: 30, ..settings(0, true) });
+        node.roster((0..workers).map(worker).collect());
+        (0..workers).for_each(|w| drop(node.report(w, 0.3, SLOTS)));
+        let mut least = std::time::Duration::MAX;
+        for round in 0..5_u64 {
+            node.spent = std::time::Duration::ZERO;
+            for n in 0..200 {
+                let job = round * 200 + n;
+                for (job, to) in sends(&node.arrive(job, 0, 5_000 * MS)) {
+                    node.end(job, 0, to, Outcome::Ok);
+                }
+                node.pass(MS);
+            }
+            least = least.min(node.spent);
+        }
+        least
+    };
+    let (small, large) = (least(20), least(2_000));
+    assert!(large < small * 50, "a job: {small:?} at 20 workers, {large:?} at 2,000 (200 jobs)");
+}
