--- a/src/state.rs
+++ b/src/state.rs
@@ -359,10 +359,11 @@
         let (workers, mut seen) = (&self.workers, Vec::new());
         self.stirred.retain(|id| {
             let w = &workers[*id as usize];
-            let stirred = !w.out.is_empty() || w.doubted();
+            let doubted = w.doubted();
+            let stirred = !w.out.is_empty() || doubted;
             if let Some(known) = w.known.filter(|_| stirred) {
                 let out = w.out.iter().map(|o| o.slots).collect();
-                seen.push(Seen { worker: known.worker, tag: known.tag, out, doubted: w.doubted() });
+                seen.push(Seen { worker: known.worker, tag: known.tag, out, doubted });
             }
             stirred
         });
