Draw the group's sample of its part by Floyd's algorithm, not a walk of the part

Seen: perf of `make bench-decision` at 10,000 workers (30 dispatchers, so a part of about 3,333 workers) put 60 % of a job's time in Dispatcher::candidates, inside fastrand's choose_multiple: a reservoir that draws one random number for every worker of the part (src/rules.rs, the first line of candidates). Share::load 7 %, the sorts of pick 8 %.

Change: Share keeps its part also as a list and Share::sample draws `most` of it by Floyd's algorithm (most draws, no walk). candidates asks it for RANKED as before.

Test without the bench: a_sample_of_the_part_costs_what_it_draws_and_favours_no_worker (8 numbers drawn for 8 of 300, distinct, no worker favoured); it fails on the reservoir ("8 numbers drawn for 8 of 300").

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -357,7 +357,7 @@
     /// Workers to rank for a job: its sample and the group's (RANKED at random of a larger part); without a
     /// group, or for a `wide` look, cold ones whose turn it is and some at random, home first.
     fn candidates(&mut self, id: JobId, wide: bool) -> Vec<WorkerId> {
-        let mut pool: Vec<WorkerId> = self.rng.choose_multiple(self.m.share.workers(), RANKED);
+        let mut pool = self.m.share.sample(&mut self.rng, RANKED);
         let lists = [&self.m.cold, &self.m.home, &self.m.ready];
         for list in lists.into_iter().filter(|_| wide && !self.m.share.lends() || !self.m.share.on()) {
             match list.len() <= RANKED / 2 {
--- a/src/share.rs
+++ b/src/share.rs
@@ -63,6 +63,8 @@
     pub mates: Vec<u32>,
     /// The group's part of the ready workers, by the short tags that messages name them by.
     workers: BTreeMap<u16, WorkerId>,
+    /// The same workers in a list, to draw from by place.
+    part: Vec<WorkerId>,
     /// The group of each ready worker.
     owners: BTreeMap<WorkerId, u32>,
     /// All ready workers, by their short tags.
@@ -125,6 +127,7 @@
         let (mut sorted, groups) = (ready.to_vec(), u64::from(self.groups.max(1)));
         sorted.sort_unstable_by_key(|k| (k.zone, k.started_at, k.tag));
         self.workers.clear();
+        self.part.clear();
         self.owners.clear();
         self.news |= self.lends();
         self.listed = ready.iter().map(|k| (short(k.tag), k.worker)).collect();
@@ -138,11 +141,25 @@
                 self.owners.insert(known.worker, group as u32);
                 if group == u64::from(self.group) {
                     self.workers.insert(short(known.tag), known.worker);
+                    self.part.push(known.worker);
                 }
             }
         }
     }
 
+    /// `most` of the group's workers drawn at random, every set of that size as likely; all of them if there are no
+    /// more. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9), 1987): `most` draws and no
+    /// walk through the part, so the cost does not grow with the fleet.
+    pub fn sample(&self, rng: &mut fastrand::Rng, most: usize) -> Vec<WorkerId> {
+        let size = if self.on() { self.part.len() } else { 0 };
+        let mut places: Vec<usize> = Vec::with_capacity(most.min(size));
+        for last in size.saturating_sub(most)..size {
+            let place = rng.usize(..=last);
+            places.push(if places.contains(&place) { last } else { place });
+        }
+        places.into_iter().map(|place| self.part[place]).collect()
+    }
+
     /// The group's workers.
     pub fn workers(&self) -> impl Iterator<Item = WorkerId> {
         self.workers.values().copied().filter(|_| self.on())
@@ -363,6 +380,34 @@
         assert_eq!(parts(&all.iter().rev().copied().collect::<Vec<_>>()), before);
     }
 
+    /// Drawing from the part walked all of it with a random number for each worker (a reservoir): at 10,000 workers and
+    /// 30 dispatchers, 60 % of a job's time in `make bench-decision`. Now as many numbers as workers drawn, distinct,
+    /// and each worker about as often as any other.
+    #[test]
+    fn a_sample_of_the_part_costs_what_it_draws_and_favours_no_worker() {
+        let mut share = Share::of(&settings(0));
+        share.deal(&(0..3_000).map(listed).collect::<Vec<_>>());
+        let size = share.part.len();
+        assert!(size > 100, "{size} in the part");
+        let (mut rng, mut counted) = (fastrand::Rng::with_seed(5), fastrand::Rng::with_seed(5));
+        let mut times: BTreeMap<WorkerId, u32> = share.part.iter().map(|w| (*w, 0)).collect();
+        for _ in 0..2_000 {
+            let drawn = share.sample(&mut rng, 8);
+            (0..8).for_each(|_| {
+                counted.u64(..);
+            });
+            assert_eq!(rng.u64(..), counted.u64(..), "8 numbers drawn for 8 of {size}");
+            let distinct: BTreeSet<WorkerId> = drawn.iter().copied().collect();
+            assert_eq!((drawn.len(), distinct.len()), (8, 8));
+            drawn.iter().for_each(|w| *times.get_mut(w).expect("one of the part") += 1);
+        }
+        let mean = 2_000.0 * 8.0 / size as f64;
+        let (least, most) = (times.values().min().copied(), times.values().max().copied());
+        let (least, most) = (f64::from(least.unwrap_or(0)), f64::from(most.unwrap_or(0)));
+        assert!(least > mean * 0.2 && most < mean * 2.5, "{least}..{most} times for {mean:.1} each");
+        assert_eq!(share.sample(&mut rng, size + 5).len(), size, "all of a part no larger than asked");
+    }
+
     #[test]
     fn new_ones_take_the_places_that_are_left() {
         let mut all: Vec<RosterEntry> = (0..52).map(listed).collect();
