Take a part no larger than the sample whole, with no random number drawn

That moved the module's generator for everything after it (probe samples, draws from the lists), so other choices followed.

Change: Share::sample returns a part of `most` or fewer as it is, drawing nothing: the choices of small fleets are as before.

Share and fleet tests pass.

--- a/src/share.rs
+++ b/src/share.rs
@@ -148,10 +148,13 @@
     }
 
     /// `most` of the group's workers drawn at random, every set of that size as likely; all of them if there are no
-    /// more. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9), 1987): `most` draws and no
+    /// more, with no number drawn. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9), 1987): `most` draws and no
     /// walk through the part, so the cost does not grow with the fleet.
     pub fn sample(&self, rng: &mut fastrand::Rng, most: usize) -> Vec<WorkerId> {
         let size = if self.on() { self.part.len() } else { 0 };
+        if size <= most {
+            return self.part[..size].to_vec();
+        }
         let mut places: Vec<usize> = Vec::with_capacity(most.min(size));
         for last in size.saturating_sub(most)..size {
             let place = rng.usize(..=last);
