Share::sample: one slice for the part, its bounds from the early return, a comment wrapped

Reading the change again: after the early return the part is larger than `most`, so `most.min(size)` and `size.saturating_sub(most)` were always `most` and `size - most`; the part and its size were kept apart as `size` and `self.part[..size]`. Now one slice, `part`, empty without a group. The doc comment ran to 138 columns. The test counts its eight numbers in a for loop.

--- a/src/share.rs
+++ b/src/share.rs
@@ -148,19 +148,19 @@
     }
 
     /// `most` of the group's workers drawn at random, every set of that size as likely; all of them if there are no
-    /// more, with no number drawn. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9), 1987): `most` draws and no
-    /// walk through the part, so the cost does not grow with the fleet.
+    /// more, with no number drawn. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9),
+    /// 1987): `most` draws and no walk through the part, so the cost does not grow with the fleet.
     pub fn sample(&self, rng: &mut fastrand::Rng, most: usize) -> Vec<WorkerId> {
-        let size = if self.on() { self.part.len() } else { 0 };
-        if size <= most {
-            return self.part[..size].to_vec();
+        let part: &[WorkerId] = if self.on() { &self.part } else { &[] };
+        if part.len() <= most {
+            return part.to_vec();
         }
-        let mut places: Vec<usize> = Vec::with_capacity(most.min(size));
-        for last in size.saturating_sub(most)..size {
+        let mut places: Vec<usize> = Vec::with_capacity(most);
+        for last in part.len() - most..part.len() {
             let place = rng.usize(..=last);
             places.push(if places.contains(&place) { last } else { place });
         }
-        places.into_iter().map(|place| self.part[place]).collect()
+        places.into_iter().map(|place| part[place]).collect()
     }
 
     /// The group's workers.
@@ -396,9 +396,9 @@
         let mut times: BTreeMap<WorkerId, u32> = share.part.iter().map(|w| (*w, 0)).collect();
         for _ in 0..2_000 {
             let drawn = share.sample(&mut rng, 8);
-            (0..8).for_each(|_| {
+            for _ in 0..8 {
                 counted.u64(..);
-            });
+            }
             assert_eq!(rng.u64(..), counted.u64(..), "8 numbers drawn for 8 of {size}");
             let distinct: BTreeSet<WorkerId> = drawn.iter().copied().collect();
             assert_eq!((drawn.len(), distinct.len()), (8, 8));
