A pushed list is watched from the start, and a silent watch opened anew after 2.5 s

Its log had no call to discovery at all where lists are pushed.

Cause: the wish for a watch came from the module's random wait alone, which is set only where lists are asked for (ask_later in src/rules.rs; src/net/discovery.rs opened nothing by itself). And src/net/discovery.rs called a watch dead 5 s after its last line, where an empty one comes every 2 s: less than 1 s was left before what it missed counts as told.

Change: src/core/silence.rs, a clock without I/O: where lists are pushed a watch is always open, asked again at once; a silent one is noticed after 2.5 s and asked anew within 1 s, again and again until what it missed counts as told; what comes after that counts as told since then. Objects may take many lines. Lists, a struct of its own, holds the watch; Server has a field less.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod ledger;
 pub mod moved;
 pub mod servers;
+pub mod silence;
 
 use crate::Dispatcher;
 use crate::config::{ServerList, SiteNames};
@@ -454,11 +455,11 @@
         }
     }
 
-    /// A list of discovery's.
-    pub fn listed(&mut self, now: Micros, list: &ServerList, cached: bool) {
+    /// A list of discovery's, which counts as told since `told`.
+    pub fn listed(&mut self, told: Micros, list: &ServerList, cached: bool) {
         let offset = self.unix_offset;
         let since_unix = |ms: f64| Micros::try_from((ms * 1000.0) as i128 + offset).ok().filter(|t| *t > 0);
-        let entries = self.servers.take(now, list, &mut self.names.0, since_unix);
+        let entries = self.servers.take(told, list, &mut self.names.0, since_unix);
         let kind = match (cached, list.reset) {
             (true, _) => RosterKind::Cached,
             (_, true) => RosterKind::Whole,
--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -92,7 +92,7 @@
         list.reset && list.rows.is_empty() && self.listed() > 0
     }
 
-    /// Takes a list in and words it for the module. `since_unix` turns Unix time in milliseconds into the
+    /// Takes a list in that counts as told since `now`, and words it for the module. `since_unix` turns Unix time in milliseconds into the
     /// module's time.
     pub(crate) fn take(
         &mut self,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,50 +1,86 @@
 //! Calls to discovery: the watch, and the whole list once.
 
 use super::conn::{Conn, ReadEnd};
-use super::{Role, Server, Token};
+use super::{Role, Server, Token, WATCH_TIMER};
 use crate::config::ServerList;
+use crate::core::silence::{Broken, Objects, WatchClock};
 use crate::front::platform;
 use crate::http::{self, Body, MAX_HEAD};
 use crate::interface::Micros;
 use rustix::event::epoll::EventFlags;
 
-/// The call must be answered by then: discovery itself gives up a call that has waited for a second.
+/// A call for the whole list must be answered by then: discovery itself gives up one that has waited for a second.
 const ANSWER_TIME: Micros = 3_000_000;
 /// The connection for it must be up by then.
 const CONNECT_TIME: Micros = 500_000;
-/// A watch sends at least an empty line every 2 s; one that is silent for longer than this is dead.
-const SILENCE: Micros = 5_000_000;
-/// The longest line of a watch, or whole list.
+/// The longest object of a watch, or whole list.
 const MOST: usize = 4 * 1024 * 1024;
 
+/// Failed calls that told nothing are logged this far apart.
+const QUIET: Micros = 1_000_000;
+
 pub(super) struct Call {
     watch: bool,
     connecting: bool,
     body: Option<Body>,
-    text: Vec<u8>,
+    text: Objects,
     /// Whether the status was 200 and the call counts as answered by a list.
     answered: bool,
 }
 
+/// The watch of this dispatcher.
+pub(super) struct Lists {
+    /// Its connection.
+    watch: Option<Token>,
+    clock: WatchClock,
+    /// A new service of discovery has not told its whole list yet.
+    whole_due: bool,
+    /// No failure of a call that told nothing is logged before this.
+    quiet_until: Micros,
+}
+
+impl Lists {
+    /// Nothing is asked for yet. `pushed` as the settings say.
+    pub fn new(pushed: bool, seed: u64) -> Lists {
+        Lists { watch: None, clock: WatchClock::new(pushed, seed), whole_due: false, quiet_until: 0 }
+    }
+}
+
 impl Server {
+    /// Where lists are pushed, the agent's watch is open from the start on: what it has counts as told.
+    pub(super) fn watch_agent(&mut self) {
+        if self.lists.clock.retune(!self.config.settings.roster_on_request) {
+            self.core.remind(self.now, WATCH_TIMER);
+        }
+    }
+
+    /// The module wants a watch. One that a change of discovery, or a silence, has begun already is as good.
+    pub(super) fn watch_wanted(&mut self) {
+        if self.lists.watch.is_none() {
+            self.call(true);
+        }
+    }
+
     /// Starts a watch, or asks for the list once.
     pub(super) fn call(&mut self, watch: bool) {
-        if let Some(old) = self.watch.take_if(|_| watch) {
+        if let Some(old) = self.lists.watch.take_if(|_| watch) {
             self.close_token(old);
         }
         let after = watch.then_some(self.core.servers.generation);
         let conn = self.make_room(0).then(|| Conn::connect(self.config.discovery).ok()).flatten();
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(platform::list(after));
-            let call = Call { watch, connecting: true, body: None, text: Vec::new(), answered: false };
+            let call =
+                Call { watch, connecting: true, body: None, text: Objects::default(), answered: false };
             self.add(conn, |_| Role::Call(call))
         });
-        let Some(token) = token else { return self.core.list_failed() };
+        let up_by = if watch { self.lists.clock.called(self.now) } else { self.now + CONNECT_TIME };
+        let Some(token) = token else { return self.watch_over(watch, Broken::Ended) };
         if watch {
-            self.watch = Some(token);
+            self.lists.watch = Some(token);
         }
         if let Some((mut conn, role)) = self.take(token) {
-            self.set_timer(token, &mut conn, Some(self.now + CONNECT_TIME));
+            self.set_timer(token, &mut conn, Some(up_by));
             self.watch_for(token, &mut conn, true);
             self.put(token, conn, role);
         }
@@ -57,7 +93,8 @@
                 return self.call_failed(token, conn, call, "no connection");
             }
             call.connecting = false;
-            self.set_timer(token, &mut conn, Some(self.now + ANSWER_TIME));
+            let due = if call.watch { self.lists.clock.connected(self.now) } else { self.now + ANSWER_TIME };
+            self.set_timer(token, &mut conn, Some(due));
         }
         if !conn.flush() {
             return self.call_failed(token, conn, call, "connection lost");
@@ -94,34 +131,30 @@
             }
         }
         let Some(body) = &mut call.body else { return Ok(false) };
-        let before = call.text.len();
-        body.feed(&mut conn.inbox, &mut call.text).map_err(|_| "broken chunks")?;
+        let (mut read, partly) = (Vec::new(), call.text.partly());
+        body.feed(&mut conn.inbox, &mut read).map_err(|_| "broken chunks")?;
         let done = body.is_done();
-        if call.watch && call.text.len() > before {
-            self.set_timer(token, conn, Some(self.now + SILENCE));
+        call.text.feed(&read);
+        while let Some(object) = call.text.next_object() {
+            self.listed(call, &object);
         }
-        if call.watch {
-            while let Some(end) = call.text.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = call.text.drain(..=end).collect();
-                self.listed(call, line.trim_ascii());
-            }
-        } else if done {
-            let text = std::mem::take(&mut call.text);
-            self.listed(call, text.trim_ascii());
+        // An object that has begun must be whole in the time it was given when it began.
+        if call.watch && !read.is_empty() && !(partly && call.text.partly()) {
+            let due = self.lists.clock.heard(self.now, call.text.partly());
+            self.set_timer(token, conn, Some(due));
+        }
+        if !call.watch && done {
             return if call.answered { Ok(true) } else { Err("no list in it") };
         }
         match (call.text.len() > MOST, done) {
-            (true, _) => Err("line too long"),
+            (true, _) => Err("list too long"),
             (_, true) => Err("ended"),
             _ => Ok(false),
         }
     }
 
-    fn listed(&mut self, call: &mut Call, line: &[u8]) {
-        if line.is_empty() {
-            return;
-        }
-        let list = serde_json::from_slice(line).ok().and_then(|value| ServerList::read(&value));
+    fn listed(&mut self, call: &mut Call, object: &[u8]) {
+        let list = serde_json::from_slice(object).ok().and_then(|value| ServerList::read(&value));
         match list {
             Some(list) => {
                 call.answered = true;
@@ -129,10 +162,11 @@
                     self.counts.bad_lists += 1;
                     return;
                 }
-                self.core.listed(self.now, &list, false);
+                let told = if call.watch { self.lists.clock.told(self.now) } else { self.now };
+                self.core.listed(told, &list, false);
                 // A new service may answer with changes though it was asked for everything. Workers that it has
                 // never heard of would then stay in the table: the whole list is asked for once.
-                if std::mem::take(&mut self.whole_list_due) && !list.reset {
+                if std::mem::take(&mut self.lists.whole_due) && !list.reset {
                     self.call(false);
                 }
             }
@@ -141,12 +175,49 @@
     }
 
     pub(super) fn call_failed(&mut self, token: Token, conn: Conn, call: Call, why: &str) {
-        if self.watch == Some(token) {
-            self.watch = None;
+        self.log_failed(&call, why);
+        if !call.watch || self.lists.watch.take_if(|watch| *watch == token).is_some() {
+            self.watch_over(call.watch, Broken::Ended);
         }
-        let what = if call.watch { "watch" } else { "list" };
-        tracing::warn!("discovery: {what} failed: {why}");
-        self.core.list_failed();
         self.close(token, conn, Role::Call(call));
     }
+
+    /// A call that has said nothing for too long.
+    pub(super) fn call_due(&mut self, token: Token, conn: Conn, call: Call) {
+        if self.lists.watch.take_if(|watch| *watch == token).is_none() {
+            return self.call_failed(token, conn, call, "no answer in time");
+        }
+        self.log_failed(&call, if call.answered { "fell silent" } else { "no answer in time" });
+        self.close(token, conn, Role::Call(call));
+        self.watch_over(true, Broken::Silent);
+    }
+
+    /// A line for each call that failed; of those that told nothing, one in so long: an agent is asked again at once.
+    fn log_failed(&mut self, call: &Call, why: &str) {
+        if call.answered || self.now >= self.lists.quiet_until {
+            self.lists.quiet_until = self.now + QUIET;
+            let what = if call.watch { "watch" } else { "list" };
+            tracing::warn!("discovery: {what} failed: {why}");
+        }
+    }
+
+    /// No call is under way any more: it is asked anew by the clock of silence, or when the module wants it.
+    fn watch_over(&mut self, watch: bool, why: Broken) {
+        match watch.then(|| self.lists.clock.broke(self.now, why)).flatten() {
+            Some(again) => self.core.remind(again, WATCH_TIMER),
+            None => self.core.list_failed(),
+        }
+    }
+
+    /// Drops all calls to a service of discovery that no longer counts, and whatever it may still say.
+    pub(super) fn leave_discovery(&mut self) {
+        self.lists.watch = None;
+        self.lists.clock.moved();
+        for slot in 0..self.slots.len() {
+            if let Some((_, Role::Call(_))) = self.slots[slot].held {
+                self.close_token(Token::new(slot, self.slots[slot].used));
+            }
+        }
+        self.lists.whole_due = true;
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,7 @@
 use admin::Caller;
 use backend::{Back, Probe};
 use conn::Conn;
-use discovery::Call;
+use discovery::{Call, Lists};
 use frontend::Front;
 use handover::{Asked, Home, Twin};
 use notes::Notes;
@@ -72,6 +72,7 @@
 const HAND_TIMER: u64 = u64::MAX - 12;
 const NOTES: Token = Token(u64::MAX - 13);
 const RELAY_TIMER: u64 = u64::MAX - 14;
+const WATCH_TIMER: u64 = u64::MAX - 15;
 
 /// What a connection is for.
 enum Role {
@@ -213,9 +214,7 @@
     /// Idle connections to workers, the freshest last.
     pool: HashMap<WorkerId, Vec<Token>>,
     probes: HashMap<Token, Probe>,
-    watch: Option<Token>,
-    /// A new service of discovery has not told its whole list yet.
-    whole_list_due: bool,
+    lists: Lists,
     stopping: Option<Micros>,
     /// Since when clients are sent elsewhere while the program goes on.
     drained: Option<Micros>,
@@ -362,8 +361,7 @@
             dispatching: HashMap::new(),
             pool: HashMap::new(),
             probes: HashMap::new(),
-            watch: None,
-            whole_list_due: false,
+            lists: Lists::new(!config.settings.roster_on_request, config.seed),
             stopping: None,
             drained: None,
             drain_due: false,
@@ -378,6 +376,7 @@
             server.open_notes(dir)?;
         }
         server.settle_in(path, inherited);
+        server.watch_agent();
         Ok(server)
     }
 
@@ -463,9 +462,7 @@
                 Command::Tell { frontend, share } => self.tell(Token(frontend), share),
                 Command::Probe(worker) => self.probe(worker),
                 Command::Peer(to, bytes) => self.tell_peer(to, &bytes),
-                // One that a change of discovery has begun already is as good.
-                Command::Watch if self.watch.is_some() => {}
-                Command::Watch => self.call(true),
+                Command::Watch | Command::Due(WATCH_TIMER) => self.watch_wanted(),
                 Command::Fetch => self.call(false),
                 Command::Due(SUMMARY_TIMER) => {
                     self.summary();
@@ -582,7 +579,7 @@
         match role {
             Role::Front(front) => self.front_due(token, conn, front),
             Role::Back(back) => self.back_due(token, conn, back),
-            Role::Call(call) => self.call_failed(token, conn, call, "no answer in time"),
+            Role::Call(call) => self.call_due(token, conn, call),
             Role::Admin(caller) => self.close(token, conn, Role::Admin(caller)),
         }
     }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,6 +1,6 @@
 //! Signals, and the new configuration that SIGHUP asks for.
 
-use super::{Budget, Role, Server, Token};
+use super::{Budget, Server};
 use rustix::fd::OwnedFd;
 use rustix::pipe::{PipeFlags, pipe_with};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
@@ -68,16 +68,6 @@
             self.leave_discovery();
             self.core.discovery_moved();
         }
-    }
-
-    /// Drops all calls to a service of discovery that no longer counts, and whatever it may still say.
-    fn leave_discovery(&mut self) {
-        self.watch = None;
-        for slot in 0..self.slots.len() {
-            if let Some((_, Role::Call(_))) = self.slots[slot].held {
-                self.close_token(Token::new(slot, self.slots[slot].used));
-            }
-        }
-        self.whole_list_due = true;
+        self.watch_agent();
     }
 }
