The last moment to write to a stopping worker follows from the settings' grace

Need: src/net/backend.rs had 250 ms as a constant, chosen for the first deployment's 400 ms of grace. A deployment with less than 250 ms would have had its drain rule broken by a connection that comes up late; one with 1,500 ms lost attempts for nothing. Change: five eighths of settings.drain_grace, which is 250 ms at 400 ms as before.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -14,9 +14,9 @@
 /// was answered later than after 20 ms, or never. One that has said nothing for this long has a connection that fell
 /// silent, and no reset comes. Most jobs can still be in time elsewhere by then.
 const TAKE_TIME: Micros = 150_000;
-/// Sends to a worker that drains or is gone may go on for 400 ms from being told. A connection that comes up
-/// this long after is not written to any more.
-const STOPPED_GRACE: Micros = 250_000;
+/// A connection that comes up later than this part of the drain's grace after its worker was told to stop is not written to
+/// any more: the grace ends at the first byte, and a busy core may be late with it.
+const STOPPED_PART: f64 = 5.0 / 8.0;
 /// An event stream of a node is read in pieces of this size.
 const STREAM_READ: usize = 64 * 1024;
 
@@ -196,9 +196,10 @@
                 return self.put(token, conn, Role::Back(back));
             }
             // A connection that took long to come up must not carry work to a worker that has since been told
-            // to stop: the drain's 400 ms count from being told, not from the decision.
+            // to stop: the drain's grace counts from being told, not from the decision.
             let told = self.core.servers.get(back.worker).and_then(|s| s.stopped);
-            if exchange.is_dispatch() && told.is_some_and(|at| self.now > at + STOPPED_GRACE) {
+            let grace = (self.config.settings.drain_grace as f64 * STOPPED_PART) as Micros;
+            if exchange.is_dispatch() && told.is_some_and(|at| self.now > at + grace) {
                 return self.back_broken(token, conn, back);
             }
             back.state = State::Awaiting(exchange);
