Jobs that can only be late go after those that can still be in time

And a held job's own alarm sent it past the order. At fault: the order in `wake_held`, and `review` of a held job on its alarm.

Change: `turn` is a job's place: by latest start, but one that can only be late (and is worth something late) after all others; without a group a job is not sent or probed for while another one's turn is before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -204,10 +204,9 @@
     /// The node's final answer: a refusal only where nothing may have run or a repeat does no harm.
     fn give_up(&mut self, id: JobId, acts: &mut Vec<Action>) {
         let Some(job) = self.m.jobs.get(&id) else { return };
-        let harmless = match self.class(job).effect {
-            Effect::Pure | Effect::Token { group: Group::All, .. } => true,
-            _ => job.bounces() == job.attempts.len(),
-        };
+        let effect = self.class(job).effect;
+        let harmless = matches!(effect, Effect::Pure | Effect::Token { group: Group::All, .. })
+            || job.bounces() == job.attempts.len();
         let refusal = Action::Refuse { job: id, retry_after: self.stay_away() };
         acts.push(if harmless { refusal } else { Action::Fail(id) });
         self.close(id, acts);
@@ -296,16 +295,18 @@
                 return;
             }
         }
+        let first = self.m.held.iter().filter_map(|id| self.turn(*id)).min();
+        let behind = out == 0 && !self.m.share.on() && first.is_some_and(|f| Some(f) < self.turn(id));
         let grouped = self.m.share.on(); // others are asked for only where the own ones have no room
         let own = grouped && self.pick(id).is_some_and(|(rank, _)| rank == Rank::Fresh);
-        if out == 0 && !own && self.probe_sample(id, acts) {
+        if out == 0 && !own && !behind && self.probe_sample(id, acts) {
             return;
         }
         // A full one only once holding has not helped; in a group never one that may be dead.
         let queue = |rank| queue && rank != Rank::TooLong && (rank == Rank::Full || !grouped);
         let may = |rank| rank == Rank::Fresh || out == 0 && (rank == Rank::Unknown || queue(rank));
         match self.pick(id) {
-            Some((rank, worker)) if may(rank) => self.send(id, worker, rank, acts),
+            Some((rank, worker)) if !behind && may(rank) => self.send(id, worker, rank, acts),
             _ => {
                 // Nothing has room: the job waits here, and then for a report that shows some. The wait also
                 // guards against probes that fail at once being asked again without end.
@@ -556,20 +557,24 @@
         self.wake_held(acts);
     }
 
+    /// A job's place among those that wait here: the one that must start soonest first, but one that can only
+    /// be late after all others, or under too much load each would be served just too late. One turned away
+    /// again and again has none, it waits out its time: its last tries are spread.
+    fn turn(&self, id: JobId) -> Option<(bool, Micros, JobId)> {
+        let job = self.m.jobs.get(&id).filter(|job| job.bounces() < QUICK_TRIES)?;
+        let (latest, late_worth) = (self.latest_start(job), self.class(job).late_worth);
+        Some((latest <= self.m.now && late_worth > 0.0, latest, id))
+    }
+
     /// A start or an end may mean room: the jobs that wait here are looked at while one is sent, first the
     /// one that must start soonest.
     fn wake_held(&mut self, acts: &mut Vec<Action>) {
-        let due = |id: &JobId| self.m.jobs.get(id).map(|job| (self.latest_start(job), *id));
-        let mut held: Vec<_> = self.m.held.iter().filter_map(due).collect();
+        let mut held: Vec<_> = self.m.held.iter().filter_map(|id| self.turn(*id)).collect();
         held.sort_unstable();
-        for (_, id) in held {
-            // One turned away again and again waits out its time: its last tries are spread.
-            let patient = |job: &&mut Job| job.bounces() < QUICK_TRIES;
-            let Some(job) = self.m.jobs.get_mut(&id).filter(patient) else { continue };
-            job.wait_until = 0;
-            let sent = job.sent();
+        for (.., id) in held {
+            self.m.jobs.entry(id).and_modify(|job| job.wait_until = 0);
             self.review(id, acts);
-            if self.m.jobs.get(&id).is_some_and(|job| !job.closed && job.sent() == sent) {
+            if self.m.held.contains(&id) {
                 break;
             }
         }
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -160,3 +160,22 @@
         assert!((wait..=wait + 25 * MS).contains(&waited), "price {price}, {late_worth}: {waited}");
     }
 }
+
+/// Found on the overloaded day of `haatkhata-bengal`: 64 % of answers were late, since the jobs that were late
+/// already went first and made the next ones late.
+#[test]
+fn jobs_that_are_late_go_after_those_that_can_be_in_time() {
+    let settings = Settings { tells_start: true, classes: vec![class(Effect::Pure)], ..Settings::default() };
+    let mut node = Node::new(settings);
+    node.roster(vec![worker(0)]);
+    for job in 1..=6 {
+        node.arrive(job, 0, 5_000 * MS);
+        node.feed(Event::Started { job: JobId(job), attempt: 0 });
+    }
+    assert_eq!(sends(&node.actions), [(1, WorkerId(0)), (2, WorkerId(0))], "as many as it may have room for");
+    node.pass(400 * MS); // the rest had to start within 300 ms
+    node.arrive(7, 0, 5_000 * MS);
+    assert_eq!(sends(&node.end(1, 0, WorkerId(0), Outcome::Ok)), [(7, WorkerId(0))]);
+    node.feed(Event::Started { job: JobId(7), attempt: 0 });
+    assert_eq!(sends(&node.end(2, 0, WorkerId(0), Outcome::Ok)), [(3, WorkerId(0))], "late ones follow");
+}
