Where starts are told, a full worker of the own zone has one job ready to follow

Reports there are refreshed every 310 to 1,300 ms and come 120 to 350 ms late; a slot that came free showed only then. `pick` counted the jobs of ours that ran there as a queue before the next (held.max(-free)), so a worker full of our jobs always read as TooLong, and a Full one was queued at only after HOLD_PART of the slack.

Change: where starts are told and there is no group, only what has not started is a queue: a job goes to a full worker of the own zone at once, if none of ours waits there. One waiting job keeps a slot busy; a second would only wait.

tests/core.rs: a test held that a full worker gets nothing while the other, whose jobs it never let start, is jammed; it lets them start now.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,8 +1,7 @@
 //! Every decision of the dispatcher. Its interface is src/interface.rs; src/state.rs has what it remembers,
-//! src/share.rs what the nodes of a group tell each other.
-//!
-//! The ordinary path: reports become stamped entries; a job goes to the worker with the best fresh fuzzy
-//! capability, then to an unknown one, then, where all are full, to the one that answers soonest.
+//! src/share.rs what the nodes of a group tell each other. On the ordinary path reports become stamped
+//! entries, and a job goes to the worker with the best fresh fuzzy capability, then to an unknown one, then,
+//! where all are full, to the one that answers soonest.
 
 use crate::interface::*;
 use crate::share::{Heard, TELL_ALARM};
@@ -204,9 +203,9 @@
     /// The node's final answer: a refusal only where nothing may have run or a repeat does no harm.
     fn give_up(&mut self, id: JobId, acts: &mut Vec<Action>) {
         let Some(job) = self.m.jobs.get(&id) else { return };
-        let effect = self.class(job).effect;
-        let harmless = matches!(effect, Effect::Pure | Effect::Token { group: Group::All, .. })
-            || job.bounces() == job.attempts.len();
+        let harmless =
+            matches!(self.class(job).effect, Effect::Pure | Effect::Token { group: Group::All, .. })
+                || job.bounces() == job.attempts.len();
         let refusal = Action::Refuse { job: id, retry_after: self.stay_away() };
         acts.push(if harmless { refusal } else { Action::Fail(id) });
         self.close(id, acts);
@@ -265,17 +264,15 @@
         } else if job.any(State::Running) || self.m.now < job.wait_until {
             return;
         }
-        let out = job.out();
+        let (out, spent) = (job.out(), job.sent() >= self.set.max_attempts);
         let stuck = job.any(State::MayHaveRun) && effect == Effect::SideEffect;
-        let spent = job.sent() >= self.set.max_attempts;
         // A job that can no longer earn anything is not started: it would only delay the rest.
         if out == 0 && ((late_worth == 0.0 && soon >= latest) || stuck || spent) {
             return self.give_up(id, acts);
         }
         let (slack, left) = (latest.saturating_sub(self.m.now), job.new.deadline - self.m.now);
-        let hold_end = job.arrived + ((latest - job.arrived) as f64 * HOLD_PART) as Micros;
-        let queue = slack > 0 && self.m.now >= hold_end;
-        let sign_due = self.sign_due(job.work);
+        let held = slack > 0 && slack as f64 <= (latest - job.arrived) as f64 * (1.0 - HOLD_PART);
+        let (sign_due, grouped) = (self.sign_due(job.work), self.m.share.on());
         if let Some(last) = self.m.jobs.get_mut(&id).and_then(Job::newest_unstarted) {
             let due = last.at + sign_due;
             if self.m.now < due {
@@ -283,6 +280,7 @@
             }
             // A worker that does not start what its report had room for is not believed for a while.
             let (worker, job_at, promised) = (last.worker, last.at, std::mem::take(&mut last.promised));
+            let alive = self.m.at(worker).heard > job_at;
             if promised && self.set.tells_start {
                 self.strike(worker);
             }
@@ -291,19 +289,20 @@
                 return self.alarm(id, job_at + patience, acts);
             }
             // A worker that was heard of since lives: the job is in its queue and will run there in any case.
-            if out > 1 || effect == Effect::SideEffect || spent || self.m.at(worker).heard > job_at {
+            if out > 1 || effect == Effect::SideEffect || spent || alive {
                 return;
             }
         }
-        let first = self.m.held.iter().filter_map(|id| self.turn(*id)).min();
-        let behind = out == 0 && !self.m.share.on() && first.is_some_and(|f| Some(f) < self.turn(id));
-        let grouped = self.m.share.on(); // others are asked for only where the own ones have no room
+        let first = || self.m.held.iter().filter_map(|id| self.turn(*id)).min();
+        let behind = out == 0 && !grouped && first().is_some_and(|f| Some(f) < self.turn(id));
+        // Others are asked for only where the group's own ones have no room.
         let own = grouped && self.pick(id).is_some_and(|(rank, _)| rank == Rank::Fresh);
         if out == 0 && !own && !behind && self.probe_sample(id, acts) {
             return;
         }
-        // A full one only once holding has not helped; in a group never one that may be dead.
-        let queue = |rank| queue && rank != Rank::TooLong && (rank == Rank::Full || !grouped);
+        // A full one at once where starts are told, else after the hold; alone then even one not trusted.
+        let told = slack > 0 && self.set.tells_start && !grouped;
+        let queue = |rank| rank == Rank::Full && (told || held) || held && !grouped && rank != Rank::TooLong;
         let may = |rank| rank == Rank::Fresh || out == 0 && (rank == Rank::Unknown || queue(rank));
         match self.pick(id) {
             Some((rank, worker)) if !behind && may(rank) => self.send(id, worker, rank, acts),
@@ -431,12 +430,8 @@
         let mut ranked: Vec<(Rank, f64, f64, WorkerId)> = Vec::new();
         let mut lowest_cpu = f64::INFINITY;
         let slack = self.latest_start(job).saturating_sub(self.m.now) as f64;
-        // Where a probe would tell, a job that could not be taken away again is not sent blindly.
-        let movable =
-            self.class(job).effect != Effect::SideEffect && self.set.may_cancel && self.set.tells_start;
         let grouped = self.m.share.on();
-        let asked = grouped || self.set.may_probe && self.m.tells_queue && !movable;
-        let unseen = if asked { Rank::Unprobed } else { Rank::Unknown };
+        let queue_asked = self.m.tells_queue && !self.set.tells_start;
         // What only one kind can run comes first there: to other jobs it offers what that leaves.
         let spare = |k: KindId| (1.0 - self.m.bound_share(&self.set.classes, k)).clamp(LEAST_SPARE, 1.0);
         let kinds = self.set.classes.iter().filter_map(|c| c.kind.map(|k| (k, spare(k))));
@@ -451,24 +446,28 @@
             let barred = self.m.now < worker.trust.until;
             // In a group, one that failed must show that it lives before it gets work again.
             let failed = worker.trust.strikes > 0;
-            let doubted = failed && (barred || jammed) || grouped && self.m.doubts(worker);
-            let shunned = doubted || barred && !failed && !self.set.may_probe;
+            let shunned = failed && (barred || jammed) || grouped && self.m.doubts(worker);
             let away = known.zone != self.set.zone;
             let spare = spares.iter().find(|s| s.0 == known.kind).map_or(1.0, |s| s.1);
             let luck = -(1.0 - self.rng.f64()).ln();
             let held = worker.held();
             let soonest = slowness * (1.0 + held);
             let entry = self.m.fresh(candidate, self.window());
+            // Where a probe would tell of a queue, none is sent blindly.
+            let blind = grouped || self.set.may_probe && queue_asked;
             let (rank, by, then) = match self.inputs(worker, &known) {
                 _ if shunned || away && self.m.now < zone => (Rank::Shunned, soonest, luck),
                 _ if barred || jammed => (Rank::TooLong, soonest, luck),
                 Some((cpu, load, free)) => {
                     let short = memory.zip(entry.and_then(|e| e.memory)).is_some_and(|(m, have)| have < m);
                     if free < needs || short {
-                        let ahead = held.max(-free); // of the group, or only of this node
+                        // Of the group, or only of this node; where starts are told, one waits there at most.
+                        let told = self.set.tells_start && !grouped;
+                        let ahead = if told { 0.0 } else { held.max(-free) };
                         let behind = entry.and_then(|e| e.waiting).unwrap_or(0.0) + ahead + 1.0;
                         let wait = behind * self.m.mean_work() * slowness / self.m.slots(known.kind);
-                        (if wait * OVERDUE > slack { Rank::TooLong } else { Rank::Full }, soonest, luck)
+                        let long = wait * OVERDUE > slack || told && (away || worker.keeps_waiting());
+                        (if long { Rank::TooLong } else { Rank::Full }, soonest, luck)
                     } else {
                         lowest_cpu = entry.map_or(lowest_cpu, |e| lowest_cpu.min(e.cpu));
                         let score = (capability(cpu, load) * spare / TIE).round() - f64::from(u8::from(away));
@@ -480,7 +479,8 @@
                     (Rank::Fresh, -(capability(0.5, 0.5) * spare / TIE).round(), slowness)
                 }
                 None if held + needs > self.m.slots(known.kind).max(2.0) => (Rank::TooLong, soonest, luck),
-                None => (unseen, (held + luck) * slowness / (known.weight.max(0.01) * spare), luck),
+                None if blind => (Rank::Unprobed, soonest, luck),
+                None => (Rank::Unknown, (held + luck) * slowness / (known.weight.max(0.01) * spare), luck),
             };
             ranked.push((rank, by, then, candidate));
         }
@@ -588,8 +588,7 @@
         let Some(this) = this else { return };
         let ran_for = this.running_since.filter(|_| self.set.tells_start).map(|s| now.saturating_sub(s));
         this.state = if outcome.never_ran() { State::NeverRan } else { State::MayHaveRun };
-        let bounces = job.bounces();
-        let (work, class) = (job.work, usize::from(job.new.class.0));
+        let (work, class, bounces) = (job.work, usize::from(job.new.class.0), job.bounces());
         self.m.returned(worker, id, attempt);
         let zone = self.m.worker(worker).known.map(|k| k.zone);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
@@ -621,20 +620,19 @@
         } else if let Some(job) = self.m.jobs.get(&id).filter(|j| !j.closed) {
             let left = u64::from(self.set.max_attempts.saturating_sub(job.sent()));
             // Turned away again and again: the tries that are left are spread over the time that is left.
-            let again = bounces >= QUICK_TRIES && outcome == Outcome::Full && job.out() == 0 && left > 0;
-            let wait = self.latest_start(job).saturating_sub(now) / (left + 1);
-            if let Some(job) = self.m.jobs.get_mut(&id).filter(|_| again) {
-                job.wait_until = now + wait;
+            if bounces >= QUICK_TRIES && outcome == Outcome::Full && job.out() == 0 && left > 0 {
+                let until = now + self.latest_start(job).saturating_sub(now) / (left + 1);
+                self.m.jobs.entry(id).and_modify(|job| job.wait_until = until);
                 self.m.hold(id);
-                self.alarm(id, now + wait, acts);
+                self.alarm(id, until, acts);
             }
             self.review(id, acts);
         }
         self.m.forget(id);
+        self.wake_held(acts);
         if let Some(report) = report.filter(|_| outcome == Outcome::Ok) {
             self.enter(worker, &report);
         }
-        self.wake_held(acts);
     }
 
     /// Distrust: the entry is cleared and the worker left alone, twice as long each time.
@@ -670,13 +668,12 @@
         let Report { free_slots, waiting, free_memory: memory, .. } = report.clean();
         // Noise aside, slots are whole: 0.96 free is one.
         let (cpu, free) = (report.clean().cpu.unwrap_or(0.5), free_slots.map(f64::round));
-        let (at, known) = (self.m.now, self.m.at(id).known);
-        let slots = known.map_or(1.0, |k| self.m.slots(k.kind));
+        let slots = self.m.at(id).known.map_or(1.0, |k| self.m.slots(k.kind));
         let served = (cpu * slots / self.m.mean_work() * 1e6).max(MOST_ERRORS);
         if self.m.share.on() && report.clean().err_rps.is_some_and(|errors| errors > served) {
             return self.strike(id);
         }
-        self.m.store(id, Entry { at, cpu, free, waiting, memory });
+        self.m.store(id, Entry { at: self.m.now, cpu, free, waiting, memory });
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,6 +92,11 @@
         self.out.iter().map(|o| o.slots).sum()
     }
 
+    /// It has work of ours that it has not started.
+    pub fn keeps_waiting(&self) -> bool {
+        self.out.iter().any(|o| !o.started)
+    }
+
     pub fn cold_sent(&self, epoch: u64) -> f64 {
         if self.cold.0 == epoch { self.cold.1 } else { 0.0 }
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -362,8 +362,10 @@
         younger.core.recall(carried(&elder.core.lesson()));
         for _ in 0..3 {
             younger.arrive(0, 5_000 * MS).expect("a session");
-            let to: Vec<WorkerId> = sent(&younger.pass(10 * MS)).into_iter().map(|s| s.2).collect();
-            assert!(!to.contains(&full), "worker {} is full", full.0);
+            for (id, _, to) in sent(&younger.pass(10 * MS)) {
+                assert_ne!(to, full, "it is full");
+                assert!(younger.news(&format!("job-{}", id + 1), to, News::Started));
+            }
         }
     }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -312,3 +312,26 @@
     assert_eq!(sends(&node.pass(90 * MS)), []);
     assert_eq!(sends(&node.pass(60 * MS)), [(2, WorkerId(0))]);
 }
+
+/// Found on overloaded days of `haatkhata-bengal`: a worker whose slots all ran our jobs counted those as a queue, so
+/// jobs were held until it reported room, up to a second late, while its slots stood free. And with that mended, one
+/// that had just failed got them as well: 67 waited at a hung one.
+#[test]
+fn a_full_worker_has_one_job_ready_to_follow_and_one_that_failed_has_none() {
+    let settings = Settings { tells_start: true, classes: vec![class(Effect::Pure)], ..Settings::default() };
+    let mut node = Node::new(settings);
+    node.roster(vec![worker(0)]);
+    node.report(0, 0.1, 8.0);
+    for job in 1..=8 {
+        assert_eq!(sends(&node.arrive(job, 0, 5_000 * MS)).len(), 1);
+        node.feed(Event::Started { job: JobId(job), attempt: 0 });
+    }
+    node.report(0, 1.0, 0.0);
+    assert_eq!(sends(&node.arrive(9, 0, 5_000 * MS)), [(9, WorkerId(0))], "it follows at once");
+    node.pass(25 * MS);
+    node.report(0, 1.0, 0.0);
+    assert_eq!(sends(&node.arrive(10, 0, 5_000 * MS)), [], "one waits there");
+    node.feed(Event::Started { job: JobId(9), attempt: 0 });
+    node.end(9, 0, WorkerId(0), Outcome::Error);
+    assert_eq!(sends(&node.arrive(11, 0, 5_000 * MS)), [], "it has just failed");
+}
