A job crosses zones only to room that is known, a late one for its late worth

Checked: same_zone_share and the sends' ranks: an entry lasts 150 to 300 ms there, after that a worker is unknown, and unknown ones of other zones got jobs blindly.

Change: where probes are allowed (0.2 points each, a crossing costs 16) a worker of another zone without a fresh entry is not sent to, and once a job may cross other zones' workers are probed first: the own ones had no room. A late job crosses once it has waited for that part of the time to its deadline which the price is of its late worth. Reports that came with an answer are stored after held jobs are woken, as before: the other order is not worth a change in groups.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -245,12 +245,14 @@
     }
 
     /// Whether the job may go to another zone: once it has waited here for that part of its slack which the
-    /// price of crossing is of what it loses by being late.
+    /// price of crossing is of what it loses by being late; and, late, of what it loses by not being served.
     fn may_cross(&self, job: &Job) -> bool {
-        let latest = self.latest_start(job);
-        let part = self.set.price_cross_zone / (1.0 - self.class(job).late_worth).max(0.01);
-        let wait = (latest - job.arrived) as f64 * part.min(HOLD_PART);
-        self.m.home.is_empty() || self.m.now >= job.arrived + wait as Micros
+        let (latest, late_worth) = (self.latest_start(job), self.class(job).late_worth);
+        let late = self.m.now >= latest;
+        let (from, to) = if late { (latest, job.new.deadline) } else { (job.arrived, latest) };
+        let part = self.set.price_cross_zone / if late { late_worth } else { 1.0 - late_worth }.max(0.01);
+        let wait = to.saturating_sub(from) as f64 * part.min(HOLD_PART);
+        self.m.home.is_empty() || self.m.now >= from + wait as Micros
     }
 
     /// Looks at a job anew: answers it, waits, probes, holds, sends, or sends a copy.
@@ -340,7 +342,9 @@
         let rested = |w: &Worker| self.m.now >= w.trust.until && (!lends || self.m.doubts(w));
         pool.retain(|w| !on || rested(self.m.at(*w)));
         self.rng.shuffle(&mut pool);
-        pool.sort_by_key(|w| self.m.at(*w).known.is_some_and(|k| k.zone != self.set.zone));
+        // Another zone is asked first once the job may go there: the own ones had no room.
+        let far = self.m.jobs.get(&id).is_some_and(|job| !on && self.may_cross(job));
+        pool.sort_by_key(|w| self.m.at(*w).known.is_some_and(|k| (k.zone != self.set.zone) != far));
         pool.truncate(SAMPLE[usize::from(on)]);
         let stale: Vec<WorkerId> =
             pool.iter().copied().filter(|w| self.m.fresh(*w, self.window()).is_none()).collect();
@@ -453,8 +457,8 @@
             let held = worker.held();
             let soonest = slowness * (1.0 + held);
             let entry = self.m.fresh(candidate, self.window());
-            // Where a probe would tell of a queue, none is sent blindly.
-            let blind = grouped || self.set.may_probe && queue_asked;
+            // Where a probe would tell of a queue, or of room that is worth a crossing, none is sent blindly.
+            let blind = grouped || self.set.may_probe && (away || queue_asked);
             let (rank, by, then) = match self.inputs(worker, &known) {
                 _ if shunned || away && self.m.now < zone => (Rank::Shunned, soonest, luck),
                 _ if barred || jammed => (Rank::TooLong, soonest, luck),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -335,3 +335,21 @@
     node.end(9, 0, WorkerId(0), Outcome::Error);
     assert_eq!(sends(&node.arrive(11, 0, 5_000 * MS)), [], "it has just failed");
 }
+
+/// Found on overloaded days of `haatkhata-bengal`: jobs crossed blindly, half of all, to queue at workers as full as the
+/// own ones. Where probes are allowed another zone is asked first.
+#[test]
+fn a_job_crosses_only_to_room_that_is_known() {
+    let settings = Settings { may_probe: true, price_cross_zone: 0.1, ..Settings::default() };
+    let mut node = Node::new(Settings { classes: vec![class(Effect::Pure)], ..settings });
+    let zones = |id: u32| RosterEntry { zone: ZoneId(u16::from(id > 0)), ..worker(id) };
+    node.roster((0..2).map(zones).collect());
+    node.report(0, 1.0, 0.0);
+    let mut seen = node.arrive(1, 0, 5_000 * MS);
+    for _ in 0..18 {
+        seen.extend(node.pass(5 * MS));
+        seen.extend(node.report(0, 1.0, 0.0));
+    }
+    assert_eq!((sends(&seen).len(), probes(&seen).contains(&WorkerId(1))), (0, true));
+    assert_eq!(sends(&node.report(1, 0.1, 4.0)), [(1, WorkerId(1))]);
+}
