Under too much load the newest job goes first once one has waited for its aim

Checked: by the settings a job is in time for sure if it starts within its aim; `latest_start` adds a part for its length, which is not known there (no hints). With more work than slots the order by latest start holds each job until just before that moment, so the short ones and those on slow workers end late: the domino effect of earliest deadline first.

Below that load no job waits so long and the order is as it was.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -562,13 +562,14 @@
         self.wake_held(acts);
     }
 
-    /// A job's place among those that wait here: the one that must start soonest first, but one that can only
-    /// be late after all others, or under too much load each would be served just too late. One turned away
-    /// again and again has none, it waits out its time: its last tries are spread.
+    /// A job's place among those that wait here: the one that must start soonest first. But where late ones
+    /// earn too, one that has waited for its aim goes last, the newest first, or under too much load all
+    /// would be served just too late. One turned away again and again has none: its last tries are spread.
     fn turn(&self, id: JobId) -> Option<(bool, Micros, JobId)> {
         let job = self.m.jobs.get(&id).filter(|job| job.bounces() < QUICK_TRIES)?;
-        let (latest, late_worth) = (self.latest_start(job), self.class(job).late_worth);
-        Some((latest <= self.m.now && late_worth > 0.0, latest, id))
+        let (latest, class) = (self.latest_start(job), self.class(job));
+        let last = class.late_worth > 0.0 && self.m.now >= job.arrived + class.aim;
+        Some((last, if last { Micros::MAX - latest } else { latest }, id))
     }
 
     /// A start or an end may mean room: the jobs that wait here are looked at while one is sent, first the
