A mate that is not heard any more is not taken for idle: then a report is needed as well

From 10 s on sends rose from 622 to 1,372 a second while starts stayed at 730: start delay p50 779 to 1,163 ms at 11 and 12 s for 3 ms before; 21.5 % of the jobs of 10 to 15 s late, 44 % refused, the queues full into the heal. One dispatcher's doubt reached nobody meanwhile. A connect to a worker that is cut off takes its 250 ms; there were 29 such workers and 11 to 197 such failures a second, not the cause.

Cause: Share::fresh drops what a mate has said after 4 s, so Share::load counted its work as none, and Dispatcher::inputs read the group's workers as free. Change: Share::deaf; who has work out says so every 2 s, so after 3 s without it is missed, for 10 s. Room in src/rules.rs: the waits for a discovery that has just moved are WatchClock's now, as its other waits are (its test went there too).

--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -25,6 +25,9 @@
 /// All watches may fall silent at once: they are opened anew within this, and what fails again as well.
 const SPREAD: Micros = 1_000_000;
 
+/// A service that has just taken over is asked again this soon: what it tells counts 4 s after SIGHUP.
+const MOVED_AGAIN: Micros = 200_000;
+
 /// Why a watch is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
@@ -54,13 +57,21 @@
     phase: Phase,
     /// The watch fell silent after this, and no other has told anything since.
     behind: Option<Micros>,
+    /// Another service counts, and its watch has told nothing yet.
+    moved: bool,
     rng: fastrand::Rng,
 }
 
 impl WatchClock {
     /// No watch yet. `pushed` as the settings say; `seed` settles the random waits.
     pub fn new(pushed: bool, seed: u64) -> WatchClock {
-        WatchClock { pushed, phase: Phase::Closed, behind: None, rng: fastrand::Rng::with_seed(seed) }
+        WatchClock {
+            pushed,
+            phase: Phase::Closed,
+            behind: None,
+            moved: false,
+            rng: fastrand::Rng::with_seed(seed),
+        }
     }
 
     /// Other settings count. True if a watch is to be opened now: where lists are pushed one always is.
@@ -69,9 +80,9 @@
         pushed && self.phase == Phase::Closed
     }
 
-    /// Another service counts from now on; what the old one's watch missed does not.
-    pub fn moved(&mut self) {
-        (self.phase, self.behind) = (Phase::Closed, None);
+    /// Another service counts from now on; until its watch tells something, this dispatcher is behind.
+    pub fn moved(&mut self, now: Micros) {
+        (self.phase, self.behind, self.moved) = (Phase::Closed, Some(now), true);
     }
 
     /// A watch is called for. Returns when its connection must be up.
@@ -93,7 +104,7 @@
         if partly {
             return now + OBJECT;
         }
-        self.behind = None; // an empty line says that nothing was missed
+        (self.behind, self.moved) = (None, false); // an empty line says that nothing was missed
         now + SILENCE
     }
 
@@ -114,7 +125,7 @@
             return Some(now + if why == Broken::Silent { 0 } else { AGENT_AGAIN });
         }
         // Until what was missed counts as told, the growing waits of a service that is down would be too long.
-        let again = now + self.rng.u64(0..=SPREAD);
+        let again = now + self.rng.u64(0..=if self.moved { MOVED_AGAIN } else { SPREAD });
         self.behind.filter(|since| again < since + TOLD_AFTER).map(|_| again)
     }
 }
@@ -233,6 +244,21 @@
         assert_eq!((clock.told(20 * S), clock.broke(21 * S, Broken::Ended)), (20 * S, None));
     }
 
+    /// A service that SIGHUP has named counts soon: it is asked again at once, not after the waits for one that is down.
+    #[test]
+    fn a_new_service_that_refuses_is_asked_again_soon() {
+        let mut clock = WatchClock::new(false, 1);
+        clock.moved(10 * S);
+        let mut now = 10 * S;
+        while let Some(again) = clock.broke(now, Broken::Ended) {
+            assert!(again <= now + MOVED_AGAIN && again < 16 * S);
+            now = clock.called(again).min(again + MOVED_AGAIN / 10);
+        }
+        assert!(now > 14 * S, "asked until {now}");
+        clock.heard(now, false);
+        assert_eq!(clock.broke(now + S, Broken::Ended), None);
+    }
+
     #[test]
     fn an_agent_is_asked_for_ever_and_never_in_a_busy_loop() {
         let mut clock = WatchClock::new(true, 1);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -212,7 +212,7 @@
     /// Drops all calls to a service of discovery that no longer counts, and whatever it may still say.
     pub(super) fn leave_discovery(&mut self) {
         self.lists.watch = None;
-        self.lists.clock.moved();
+        self.lists.clock.moved(self.now);
         for slot in 0..self.slots.len() {
             if let Some((_, Role::Call(_))) = self.slots[slot].held {
                 self.close_token(Token::new(slot, self.slots[slot].used));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,9 +42,6 @@
 const COLD_GRANT: f64 = 2.0;
 /// A kind keeps at least this part of its fair load for jobs that other kinds can run too.
 const LEAST_SPARE: f64 = 0.1;
-/// A service of the roster that has just taken over is asked again this soon, for this long.
-const MOVED_ASK: Micros = 200_000;
-const MOVED_FOR: Micros = 5_000_000;
 /// A worker that reports more errors a second than this, and more than it can have served, is failing.
 const MOST_ERRORS: f64 = 1.0;
 const ROSTER_ALARM: u64 = 0; // and job n has alarm 1 + n
@@ -95,10 +92,7 @@
         match event {
             Event::Roster(kind, entries) => self.roster(kind, &entries, acts),
             Event::RosterFailed => self.ask_later(1, acts),
-            Event::RosterMoved => {
-                (self.m.roster_failures, self.m.moved_until) = (0, self.m.now + MOVED_FOR);
-                acts.push(Action::Watch);
-            }
+            Event::RosterMoved => acts.push(Action::Watch),
             Event::Arrived(new) => self.arrived(new, acts),
             Event::Adopted { new, since, past } => {
                 self.admit(new, since, acts);
@@ -159,8 +153,7 @@
     fn ask_later(&mut self, failed: u32, acts: &mut Vec<Action>) {
         self.m.roster_failures = (self.m.roster_failures + failed).min(3);
         if let Some(within) = self.set.ask_within.filter(|_| self.set.roster_on_request) {
-            let moved = self.m.now < self.m.moved_until;
-            let span = if moved { MOVED_ASK } else { (within / 8) << self.m.roster_failures };
+            let span = (within / 8) << self.m.roster_failures;
             acts.push(Action::SetAlarm(AlarmId(ROSTER_ALARM), self.rng.u64(0..=span)));
         }
     }
@@ -339,7 +332,7 @@
         }
         let mut pool = self.candidates(id, true);
         // With other groups to ask for a slot, only those of its own that failed and have rested since.
-        let (on, lends) = (self.m.share.on(), self.m.share.lends());
+        let (on, lends) = (self.m.share.on(), self.m.share.lends() && !self.m.share.deaf(self.m.now));
         let rested = |w: &Worker| self.m.now >= w.trust.until && (!lends || self.m.doubts(w));
         pool.retain(|w| !on || rested(self.m.at(*w)));
         self.rng.shuffle(&mut pool);
@@ -407,23 +400,28 @@
         if self.m.share.on_offer(known.worker, self.m.now) {
             return Some((0.5, 0.5, 1.0));
         }
-        if let Some(mates) = self.m.share.load(known, self.m.now) {
+        let told = self.m.share.load(known, self.m.now).map(|mates| {
             let age = known.started_at.map_or(self.set.cold_time, |at| self.m.now.saturating_sub(at));
             let planned = if age < self.set.cold_time { self.set.fall_multiple * COLD_SAFETY } else { 1.0 };
             let room = slots * (planned * self.grown(age)).min(1.0);
             let (out, room) = (mates + worker.held(), room.max(1.0));
-            return Some((out / room, out / room, (room - out).floor()));
+            (out / room, out / room, (room - out).floor())
+        });
+        // A mate that is not heard any more may still send there: then a report is needed as well.
+        if told.is_some() && !self.m.share.deaf(self.m.now) {
+            return told;
         }
         let entry = self.m.fresh(known.worker, self.window())?;
         let since = entry.at.saturating_sub(self.window());
         let unseen: f64 = worker.out.iter().filter(|o| o.at >= since).map(|o| o.slots).sum();
         let cpu = (entry.cpu + unseen / slots).min(1.0);
         let endless = if entry.cpu < 1.0 { f64::INFINITY } else { 0.0 };
-        Some(match (entry.free, entry.waiting) {
+        let seen = match (entry.free, entry.waiting) {
             (Some(free), _) => (cpu, 1.0 - (free - unseen) / slots, free - unseen),
             (None, Some(waiting)) => (cpu, (waiting + unseen) / (waiting + unseen + slots), endless),
             _ => (cpu, 0.5, endless),
-        })
+        };
+        Some(told.map_or(seen, |told| (told.0.max(seen.0), told.1.max(seen.1), told.2.min(seen.2))))
     }
 
     /// The worker that wins the job, and whether it may have room.
--- a/src/share.rs
+++ b/src/share.rs
@@ -11,6 +11,10 @@
 const GROUP: u32 = 10;
 /// What a mate has said counts for this long; whoever has work out says so again in half the time.
 const SAID_FOR: Micros = 4_000_000;
+/// Whoever has work out and has not said so again after this, one and a half times the time for it, is missed; for so long,
+/// by when a dead one's work has ended and one that is back has spoken.
+const MISSED_AFTER: Micros = SAID_FOR / 4 * 3;
+const MISSED_FOR: Micros = 5 * SAID_FOR / 2;
 /// News is told this late, so that what happens at once is told at once.
 const NEWS_WITHIN: Micros = 2_000;
 /// The alarm at which a node tells its group what there is to tell.
@@ -184,6 +188,16 @@
         Some((out.count() + offered.count()) as f64)
     }
 
+    /// Whether a mate that had work out when it last spoke has missed saying so again: it may be cut off, or dead, and what
+    /// it has out at the group's workers is not known.
+    pub fn deaf(&self, now: Micros) -> bool {
+        let missed = |said: &Said| now >= said.at + MISSED_AFTER && now < said.at + MISSED_FOR;
+        self.mates
+            .iter()
+            .filter_map(|mate| self.said.get(mate))
+            .any(|said| !said.out.is_empty() && missed(said))
+    }
+
     /// Whether another has said that it doubts this worker, later than this.
     pub fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
         let tag = short(known.tag);
--- a/src/state.rs
+++ b/src/state.rs
@@ -214,8 +214,6 @@
     pub last_grant: Option<WorkerId>,
     pub zones: BTreeMap<ZoneId, Trust>,
     pub roster_failures: u32,
-    /// Until when a service of the roster counts as new.
-    pub moved_until: Micros,
     /// Answer time for each unit of expected work: by kind, and of all.
     pub kind_slow: BTreeMap<KindId, Mean>,
     pub slow: Mean,
