Membership joined to the program: Fleet, its driver, settings, the members' page, groups dealt from the view

Dispatchers knew each other as a count in their configuration. Now, where the operators' file has fleet.membership, a sans-IO Fleet owns crates/membership; datagrams that begin with 0xF1 on the peer socket are its own, its view reaches the module as Event::Peers, and src/share.rs deals each worker to a node of its group, or, where that one is gone, to the first of a row of the worker's own: one death moves about 1/n (checked over 30 nodes and 600 workers). Off by default: without it nothing is sent, heard or dealt otherwise. GET /control/members, counters, one rate-limited line a change, a farewell at SIGTERM, a new epoch after SIGHUP with other peers and after a younger process has died.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -94,7 +94,7 @@
     let state = serve.state.map(|dir| StateDir { dir, sync }).or(settings.state);
     let name = config.name.clone();
     let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
-    let mut server = Server::open(config, sse, folder.as_deref(), state)?;
+    let mut server = Server::open(config, sse, folder.as_deref(), state, settings.fleet)?;
     let (platform, sse, admin) = server.addresses();
     let shown = |at: Option<std::net::SocketAddr>| at.map_or("off".to_owned(), |at| at.to_string());
     tracing::info!("serving: {name} on {}, SSE {}, control {}", shown(platform), shown(sse), shown(admin));
@@ -106,7 +106,8 @@
         let set = settings::load(file, true).map_err(Failure::input)?;
         let on = |on: bool| if on { "on" } else { "off" };
         let (streams, state) = (on(set.streams.is_some()), on(set.state.is_some()));
-        println!("{}: sound: streams {streams}, state {state}", file.display());
+        let members = on(set.fleet.membership.is_some());
+        println!("{}: sound: streams {streams}, state {state}, membership {members}", file.display());
         return Ok(());
     }
     let named = |name: &str| (name == "GW_CONFIG").then(|| file.display().to_string());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -482,6 +482,11 @@
         self.events.push(Event::Mail { from, bytes });
     }
 
+    /// Which dispatchers may hold work, by their numbers.
+    pub fn peers(&mut self, holders: Vec<bool>) {
+        self.events.push(Event::Peers(holders));
+    }
+
     /// News of a job, by the names that the worker uses. Whether they told anything new.
     pub fn news(&mut self, now: Micros, name: &str, from: &str, news: News, report: Option<Report>) -> bool {
         let result = match &news {
--- /dev/null
+++ b/src/fleet/settings.rs
@@ -0,0 +1,67 @@
+//! What the operators' file says of the parts; [`crate::settings`] reads it.
+
+use crate::interface::Micros;
+use mothproxy_membership::Config;
+
+/// The parts that are on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetSettings {
+    /// Who is there.
+    pub membership: Option<MembershipSettings>,
+}
+
+/// How the members find out about each other; all of a site must have the same.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MembershipSettings {
+    /// Each member probes another so often, in microseconds.
+    pub probe_interval: Micros,
+    /// A probe that is not answered within this goes through others, in microseconds.
+    pub probe_timeout: Micros,
+    /// A suspicion that others confirm lasts this times `2 + ln(members + 1)` intervals.
+    pub suspicion_mult: f64,
+    /// The most bytes of datagrams that a member sends a second.
+    pub bytes_per_s: u32,
+    /// What a member that died has taught is kept for so long, in microseconds.
+    pub forget_after: Micros,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        let set = Config::new(0, 1, 0, 0);
+        MembershipSettings {
+            probe_interval: set.probe_period,
+            probe_timeout: set.probe_timeout,
+            suspicion_mult: set.suspicion_factor,
+            bytes_per_s: set.budget,
+            forget_after: set.forget_after,
+        }
+    }
+}
+
+impl MembershipSettings {
+    /// The settings of the member at a place. The other spans keep their proportion to the interval.
+    pub fn config(&self, me: u16, peers: u16, epoch: u64, seed: u64) -> Config {
+        let set = Config::new(me, peers, epoch, seed);
+        let scaled = |span: Micros| {
+            let part = span as f64 / set.probe_period as f64;
+            ((self.probe_interval as f64 * part) as Micros).max(1_000)
+        };
+        Config {
+            probe_period: self.probe_interval,
+            probe_timeout: self.probe_timeout,
+            suspicion_factor: self.suspicion_mult,
+            gossip_period: scaled(set.gossip_period),
+            sync_period: scaled(set.sync_period),
+            meet_period: scaled(set.meet_period),
+            budget: self.bytes_per_s,
+            forget_after: self.forget_after,
+            ..set
+        }
+    }
+
+    /// A place that was never heard of may hold work for this long after one's own start: as long as the longest suspicion.
+    pub fn unknown_for(&self, config: &Config) -> Micros {
+        let factor = config.suspicion_factor * (2.0 + f64::from(config.peers + 1).ln());
+        (factor * config.suspicion_spread * config.probe_period as f64) as Micros + 2 * config.meet_period
+    }
+}
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -3,6 +3,8 @@
 
 use super::platform::Reject;
 use crate::http::{Piece, Request};
+use mothproxy_membership::Figures as MemberFigures;
+use serde_json::json;
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,6 +13,8 @@
     Ready,
     /// The figures.
     Counters,
+    /// The other dispatchers, and what is believed of them.
+    Members,
     /// Drain: take leave of clients, and go on running.
     OutOfService,
     /// The end of a drain.
@@ -23,6 +27,7 @@
     let (call, method) = match target.split(['?', '#']).next().unwrap_or("") {
         "/control/ready" => (Call::Ready, "GET"),
         "/control/counters" => (Call::Counters, "GET"),
+        "/control/members" => (Call::Members, "GET"),
         "/control/out-of-service" => (Call::OutOfService, "PUT"),
         "/control/in-service" => (Call::InService, "PUT"),
         _ => return Err(Reject::NoSuchPath),
@@ -77,6 +82,36 @@
     pub evicted: u64,
 }
 
+/// What is believed of one place among the peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberRow {
+    /// The place.
+    pub place: u16,
+    /// Its address, as this process reaches it.
+    pub address: String,
+    /// `unknown`, `alive`, `suspect`, `dead` or `left`.
+    pub state: String,
+    /// The start of the process there, in milliseconds of Unix time; 0 while unknown.
+    pub epoch: u64,
+    /// How often the member itself has refuted a doubt.
+    pub incarnation: u32,
+    /// How long it has been believed, in milliseconds.
+    pub for_ms: u64,
+}
+
+/// The members, as this process sees them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MembersPage {
+    /// The own place.
+    pub me: u32,
+    /// Grows by one with every change of the view.
+    pub version: u64,
+    /// All places.
+    pub members: Vec<MemberRow>,
+    /// What was counted.
+    pub figures: MemberFigures,
+}
+
 /// The figures of this process, counted from its start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Figures {
@@ -98,6 +133,8 @@
     pub state: Option<StateFigures>,
     /// Where the SSE front is on.
     pub streams: Option<StreamFigures>,
+    /// Where membership is on.
+    pub members: Option<MembersPage>,
 }
 
 /// The figures, a line each.
@@ -133,23 +170,67 @@
         line("streams_coalesced", streams.coalesced, 'c');
         line("streams_evicted", streams.evicted, 'c');
     }
-    answer("200 OK", text)
+    if let Some(page) = &figures.members {
+        for state in ["unknown", "alive", "suspect", "dead", "left"] {
+            let count = page.members.iter().filter(|m| m.state == state).count();
+            line(&format!("members_{state}"), count as u64, 'g');
+        }
+        let f = &page.figures;
+        line("members_view", page.version, 'g');
+        line("members_sent_bytes", f.sent_bytes, 'c');
+        line("members_received_bytes", f.received_bytes, 'c');
+        line("members_refused", refused(f), 'c');
+        line("members_over_budget", f.over_budget, 'c');
+        line("members_declared_dead", f.declared_dead, 'c');
+        line("members_refuted", f.refuted, 'c');
+        line("members_health", u64::from(f.health), 'g');
+        line("members_facts", f.facts_held, 'g');
+    }
+    answer("200 OK", "text/plain", text)
+}
+
+fn refused(f: &MemberFigures) -> u64 {
+    f.refused_long + f.refused_version + f.refused_foreign + f.refused_malformed + f.refused_stale
+}
+
+/// The members, as JSON.
+pub fn members(page: &MembersPage) -> Vec<Piece> {
+    let row = |m: &MemberRow| {
+        json!({"place": m.place, "address": m.address, "state": m.state, "epoch": m.epoch,
+               "incarnation": m.incarnation, "for_ms": m.for_ms})
+    };
+    let f = &page.figures;
+    let text = json!({
+        "me": page.me, "version": page.version,
+        "members": page.members.iter().map(row).collect::<Vec<_>>(),
+        "figures": {
+            "sent": f.sent, "sent_bytes": f.sent_bytes, "received": f.received, "received_bytes": f.received_bytes,
+            "refused": refused(f), "refused_long": f.refused_long, "refused_version": f.refused_version,
+            "refused_foreign": f.refused_foreign, "refused_malformed": f.refused_malformed,
+            "refused_stale": f.refused_stale, "over_budget": f.over_budget, "probes": f.probes,
+            "probes_failed": f.probes_failed, "suspected": f.suspected, "declared_dead": f.declared_dead,
+            "refuted": f.refuted, "starved": f.starved, "health": f.health, "facts_told": f.facts_told,
+            "facts_taken": f.facts_taken, "facts_refused": f.facts_refused, "facts_held": f.facts_held,
+            "syncs": f.syncs,
+        },
+    });
+    answer("200 OK", "application/json", format!("{text}\n"))
 }
 
 /// Yes.
 pub fn yes() -> Vec<Piece> {
-    answer("200 OK", "yes\n".to_owned())
+    answer("200 OK", "text/plain", "yes\n".to_owned())
 }
 
 /// No, for now.
 pub fn no() -> Vec<Piece> {
-    answer("503 Service Unavailable", "no\n".to_owned())
+    answer("503 Service Unavailable", "text/plain", "no\n".to_owned())
 }
 
-fn answer(status: &str, text: String) -> Vec<Piece> {
+fn answer(status: &str, kind: &str, text: String) -> Vec<Piece> {
     let length = text.len();
     let head = format!(
-        "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n"
+        "HTTP/1.1 {status}\r\nContent-Type: {kind}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n"
     );
     vec![head.into(), text.into()]
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -527,6 +527,8 @@
     Alarm(AlarmId),
     /// A probe came back.
     Probed(Probed),
+    /// Which nodes may hold work, by their numbers; where it never comes, all of them may.
+    Peers(Vec<bool>),
     /// Another node's message.
     Mail {
         /// The sender's number.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod config;
 pub mod core;
+pub mod fleet;
 pub mod front;
 pub mod http;
 pub mod interface;
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -98,6 +98,10 @@
             Ok(Call::Ready) if self.handed => admin::no(), // its successor takes them
             Ok(Call::Ready) => admin::yes(),
             Ok(Call::Counters) => admin::figures(&self.figures()),
+            Ok(Call::Members) => match self.members_page() {
+                Some(page) => admin::members(&page),
+                None => platform::reject(Reject::NoSuchPath, false),
+            },
             Ok(Call::OutOfService | Call::InService) if self.handed => admin::no(), // that is up to its successor
             Ok(Call::OutOfService) => {
                 self.drain(true);
@@ -129,6 +133,7 @@
             bad_reloads: self.counts.bad_reloads,
             state: self.state_figures(),
             streams: self.stream_figures(),
+            members: self.members_page(),
         }
     }
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -378,6 +378,7 @@
             let _ = epoll::delete(&self.epoll, fd);
         }
         (self.handed, self.accepting) = (true, false);
+        self.fleet_falls_silent();
         self.home = None;
         tracing::info!("upgrade: handing over to a new process, open={}", self.core.ledger.open());
         self.core.remind(self.now + 1, HAND_TIMER);
@@ -543,6 +544,7 @@
         self.notes_back();
         self.open_home();
         self.tell_state();
+        self.fleet_speaks_again();
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod conn;
 mod discovery;
+mod fleet;
 mod frontend;
 mod handover;
 mod notes;
@@ -14,6 +15,7 @@
 
 use crate::config::{Config, ConfigError, MachineLimits, SseSettings};
 use crate::core::{Command, Core, SessionId};
+use crate::fleet::FleetSettings;
 use crate::interface::{Class, Micros, WorkerId};
 use crate::invariant;
 use admin::Caller;
@@ -72,6 +74,7 @@
 const HAND_TIMER: u64 = u64::MAX - 12;
 const NOTES: Token = Token(u64::MAX - 13);
 const RELAY_TIMER: u64 = u64::MAX - 14;
+const FLEET_TIMER: u64 = u64::MAX - 15;
 
 /// What a connection is for.
 enum Role {
@@ -190,6 +193,8 @@
     /// This one has handed its listening sockets over.
     handed: bool,
     peers: Option<UdpSocket>,
+    /// What this dispatcher and the others know of each other.
+    link: fleet::Link,
     /// Where keyed jobs are noted, if they are.
     notes: Option<Notes>,
     /// Jobs apart from their streams, where the SSE front is on.
@@ -274,6 +279,7 @@
         sse: Option<SseSettings>,
         folder: Option<&std::path::Path>,
         state: Option<StateDir>,
+        fleet: FleetSettings,
     ) -> Result<Server, NetError> {
         let io = |what| move |error| NetError::System(what, error);
         // First of all: a SIGHUP that no handler awaits ends the program, with all it has taken.
@@ -331,6 +337,7 @@
         }
         core.remind(now + SUMMARY, SUMMARY_TIMER);
         let budget = Budget::of(config.limits, if state.is_some() { notes::FDS } else { 0 });
+        let link = fleet::Link::open(fleet, &config, now);
         let mut server = Server {
             classes,
             core,
@@ -347,6 +354,7 @@
             twin: None,
             handed: false,
             peers,
+            link,
             notes: None,
             watch_jobs,
             slots: Vec::new(),
@@ -396,6 +404,7 @@
         let mut events = Vec::with_capacity(EVENTS);
         self.clock();
         self.tell_state();
+        self.fleet_go_on();
         while !self.done {
             self.clock();
             self.core.turn(self.now);
@@ -475,6 +484,7 @@
                 Command::Due(STOP_TIMER) => self.stop_step(),
                 Command::Due(HAND_TIMER) => self.hand_step(),
                 Command::Due(DRAIN_TIMER) => self.drain_step(),
+                Command::Due(FLEET_TIMER) => self.fleet_due(),
                 Command::Due(PEER_TIMER) => self.tell_state_again(),
                 Command::Due(ACCEPT_TIMER) => self.accept_again(),
                 Command::Due(token) => self.due(Token(token)),
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -92,6 +92,7 @@
                     }
                 }
                 [STOPPING] => drop(self.stopped_peers.insert(peer)),
+                _ if self.fleet_hears(peer, &buf[..len]) => {}
                 _ => self.core.mail(peer, buf[..len].to_vec()),
             }
         }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -37,6 +37,7 @@
         while matches!(rustix::io::read(&self.signals.woken, &mut buf), Ok(n) if n > 0) {}
         if self.signals.stop.swap(false, Ordering::Relaxed) {
             self.stop();
+            self.fleet_leaves();
         }
         // Also while stopping: what discovery tells until the end still counts.
         if self.signals.reload.swap(false, Ordering::Relaxed) {
@@ -48,6 +49,7 @@
     fn reload(&mut self) {
         let taken = self.config.reread(self.core.names()).map_err(|e| e.to_string()).and_then(|mut new| {
             let names = std::mem::take(&mut new.names);
+            self.fleet_could_begin(&new).map_err(|e| e.to_string())?;
             self.core.reconfigure(new.settings.clone(), names).map_err(|e| e.to_string())?;
             Ok(new)
         });
@@ -63,7 +65,11 @@
         self.classes = new.settings.classes.clone();
         self.budget = Budget::of(new.limits, if self.notes.is_some() { super::notes::FDS } else { 0 });
         let moved = new.discovery != self.config.discovery;
+        let regroup = (new.settings.me, &new.peers) != (self.config.settings.me, &self.config.peers);
         self.config = new;
+        if regroup {
+            self.fleet_speaks_again();
+        }
         if moved {
             self.leave_discovery();
             self.core.discovery_moved();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -122,6 +122,7 @@
             Event::Alarm(AlarmId(TELL_ALARM)) => self.m.tell(acts),
             Event::Alarm(AlarmId(id)) => self.review(JobId(id - 1), acts),
             Event::Probed(echo) => self.probed(echo, acts),
+            Event::Peers(holders) => self.m.hold_by(&holders, &self.set),
             Event::Mail { from, bytes } => match self.m.share.hear(self.m.now, from, &bytes) {
                 Heard::Wish(zone) => self.lend(from, zone, acts),
                 Heard::Offer => self.wake_held(acts),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! The operators' file, `deploy/mothproxy.txtpb`: protobuf text format by the schema in `proto/mothproxy.proto`.
 
 use crate::config::SseSettings;
+use crate::fleet::{FleetSettings, MembershipSettings};
 use crate::net::StateDir;
 use miette::Diagnostic;
 use mothproxy_store::SyncMode;
@@ -46,7 +47,7 @@
 impl std::error::Error for Faults {}
 
 /// What the file says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// The SSE front, where it is on.
     pub streams: Option<SseSettings>,
@@ -54,6 +55,8 @@
     pub state: Option<StateDir>,
     /// Log lines are JSON objects.
     pub json_log: bool,
+    /// What the dispatchers of a site know of each other, and do together.
+    pub fleet: FleetSettings,
 }
 
 /// A file being read: faults are collected, each with its place.
@@ -101,6 +104,11 @@
     message.get_field_by_name(name).filter(|_| set)?.as_u32()
 }
 
+fn real(message: &DynamicMessage, name: &str) -> Option<f64> {
+    let set = message.has_field_by_name(name);
+    message.get_field_by_name(name).filter(|_| set)?.as_f64()
+}
+
 fn choice(message: &DynamicMessage, name: &str) -> i32 {
     message.get_field_by_name(name).and_then(|v| v.as_enum_number()).unwrap_or(0)
 }
@@ -169,6 +177,7 @@
         streams: part(&message, "streams").and_then(|m| streams(&mut reader, &m)),
         state: part(&message, "state").and_then(|m| state(&mut reader, &m)),
         json_log: part(&message, "log").is_some_and(|m| choice(&m, "form") == 1),
+        fleet: part(&message, "fleet").map(|m| fleet(&mut reader, &m)).unwrap_or_default(),
     };
     if reader.faults.is_empty() { Ok(settings) } else { Err(Faults(reader.faults)) }
 }
@@ -237,3 +246,38 @@
     }
     (!directory.is_empty()).then(|| StateDir { dir: PathBuf::from(directory), sync })
 }
+
+fn fleet(reader: &mut Reader<'_>, message: &DynamicMessage) -> FleetSettings {
+    FleetSettings { membership: part(message, "membership").map(|m| membership(reader, &m)) }
+}
+
+fn membership(reader: &mut Reader<'_>, message: &DynamicMessage) -> MembershipSettings {
+    let mut set = MembershipSettings::default();
+    let mut whole = |name: &str, least: u32, most: u32| {
+        let value = number(message, name)?;
+        if !(least..=most).contains(&value) {
+            reader.fault(&format!("fleet.membership.{name}"), format!("is not {least} to {most}"));
+        }
+        Some(value.clamp(least, most))
+    };
+    if let Some(ms) = whole("probe_interval_ms", 20, 60_000) {
+        set.probe_interval = u64::from(ms) * 1000;
+        set.probe_timeout = set.probe_interval * 3 / 10;
+    }
+    if let Some(ms) = whole("probe_timeout_ms", 5, 59_999) {
+        set.probe_timeout = u64::from(ms) * 1000;
+    }
+    set.bytes_per_s = whole("bytes_per_s", 1_024, 100_000_000).unwrap_or(set.bytes_per_s);
+    if let Some(seconds) = whole("forget_after_s", 1, 86_400) {
+        set.forget_after = u64::from(seconds) * 1_000_000;
+    }
+    if set.probe_timeout >= set.probe_interval {
+        let what = "is not below probe_interval_ms (500 where that is absent)".to_owned();
+        reader.fault("fleet.membership.probe_timeout_ms", what);
+    }
+    set.suspicion_mult = real(message, "suspicion_mult").unwrap_or(set.suspicion_mult);
+    if !(0.1..=100.0).contains(&set.suspicion_mult) {
+        reader.fault("fleet.membership.suspicion_mult", "is not 0.1 to 100".to_owned());
+    }
+    set
+}
--- a/src/share.rs
+++ b/src/share.rs
@@ -24,6 +24,8 @@
 const GUEST: u8 = b'G';
 const WISH: u8 = b'A';
 const OFFER: u8 = b'O';
+/// What the hashes are mixed with that choose which node holds a worker.
+const HOLDER: u64 = 0x6d6f_7468_0000_0000;
 /// The most workers that a message names; it is no longer than a datagram may be.
 const MOST: usize = 120;
 
@@ -61,6 +63,8 @@
     groups: u32,
     /// The other nodes of the group.
     pub mates: Vec<u32>,
+    /// Which nodes may hold work, by their numbers; all of them where it is empty.
+    holders: Vec<bool>,
     /// The group's part of the ready workers, by the short tags that messages name them by.
     workers: BTreeMap<u16, WorkerId>,
     /// The same workers in a list, to draw from by place.
@@ -111,6 +115,38 @@
         }
     }
 
+    /// Which nodes may hold work from now on. Whether that has changed anything: the workers are then to be dealt anew.
+    /// A list that is not of this many nodes, or lacks this one, says nothing.
+    pub fn hold_by(&mut self, holders: &[bool]) -> bool {
+        let sound = holders.len() == self.nodes as usize && holders.get(self.me as usize) == Some(&true);
+        let holders = if holders.iter().all(|held| *held) { &[][..] } else { holders };
+        let changed = sound && self.on() && self.holders != holders;
+        if changed {
+            self.holders = holders.to_vec();
+        }
+        changed
+    }
+
+    /// Whether a node may hold work.
+    fn holds(&self, node: u32) -> bool {
+        self.holders.get(node as usize).copied().unwrap_or(true)
+    }
+
+    /// The group that has a worker which is this group's while all nodes hold work. Each worker is held by one node of its
+    /// group; where that one is gone, by the first of a row of nodes, the worker's own, that is not. So the end of one of n
+    /// nodes moves the workers it held, about one in n of all, and its return moves these back, and no other.
+    fn group_of(&self, tag: u64, group: u32) -> u32 {
+        if self.holders.is_empty() {
+            return group;
+        }
+        let size = (self.nodes - group).div_ceil(self.groups);
+        let first = group + (mix(tag ^ mix(HOLDER)) % u64::from(size)) as u32 * self.groups;
+        let next = |n: u64| (mix(tag ^ mix(HOLDER + n)) % u64::from(self.nodes)) as u32;
+        // As many tries as there are nodes find one of seven in ten that is left in all but a few cases; then in order.
+        let row = std::iter::once(first).chain((1..=u64::from(self.nodes)).map(next)).chain(0..self.nodes);
+        row.into_iter().find(|node| self.holds(*node)).map_or(group, |node| node % self.groups)
+    }
+
     /// Whether there is a group.
     pub fn on(&self) -> bool {
         !self.mates.is_empty()
@@ -138,6 +174,7 @@
                 let open = (0..groups).filter(|g| had[*g as usize] < part);
                 let Some(group) = open.max_by_key(|g| mix(known.tag ^ mix(g + 1))) else { continue };
                 had[group as usize] += 1;
+                let group = u64::from(self.group_of(known.tag, group as u32));
                 self.owners.insert(known.worker, group as u32);
                 if group == u64::from(self.group) {
                     self.workers.insert(short(known.tag), known.worker);
@@ -225,7 +262,8 @@
     /// A node of this group, any.
     fn one_of(&self, group: u32, luck: u32) -> u32 {
         let size = (self.nodes - group).div_ceil(self.groups);
-        group + luck % size * self.groups
+        let at = |n: u32| group + (luck % size + n) % size * self.groups;
+        (0..size).map(at).find(|node| self.holds(*node)).unwrap_or_else(|| at(0))
     }
 
     /// Work at a worker that another group has now, since the list has changed, goes on as if that group had lent it.
@@ -292,7 +330,7 @@
             let first = [if to.is_some() { GUEST } else { OUT }, said.doubted.len() as u8];
             let tags = said.doubted.iter().chain(&said.out).flat_map(|t| t.to_be_bytes());
             let bytes: Vec<u8> = first.into_iter().chain(tags).collect();
-            let mates = self.mates.iter().copied().filter(|_| to.is_none());
+            let mates = self.mates.iter().copied().filter(|mate| to.is_none() && self.holds(*mate));
             acts.extend(to.into_iter().chain(mates).map(|to| Action::Tell { to, bytes: bytes.clone() }));
             if !nothing {
                 acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), SAID_FOR / 2));
@@ -337,6 +375,15 @@
     }
 }
 
+impl crate::state::Memory {
+    /// Which nodes may hold work: the workers are dealt out among their groups.
+    pub fn hold_by(&mut self, holders: &[bool], set: &Settings) {
+        if self.share.hold_by(holders) {
+            self.index(set.zone, set.cold_time);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -411,6 +458,69 @@
         assert_eq!(share.sample(&mut rng, size + 5).len(), size, "all of a part no larger than asked");
     }
 
+    /// Who has which worker where only these nodes hold work, by the word of each of them.
+    fn held(nodes: u32, holders: &[bool], workers: &[RosterEntry]) -> BTreeMap<WorkerId, u32> {
+        let mut owner: BTreeMap<WorkerId, u32> = BTreeMap::new();
+        for me in (0..nodes).filter(|n| holders[*n as usize]) {
+            let mut share = Share::of(&Settings { nodes, ..settings(me) });
+            share.hold_by(holders);
+            share.deal(workers);
+            for worker in share.part.iter().copied() {
+                let group = *owner.entry(worker).or_insert(share.group);
+                assert_eq!(group, share.group, "{worker:?} has two groups by the word of {me}");
+            }
+        }
+        owner
+    }
+
+    /// One death moves the workers that the dead node held, one in n, and its return moves these back; whole groups may die.
+    #[test]
+    fn the_end_of_a_node_moves_its_part_alone() {
+        let (nodes, all): (u32, Vec<RosterEntry>) = (30, (0..600).map(listed).collect());
+        let mut rng = fastrand::Rng::with_seed(11);
+        let mut holders = vec![true; nodes as usize];
+        let (mut moved, mut deaths, mut before) = (0, 0, held(nodes, &holders, &all));
+        assert_eq!(before.len(), 600);
+        let whole = before.clone();
+        for step in 0..40 {
+            let node = rng.usize(0..nodes as usize);
+            let left = holders.iter().filter(|held| **held).count();
+            if left == 1 && holders[node] {
+                continue;
+            }
+            holders[node] = !holders[node];
+            let after = held(nodes, &holders, &all);
+            assert_eq!(after.len(), 600, "step {step}: a worker that no group has");
+            let changed = after.iter().filter(|(w, group)| before[*w] != **group).count();
+            let (least, most) = (left - usize::from(!holders[node]), 600.0);
+            assert!(
+                changed as f64 <= 3.0 * most / least.max(1) as f64,
+                "step {step}: {changed} moved, {least} left"
+            );
+            (moved, deaths, before) = (moved + changed, deaths + 1, after);
+        }
+        assert!(deaths > 30 && moved > 0, "{moved} moved at {deaths} changes");
+        assert_eq!(held(nodes, &vec![true; nodes as usize], &all), whole, "as if nothing had been");
+        // One after the other until one is left: never a worker without a group, and nobody is dealt to a dead node's.
+        let mut holders = vec![true; nodes as usize];
+        for node in 1..nodes as usize {
+            holders[node] = false;
+            let owner = held(nodes, &holders, &all);
+            assert_eq!(owner.len(), 600, "after {node} deaths");
+        }
+    }
+
+    #[test]
+    fn a_view_of_another_size_or_without_oneself_says_nothing() {
+        let mut share = Share::of(&settings(3));
+        assert!(!share.hold_by(&[true; 7]) && !share.hold_by(&[false; 100]), "neither is heeded");
+        assert!(!share.hold_by(&[true; 100]), "all hold work anyway");
+        let mut holders = vec![true; 100];
+        holders[4] = false;
+        assert!(share.hold_by(&holders) && !share.hold_by(&holders), "heeded once");
+        assert!((0..1_000).all(|luck| share.one_of(4, luck) != 4), "no wish goes to one that is gone");
+    }
+
     #[test]
     fn new_ones_take_the_places_that_are_left() {
         let mut all: Vec<RosterEntry> = (0..52).map(listed).collect();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -13,6 +13,7 @@
 }
 state { directory: "/var/lib/mothproxy" sync: INTERVAL interval_ms: 20 }
 log { form: JSON }
+fleet { membership { probe_interval_ms: 100 suspicion_mult: 2 bytes_per_s: 4096 } }
 "#;
 
 #[test]
@@ -24,7 +25,22 @@
     let state = set.state.expect("on");
     assert_eq!((state.dir.as_path(), state.sync), (Path::new("/var/lib/mothproxy"), SyncMode::Interval(20)));
     assert!(set.json_log);
+    let members = set.fleet.membership.expect("on");
+    assert_eq!(
+        (members.probe_interval, members.probe_timeout, members.bytes_per_s),
+        (100_000, 30_000, 4_096)
+    );
+    let config = members.config(2, 9, 7, 1);
+    let same =
+        config.suspicion_factor == 2.0 && config.probe_period == 100_000 && config.gossip_period < 100_000;
+    assert!(same && (config.me, config.peers, config.epoch) == (2, 9, 7), "{config:?}");
+    let plain = read("fleet { membership {} }", "f").expect("sound").fleet;
+    assert_eq!(plain.membership, Some(Default::default()), "on as it is");
     let none = read("", "f").expect("sound");
+    assert_eq!(
+        (&none.fleet, read("fleet {}", "f").expect("sound").fleet),
+        (&Default::default(), Default::default())
+    );
     assert_eq!((none.streams, none.state, none.json_log), (None, None, false));
     let shipped = load(Path::new("deploy/mothproxy.txtpb"), true).expect("sound");
     assert_eq!((shipped.streams, shipped.state, shipped.json_log), (None, None, false), "off as shipped");
@@ -34,7 +50,7 @@
 
 #[test]
 fn each_fault_is_named_with_line_and_field() {
-    let cases: [(&str, &[&str]); 9] = [
+    let cases: [(&str, &[&str]); 11] = [
         ("streams {\n  lisen: \"x\"\n}\n", &["f:2: ", "lisen"]),
         (
             "streams {\n  listen: \"here\"\n  heartbeat_ms: 0\n}\n",
@@ -52,6 +68,14 @@
         ),
         ("state {\n  sync: NEVER\n}", &["f:1: state: it has no directory"]),
         ("state { directory: \"/x\"\n interval_ms: 5 }", &["f:2: state.interval_ms: "]),
+        (
+            "fleet {\n membership {\n  probe_interval_ms: 3\n  suspicion_mult: 1e9\n }\n}",
+            &["f:3: fleet.membership.probe_interval_ms: ", "f:4: fleet.membership.suspicion_mult: "],
+        ),
+        (
+            "fleet { membership {\n  probe_interval_ms: 100\n  probe_timeout_ms: 100 } }",
+            &["f:3: fleet.membership.probe_timeout_ms: "],
+        ),
         ("log {\n  form: XML\n}\n", &["f:2: ", "XML"]),
     ];
     for (text, named) in cases {
