--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// How long a suspicion lasts that enough others confirm, among so many members: the least time in which a silent
+    /// member is held dead after it was first doubted.
+    pub fn suspicion_span(&self, members: usize) -> Micros {
+        let periods = self.suspicion_factor * (2.0 + (members as f64 + 1.0).ln());
+        (periods * self.probe_period as f64) as Micros
+    }
+
     pub(crate) fn check(&self) -> Result<(), ConfigError> {
         if self.me >= self.peers {
             return Err(ConfigError::Me { me: self.me, peers: self.peers });
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,10 +8,16 @@
 #![warn(missing_docs)]
 
 mod config;
+mod facts;
+mod invariant;
 mod member;
+mod queue;
+mod sync;
 mod view;
+mod wire;
 
 pub use config::{Config, ConfigError};
+pub use invariant::broken;
 pub use member::Membership;
 pub use view::{Change, Member, State, View};
 
