Membership: a model of the members and the net, and stories told with it

An event queue over the same state machines: loss, repeats, latency, sides, one-way cuts, pauses, kills, restarts, rubbish.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,6 +11,7 @@
 mod facts;
 mod invariant;
 mod member;
+pub mod model;
 mod queue;
 mod sync;
 mod view;
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -156,20 +156,17 @@
         Ok(member)
     }
 
-    /// Takes a place for alive at this epoch, as if it had been heard of long ago. For models that start at rest.
+    /// Takes all places for alive at these epochs, as if they had been heard of long ago. For models that start at rest.
     #[doc(hidden)]
-    pub fn assume(&mut self, place: u16, epoch: u64) {
-        if place != self.config.me && place < self.config.peers {
-            let since = self.now;
-            self.view.members[usize::from(place)] =
-                Member { state: State::Alive, epoch, incarnation: 0, since };
-            self.present += 1;
-            self.order.push(place);
-            self.news.remove(self.config.me);
-        }
-        if self.order.len() + 1 == usize::from(self.config.peers) {
-            self.rng.shuffle(&mut self.order);
-        }
+    pub fn assume(&mut self, epochs: &[u64]) {
+        for (member, epoch) in self.view.members.iter_mut().zip(epochs) {
+            *member = Member { state: State::Alive, epoch: *epoch, incarnation: 0, since: self.now };
+        }
+        let me = self.config.me;
+        self.order = (0..self.config.peers).filter(|p| *p != me).collect();
+        self.rng.shuffle(&mut self.order);
+        self.present = self.view.members.len();
+        self.news.remove(me);
         self.wake = self.next_wake();
     }
 
@@ -271,6 +268,11 @@
         self.outputs.pop_front()
     }
 
+    /// This member's own place.
+    pub fn place(&self) -> u16 {
+        self.config.me
+    }
+
     /// What this member believes of all places.
     pub fn view(&self) -> &View {
         &self.view
--- /dev/null
+++ b/crates/membership/src/model/story.rs
@@ -0,0 +1,485 @@
+//! What was asked of the model, and whether it held.
+
+use super::{Net, SECOND};
+use crate::{Micros, State};
+use std::collections::BTreeMap;
+
+/// How much to run.
+#[derive(Debug, Clone, Copy)]
+pub struct Extent {
+    /// Seeds of each story with up to 300 members.
+    pub seeds: u64,
+    /// Seeds with 3,000 members; none if 0.
+    pub large: u64,
+    /// The first seed.
+    pub first: u64,
+    /// The seeded mistake: no suspicion before death.
+    pub skip_suspicion: bool,
+}
+
+/// What was seen, by name, and what did not hold.
+#[derive(Debug, Default, Clone)]
+pub struct Report {
+    /// Figures by name.
+    pub figures: BTreeMap<String, f64>,
+    /// What did not hold.
+    pub broken: Vec<String>,
+}
+
+impl Report {
+    fn put(&mut self, name: impl Into<String>, value: f64) {
+        self.figures.insert(name.into(), (value * 1000.0).round() / 1000.0);
+    }
+
+    fn hold(&mut self, holds: bool, what: impl Into<String>) {
+        if !holds {
+            self.broken.push(what.into());
+        }
+    }
+
+    fn take(&mut self, other: Report) {
+        self.figures.extend(other.figures);
+        self.broken.extend(other.broken);
+    }
+
+    /// As one line of JSON.
+    pub fn json(&self) -> String {
+        let figures: Vec<String> = self.figures.iter().map(|(k, v)| format!("{k:?}:{v}")).collect();
+        let broken: Vec<String> = self.broken.iter().map(|b| format!("{b:?}")).collect();
+        format!("{{{},\"broken\":[{}]}}", figures.join(","), broken.join(","))
+    }
+}
+
+fn quantile(of: &mut [f64], q: f64) -> f64 {
+    of.sort_by(f64::total_cmp);
+    let at = ((of.len() as f64 * q).ceil() as usize).clamp(1, of.len().max(1)) - 1;
+    of.get(at).copied().unwrap_or(f64::NAN)
+}
+
+fn seconds(span: Micros) -> f64 {
+    span as f64 / SECOND as f64
+}
+
+/// Runs one thing for many seeds, on a few threads, and gives the results in order.
+fn each<T: Send>(extent: Extent, seeds: u64, one: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let seeds: Vec<u64> = (extent.first..extent.first + seeds).collect();
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get().min(4));
+    let mut all: Vec<Vec<T>> = Vec::new();
+    std::thread::scope(|scope| {
+        let parts = seeds.chunks(seeds.len().div_ceil(threads).max(1));
+        let running: Vec<_> =
+            parts.map(|part| scope.spawn(|| part.iter().map(|s| one(*s)).collect::<Vec<T>>())).collect();
+        all.extend(running.into_iter().filter_map(|t| t.join().ok()));
+    });
+    all.into_iter().flatten().collect()
+}
+
+fn net(extent: Extent, members: u16, seed: u64, warm: bool) -> Net {
+    Net::new(members, seed, warm, move |config| config.skip_suspicion = extent.skip_suspicion)
+}
+
+/// Bytes a second a member at rest; then one is killed: when each of the others holds it dead, and how many others die.
+fn kill(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(3 * SECOND);
+        let (from, before) = (net.now, net.sent_bytes());
+        let calm = if members > 300 { 4 } else { 10 };
+        net.run_to(from + calm * SECOND);
+        let rate = (net.sent_bytes() - before) as f64 / f64::from(members) / calm as f64;
+        let victim = (net.lot(members.into())) as u16;
+        net.kill(victim);
+        let killed = net.now;
+        let done = |net: &Net| {
+            net.seen.iter().filter(|s| s.change.to == State::Dead && s.change.place == victim).count()
+        };
+        net.run_while(killed + 60 * SECOND, |net| done(net) + 1 < members.into());
+        let times = net.seen.iter().filter(|s| s.change.to == State::Dead && s.change.place == victim);
+        let times: Vec<f64> = times.map(|s| seconds(s.at - killed)).collect();
+        let missed = usize::from(members) - 1 - times.len().min(usize::from(members) - 1);
+        (rate, times, missed, net.deaths(0, |p| p != victim))
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().flat_map(|r| r.1.iter().copied()).collect();
+    let mut last: Vec<f64> = runs.iter().filter_map(|r| r.1.iter().copied().reduce(f64::max)).collect();
+    report.put(format!("detect_p50_s_{members}"), quantile(&mut times, 0.5));
+    report.put(format!("detect_p99_s_{members}"), quantile(&mut times, 0.99));
+    report.put(format!("detect_all_p50_s_{members}"), quantile(&mut last, 0.5));
+    report
+        .put(format!("bytes_a_second_{members}"), runs.iter().map(|r| r.0).sum::<f64>() / runs.len() as f64);
+    report.hold(
+        runs.iter().all(|r| r.2 == 0),
+        format!("a kill among {members} was not seen by all within 60 s"),
+    );
+    report.hold(runs.iter().all(|r| r.3 == 0), format!("a kill among {members}: others were held dead"));
+    report
+}
+
+/// One in ten datagrams is lost for a minute, and some come twice; and one member is paused shortly now and then.
+fn loss(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(2 * SECOND);
+        net.faults.loss = 0.1;
+        net.faults.repeat = 0.02;
+        let end = net.now + 60 * SECOND;
+        while net.now < end {
+            let (place, until) = (net.lot(members.into()) as u16, net.now + 3 * SECOND);
+            net.pause(place, true);
+            net.run_to(net.now + SECOND);
+            net.pause(place, false);
+            net.run_to(until);
+        }
+        net.faults.loss = 0.0;
+        net.run_to(end + 20 * SECOND);
+        let figures = net.members().map(|(_, m)| m.figures());
+        let refuted: u64 = figures.map(|f| f.refuted).sum();
+        (net.deaths(0, |_| true), refuted, net.agreed())
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let deaths: usize = runs.iter().map(|r| r.0).sum();
+    report.put(format!("false_deaths_loss_{members}"), deaths as f64);
+    let minutes = runs.len() as f64 * f64::from(members);
+    report.put(
+        format!("refuted_a_member_minute_{members}"),
+        runs.iter().map(|r| r.1 as f64).sum::<f64>() / minutes,
+    );
+    report.hold(deaths == 0, format!("{deaths} false deaths among {members} with one in ten datagrams lost"));
+    report.hold(runs.iter().all(|r| r.2), format!("{members} members do not agree after a minute of loss"));
+    report
+}
+
+/// Cut into sides for 30 s: what each side holds; then healed: the time until all agree, and whether it stays so.
+fn heal(extent: Extent, members: u16, sides: u8, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(2 * SECOND);
+        net.faults.sides = (0..members).map(|p| (p % u16::from(sides)) as u8).collect();
+        net.run_to(net.now + 30 * SECOND);
+        let side = |p: u16| p % u16::from(sides);
+        let apart = net.members().all(|(me, m)| {
+            m.view().iter().all(|(p, there)| (there.state == State::Dead) == (side(p) != side(me)))
+        });
+        let within = net
+            .seen
+            .iter()
+            .filter(|s| s.change.to == State::Dead && side(s.by) == side(s.change.place))
+            .count();
+        net.faults.sides.fill(0);
+        let (healed, changes) = (net.now, net.seen.len());
+        let agreed = net.run_while(healed + 60 * SECOND, |net| !net.agreed());
+        let took = seconds(net.now - healed);
+        let before = net.sent_bytes();
+        net.run_to(healed + 60 * SECOND);
+        let after = net.deaths(healed, |_| true);
+        // Once each for every pair across the cut, if nothing flaps.
+        let back = net.seen[changes..].iter().filter(|s| s.change.from == State::Dead).count();
+        let pairs = (0..members).map(|p| (0..members).filter(|q| side(*q) != side(p)).count()).sum::<usize>();
+        (apart, within, agreed, took, after, back as f64 / pairs as f64, net.agreed(), before)
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().map(|r| r.3).collect();
+    let name = format!("{members} members in {sides} sides");
+    report.put(format!("heal_{sides}_p50_s_{members}"), quantile(&mut times, 0.5));
+    report.put(format!("heal_{sides}_p99_s_{members}"), quantile(&mut times, 0.99));
+    report
+        .put(format!("heal_{sides}_deaths_after_{members}"), runs.iter().map(|r| r.4).sum::<usize>() as f64);
+    report.put(
+        format!("heal_{sides}_returns_a_pair_{members}"),
+        runs.iter().map(|r| r.5).sum::<f64>() / runs.len() as f64,
+    );
+    report
+        .hold(runs.iter().all(|r| r.0 && r.1 == 0), format!("{name}: a side is not held dead, or a mate is"));
+    report.hold(runs.iter().all(|r| r.2 && r.6), format!("{name} do not agree within 60 s after the heal"));
+    report.hold(runs.iter().all(|r| r.4 == 0), format!("{name}: deaths after the heal"));
+    report
+}
+
+/// Seven in ten killed at once: the time until the others hold them all dead.
+fn mass(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(2 * SECOND);
+        let lives = |p: u16| p % 10 < 3;
+        (0..members).filter(|p| !lives(*p)).for_each(|p| net.kill(p));
+        let killed = net.now;
+        let agreed = net.run_while(killed + 120 * SECOND, |net| !net.agreed());
+        let took = seconds(net.now - killed);
+        // And all start again at once.
+        (0..members).filter(|p| !lives(*p)).for_each(|p| net.start(p));
+        let started = net.now;
+        let back = net.run_while(started + 60 * SECOND, |net| !net.agreed());
+        (agreed, took, net.deaths(0, lives), back, seconds(net.now - started))
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().map(|r| r.1).collect();
+    let mut back: Vec<f64> = runs.iter().map(|r| r.4).collect();
+    report.put(format!("mass_all_p50_s_{members}"), quantile(&mut times, 0.5));
+    report.put(format!("mass_all_p99_s_{members}"), quantile(&mut times, 0.99));
+    report.put(format!("mass_back_p99_s_{members}"), quantile(&mut back, 0.99));
+    report.hold(
+        runs.iter().all(|r| r.0),
+        format!("seven in ten of {members} killed: not all seen within 120 s"),
+    );
+    report.hold(
+        runs.iter().all(|r| r.2 == 0),
+        format!("seven in ten of {members} killed: a survivor was held dead"),
+    );
+    report.hold(
+        runs.iter().all(|r| r.3),
+        format!("seven in ten of {members} started again: no agreement within 60 s"),
+    );
+    report
+}
+
+/// One is stopped for longer than any suspicion lasts, and goes on: it holds nobody dead for it, and comes back.
+fn pause(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(2 * SECOND);
+        let victim = net.lot(members.into()) as u16;
+        net.pause(victim, true);
+        net.run_to(net.now + 30 * SECOND);
+        let seen =
+            net.members().filter(|(p, _)| *p != victim).all(|(_, m)| m.view().state(victim) == State::Dead);
+        net.pause(victim, false);
+        let resumed = net.now;
+        let agreed = net.run_while(resumed + 60 * SECOND, |net| !net.agreed());
+        let took = seconds(net.now - resumed);
+        net.run_to(resumed + 60 * SECOND);
+        let own = net.seen.iter().filter(|s| s.by == victim && s.change.to == State::Dead).count();
+        (seen, agreed && net.agreed(), took, own, net.deaths(resumed, |_| true))
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().map(|r| r.2).collect();
+    report.put(format!("pause_back_p99_s_{members}"), quantile(&mut times, 0.99));
+    report.hold(runs.iter().all(|r| r.0), format!("a pause of 30 s among {members} is not seen"));
+    report.hold(runs.iter().all(|r| r.1), format!("no agreement after a pause among {members}"));
+    report.hold(
+        runs.iter().all(|r| r.3 == 0 && r.4 == 0),
+        format!("who was paused among {members} held others dead"),
+    );
+    report
+}
+
+/// Cut in one direction: from one to another of them alone, nobody dies; where nothing reaches a member any more it is
+/// held dead, its own word on others hurts none, and it comes back.
+fn one_way(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(2 * SECOND);
+        let a = net.lot(members.into()) as u16;
+        let b = (a + 1) % members;
+        net.faults.one_way = vec![(a, b)];
+        net.run_to(net.now + 30 * SECOND);
+        let pair = net.deaths(0, |_| true);
+        net.faults.one_way.clear();
+        net.faults.deaf[usize::from(a)] = true;
+        let from = net.now;
+        net.run_to(from + 60 * SECOND);
+        let seen = net.members().filter(|(p, _)| *p != a).all(|(_, m)| m.view().state(a) == State::Dead);
+        let others = net.deaths(from, |p| p != a);
+        net.faults.deaf.fill(false);
+        let healed = net.now;
+        let agreed = net.run_while(healed + 60 * SECOND, |net| !net.agreed());
+        (pair, seen, others, agreed, seconds(net.now - healed))
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().map(|r| r.4).collect();
+    report.put(format!("one_way_back_p99_s_{members}"), quantile(&mut times, 0.99));
+    report.hold(runs.iter().all(|r| r.0 == 0), format!("a one-way cut between two of {members}: deaths"));
+    report.hold(runs.iter().all(|r| r.1), format!("a deaf one among {members} is not held dead by all"));
+    report.hold(runs.iter().all(|r| r.2 == 0), format!("a deaf one among {members} made others die"));
+    report.hold(runs.iter().all(|r| r.3), format!("no agreement after a one-way cut among {members}"));
+    report
+}
+
+/// All start within a second and know nobody: the time until all hold all alive, and the most that one sent in a second.
+fn cold(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, false);
+        let (mut most, mut agreed, mut took) = (0, false, 60.0);
+        let mut before = vec![0; members.into()];
+        for second in 0..60_u64 {
+            let end = (second + 2) * SECOND;
+            if !agreed && net.run_while(end, |net| !net.agreed()) {
+                (agreed, took) = (true, seconds(net.now - SECOND));
+            }
+            net.run_to(end);
+            for (place, m) in net.members() {
+                let sent = m.figures().sent_bytes;
+                most = most.max(sent - before[usize::from(place)]);
+                before[usize::from(place)] = sent;
+            }
+            if agreed {
+                break;
+            }
+        }
+        (agreed, took, most, net.deaths(0, |_| true))
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().map(|r| r.1).collect();
+    report.put(format!("cold_p99_s_{members}"), quantile(&mut times, 0.99));
+    report.put(format!("cold_peak_bytes_{members}"), runs.iter().map(|r| r.2).max().unwrap_or(0) as f64);
+    report.hold(
+        runs.iter().all(|r| r.0 && r.3 == 0),
+        format!("{members} started at once: no agreement, or deaths"),
+    );
+    report
+}
+
+/// A restart that nobody noticed, a leave, a clock that went back, and a flood of rubbish.
+fn rest(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(2 * SECOND);
+        let (a, b) = (0, members - 1);
+        net.kill(a);
+        net.start(a);
+        let restarted = net.now;
+        let again = net.run_while(restarted + 30 * SECOND, |net| !net.agreed());
+        let took = seconds(net.now - restarted);
+        let calm = net.now;
+        for _ in 0..20_000 {
+            let (from, bytes) = (net.lot(u64::from(members) + 3) as u16, net.rubbish());
+            net.forge(a, from, &bytes);
+            let until = net.now + 500;
+            net.run_to(until);
+        }
+        let f = net.member(a).map(|m| m.figures()).unwrap_or_default();
+        let refused = f.refused_long + f.refused_version + f.refused_foreign + f.refused_malformed;
+        let quiet = net.seen.iter().filter(|s| s.at > calm).count();
+        net.with(b, |m, now| m.leave(now));
+        let left = net.now;
+        net.run_to(left + 30 * SECOND);
+        let gone = net.members().all(|(_, m)| m.view().state(b) == State::Left);
+        (again, took, refused, quiet, gone, net.deaths(0, |_| true))
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().map(|r| r.1).collect();
+    report.put(format!("restart_p99_s_{members}"), quantile(&mut times, 0.99));
+    report.hold(runs.iter().all(|r| r.0), format!("a restart among {members} is not known to all"));
+    report.hold(runs.iter().all(|r| r.2 == 20_000), format!("rubbish among {members} was taken"));
+    report.hold(runs.iter().all(|r| r.3 == 0), format!("rubbish among {members} changed a view"));
+    report.hold(
+        runs.iter().all(|r| r.4 && r.5 == 0),
+        format!("a leave among {members} is not known, or deaths"),
+    );
+    report
+}
+
+/// Each tells a fact a second, one in ten datagrams is lost, two sides are cut for a while and one is restarted: in the
+/// end all hold the same, and what was told of each slot last.
+fn facts(extent: Extent, members: u16, seeds: u64) -> Report {
+    let one = |seed| {
+        let mut net = net(extent, members, seed, true);
+        net.run_to(2 * SECOND);
+        net.faults.loss = 0.1;
+        let before = net.sent_bytes();
+        let begun = net.now;
+        for second in 0..40_u64 {
+            net.faults.sides =
+                (0..members).map(|p| u8::from((10..25).contains(&second) && p % 2 == 0)).collect();
+            if second == 30 {
+                net.kill(1);
+                net.start(1);
+            }
+            for place in 0..members {
+                let bytes = [second as u8, place as u8, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+                net.with(place, |m, now| m.tell(now, 1, (second % 16) as u32, &bytes));
+            }
+            let until = net.now + SECOND;
+            net.run_to(until);
+        }
+        let told = net.now;
+        let rate = (net.sent_bytes() - before) as f64 / f64::from(members) / seconds(told - begun);
+        let all = |net: &Net, p: u16| -> Vec<(u8, u16, u64, u32, u64, Vec<u8>)> {
+            let facts = net.member(p).into_iter().flat_map(|m| m.facts());
+            facts.map(|f| (f.kind, f.place, f.epoch, f.slot, f.number, f.bytes.to_vec())).collect()
+        };
+        let mut took = f64::INFINITY;
+        for step in 0..240_u64 {
+            net.run_to(told + step * SECOND / 4);
+            let first = all(&net, 0);
+            if first.len() == usize::from(members) * 16 && (1..members).all(|p| all(&net, p) == first) {
+                took = seconds(net.now - told);
+                break;
+            }
+        }
+        (rate, took)
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let mut times: Vec<f64> = runs.iter().map(|r| r.1).collect();
+    report.put(format!("facts_same_p99_s_{members}"), quantile(&mut times, 0.99));
+    report.put(
+        format!("facts_bytes_a_second_{members}"),
+        runs.iter().map(|r| r.0).sum::<f64>() / runs.len() as f64,
+    );
+    report.hold(runs.iter().all(|r| r.1.is_finite()), format!("facts among {members} differ 60 s later"));
+    report
+}
+
+/// All stories.
+pub fn run(extent: Extent) -> Report {
+    let mut report = Report::default();
+    let seeds = extent.seeds;
+    for members in [3, 10, 30] {
+        report.take(kill(extent, members, seeds));
+        report.take(loss(extent, members, seeds.div_ceil(2)));
+        report.take(pause(extent, members, seeds.div_ceil(2)));
+        report.take(heal(extent, members, 2, seeds));
+        report.take(heal(extent, members, 3, seeds));
+        report.take(one_way(extent, members, seeds.div_ceil(2)));
+        report.take(rest(extent, members, seeds.div_ceil(4)));
+        report.take(cold(extent, members, seeds.div_ceil(2)));
+    }
+    for members in [10, 30] {
+        report.take(mass(extent, members, seeds));
+        report.take(facts(extent, members, seeds.div_ceil(4)));
+    }
+    report.take(kill(extent, 300, seeds));
+    if extent.large > 0 {
+        report.take(loss(extent, 300, 2));
+        report.take(heal(extent, 300, 2, 2));
+        report.take(mass(extent, 300, 2));
+        report.take(cold(extent, 300, 2));
+        report.take(kill(extent, 3_000, extent.large));
+    }
+    report.hold(crate::broken() == 0, format!("{} invariants were broken", crate::broken()));
+    report
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FEW: Extent = Extent { seeds: 2, large: 0, first: 7, skip_suspicion: false };
+
+    #[test]
+    fn stories_hold_and_a_missing_suspicion_is_caught() {
+        for part in
+            [kill(FEW, 10, 2), loss(FEW, 10, 2), heal(FEW, 10, 3, 2), mass(FEW, 10, 2), pause(FEW, 3, 2)]
+        {
+            assert_eq!(part.broken, Vec::<String>::new(), "{}", part.json());
+        }
+        for part in [one_way(FEW, 10, 2), cold(FEW, 30, 1), rest(FEW, 5, 1), facts(FEW, 10, 1)] {
+            assert_eq!(part.broken, Vec::<String>::new(), "{}", part.json());
+        }
+        let wrong = Extent { skip_suspicion: true, ..FEW };
+        assert!(!loss(wrong, 10, 2).broken.is_empty());
+    }
+
+    #[test]
+    fn the_same_seed_gives_the_same_story() {
+        assert_eq!(kill(FEW, 10, 2).json(), kill(FEW, 10, 2).json());
+    }
+}
