--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,10 +8,17 @@
 #![warn(missing_docs)]
 
 mod config;
+mod facts;
+mod invariant;
 mod member;
+pub mod model;
+mod queue;
+mod sync;
 mod view;
+mod wire;
 
 pub use config::{Config, ConfigError};
+pub use invariant::broken;
 pub use member::Membership;
 pub use view::{Change, Member, State, View};
 
