Harness of N processes: relays, list service, workers, clients and an auditor around the built program

Need: stories of 3 to 30 processes for membership, cold start, runtimes and fair share, from one harness.

mothproxy_stand_ins::fleet starts the program N times in a block of loopback addresses of its own.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,6 +2,7 @@
 //! HTTP's public descriptions. All of them listen on loopback at ports that the system picks.
 #![allow(missing_docs)]
 
+pub mod fleet;
 pub mod site;
 
 use mothproxy::http::{self, Body};
--- /dev/null
+++ b/tests/fleet_processes.rs
@@ -0,0 +1,48 @@
+//! Stories of several processes: the built program on loopback, faults between them, and an auditor that reads what crossed
+//! the wires. The harness is `crates/stand-ins` (`docs/design/harness.md`).
+
+use mothproxy_stand_ins::fleet::*;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn plan(size: usize, workers: usize, seed: u64) -> Plan {
+    Plan::new(env!("CARGO_BIN_EXE_mothproxy"), size, workers, seed)
+}
+
+/// Cut apart, killed, started again, a worker gone silent, another drained: every job has its one answer, no key runs twice,
+/// and nothing is sent to who drains.
+#[test]
+fn five_processes_keep_their_promises_through_cuts_and_a_kill() {
+    let fleet = Fleet::start(plan(5, 4, 0x5eed_0001)).expect("a fleet");
+    fleet.until("all hold the list", || fleet.held(1, 0).iter().all(Option::is_some));
+    let keys = Arc::new(|rng: &mut fastrand::Rng, number| match rng.u32(..4) {
+        0 => Job::keyed(&format!("k{:x}-{number}", rng.u64(..))),
+        _ => Job::plain(),
+    });
+    let load = Load { to: fleet.all(), rate: 25.0, span: Duration::from_secs(60), job: keys };
+    let load = fleet.load(&load);
+    let served = |more: u64| {
+        let from = load.report().served();
+        fleet.until("jobs are served", || load.report().served() >= from + more);
+    };
+    served(60);
+    fleet.datagrams.partition(&[&[0, 1], &[2, 3, 4]]);
+    served(60);
+    fleet.kill(3);
+    served(60);
+    fleet.datagrams.heal();
+    fleet.restart(3).expect("it starts again");
+    fleet.cut_worker(1, true);
+    served(60);
+    fleet.cut_worker(1, false);
+    let generation = fleet.lists.set_life(2, Life::Draining);
+    fleet.until("all are told", || fleet.held(generation, 0).iter().all(Option::is_some));
+    served(120);
+    let report = load.stop();
+    let found = fleet.audit(&Rules::default());
+    assert!(found.is_empty(), "{found:#?}");
+    assert!(report.served() > 300, "{report:?}");
+    let totals = fleet.datagrams.totals();
+    assert!(totals.iter().all(|t| t.sent > 0 && t.given > 0), "{totals:?}");
+    assert!(totals.iter().any(|t| t.dropped > 0), "the partition dropped nothing: {totals:?}");
+}
