--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,213 @@
+//! Membership in the built program: several processes on loopback, datagrams through relays with faults. Stories wait for
+//! what is to happen and assert no times; how long things take is `make proof-membership`.
+
+#[path = "common/members.rs"]
+mod members;
+
+use members::*;
+use mothproxy::fleet::{Birth, Effect, Fleet as Parts, FleetSettings, MembershipSettings};
+use mothproxy_stand_ins::fleet::*;
+use std::time::Duration;
+
+const ON: &str = "fleet { membership { probe_interval_ms: 100 } }";
+
+fn plan(size: usize, seed: u64, settings: Option<&str>) -> Plan {
+    let plan = Plan::new(env!("CARGO_BIN_EXE_mothproxy"), size, 2, seed);
+    Plan { settings: settings.map(str::to_owned), ..plan }
+}
+
+fn agree(fleet: &Fleet, what: &str) {
+    fleet.until(&format!("all hold all alive {what}"), || {
+        all_hold(fleet, &fleet.all(), &fleet.all(), "alive")
+    });
+}
+
+/// Rubbish, a kill, a restart, two sides, a one-way cut, a pause and a farewell; jobs are served all along.
+#[test]
+fn five_processes_know_who_is_there() {
+    let fleet = Fleet::start(plan(5, 0x6d65_6d01, Some(ON))).expect("a fleet");
+    agree(&fleet, "at the start");
+    let load = fleet.plain_load(&[0, 2], 20.0, Duration::from_secs(60));
+    // Rubbish: each is refused and nobody dies of it.
+    let mut rng = fastrand::Rng::with_seed(5);
+    for n in 0..400_usize {
+        let mut bytes: Vec<u8> = (0..rng.usize(1..300)).map(|_| rng.u8(..)).collect();
+        bytes[0] = if n % 4 == 0 { 0xF2 } else { 0xF1 };
+        fleet.datagrams.forge(n % 4, 4, &bytes);
+    }
+    fleet.until("rubbish is counted", || figure(&fleet, 4, "refused") > 100);
+    agree(&fleet, "after rubbish");
+    // A kill, and a restart at the same place with a greater epoch.
+    let (rest, before) = ([0, 1, 2, 4], epoch(&fleet, 0, 3));
+    fleet.kill(3);
+    fleet.until("the killed one is dead", || all_hold(&fleet, &rest, &[3], "dead"));
+    assert!(all_hold(&fleet, &rest, &rest, "alive"), "and no other");
+    fleet.restart(3).expect("it starts again");
+    agree(&fleet, "after a restart");
+    assert!(epoch(&fleet, 0, 3) > before, "a new epoch");
+    // Two sides: each holds the other dead and none of its own.
+    let (few, many) = ([0, 1], [2, 3, 4]);
+    fleet.datagrams.partition(&[&few, &many]);
+    fleet.until("each side is alone", || {
+        all_hold(&fleet, &few, &many, "dead") && all_hold(&fleet, &many, &few, "dead")
+    });
+    assert!(all_hold(&fleet, &few, &few, "alive") && all_hold(&fleet, &many, &many, "alive"));
+    fleet.datagrams.heal();
+    agree(&fleet, "after the heal");
+    // One cannot reach one other directly: nobody dies, however many probes fail on that way.
+    let healed = fleet.now();
+    fleet.datagrams.cut_one_way(&[0], &[1]);
+    let probes = figure(&fleet, 0, "probes");
+    fleet.until("many probes", || figure(&fleet, 0, "probes") > probes + 20);
+    fleet.datagrams.heal();
+    agree(&fleet, "after a one-way cut");
+    assert_eq!(changes(&fleet, &fleet.all(), "Dead", healed), [], "nobody died of it");
+    // A pause that outlasts the suspicion: it is dead to the others, and they to it are not.
+    let paused = fleet.now();
+    fleet.pause(1);
+    fleet.until("the paused one is dead", || all_hold(&fleet, &[0, 2, 3, 4], &[1], "dead"));
+    fleet.resume(1);
+    agree(&fleet, "after a pause");
+    assert_eq!(changes(&fleet, &[1], "Dead", paused), [], "it held nobody dead for its own sleep");
+    // A farewell is no death.
+    let stopped = fleet.now();
+    fleet.terminate(4);
+    fleet.until("it has left", || all_hold(&fleet, &[0, 1, 2, 3], &[4], "left"));
+    fleet.until_ended(&[4]);
+    assert_eq!(changes(&fleet, &fleet.all(), "Dead", stopped), [], "who has left is not dead");
+    let report = load.stop();
+    let found = fleet.audit(&Rules::default());
+    assert!(found.is_empty(), "{found:#?}");
+    assert!(report.served() > 10, "{report:?}");
+    assert!(fleet.counters(0)["members_left"] == 1.0, "{:?}", fleet.counters(0));
+    fleet.until("the last figures", || figure(&fleet, 0, "declared_dead") > 0);
+}
+
+/// SIGHUP with other peers begins anew, with a new epoch, and a file that cannot be changes nothing.
+#[test]
+fn other_peers_at_a_reload_begin_anew() {
+    let fleet = Fleet::start(plan(3, 0x6d65_6d02, Some(ON))).expect("a fleet");
+    agree(&fleet, "at the start");
+    let before = epoch(&fleet, 0, 0);
+    let peers = fleet.config(0)["peers"].clone();
+    fleet.change_config(0, |config| config["peers"] = serde_json::json!([]));
+    fleet.reload(0).expect("written");
+    fleet.until("it is turned down", || fleet.counters(0).get("reconfig_failed") == Some(&1.0));
+    assert_eq!(epoch(&fleet, 0, 0), before, "nothing has changed");
+    agree(&fleet, "still");
+    // The third is taken out of every file.
+    for i in 0..2 {
+        fleet.change_config(i, |config| {
+            config["peers"] = serde_json::json!([peers[0], peers[1]]);
+            config["settings"]["Siblings"] = serde_json::json!(2);
+        });
+        fleet.reload(i).expect("written");
+    }
+    fleet.until("two are left", || (0..2).all(|i| states(&fleet, i) == ["alive", "alive"]));
+    assert!(epoch(&fleet, 1, 0) > before, "a new epoch");
+}
+
+/// Off is off: no datagram of it, no page, no line.
+#[test]
+fn without_the_setting_nothing_of_it_is_there() {
+    let fleet = Fleet::start(plan(3, 0x6d65_6d03, None)).expect("a fleet");
+    let load = fleet.plain_load(&fleet.all(), 50.0, Duration::from_secs(10));
+    fleet.until("jobs are served", || load.report().served() > 20);
+    let answer = fleet.admin(0, "/control/members").expect("an answer");
+    assert_eq!(answer.status, 404);
+    assert!(!fleet.counters(0).contains_key("members_alive"));
+    let totals = fleet.datagrams.totals();
+    assert!(totals.iter().all(|t| !t.by_first.contains_key(&0xF1)), "{totals:?}");
+    drop(load.stop());
+    assert!(!fleet.log(0).iter().any(|line| line.text.starts_with("member")), "a line of it");
+}
+
+const MS: u64 = 1_000;
+
+/// Two parts that hear each other at once, by their own clock.
+struct Pair {
+    parts: Vec<Parts>,
+    now: u64,
+    peers: Vec<Vec<Vec<bool>>>,
+    lines: Vec<Vec<u64>>,
+}
+
+impl Pair {
+    fn new(places: usize) -> Pair {
+        let set =
+            MembershipSettings { probe_interval: 100 * MS, probe_timeout: 30 * MS, ..Default::default() };
+        let settings = FleetSettings { membership: Some(set) };
+        let birth = |me| Birth { me, peers: places, epoch: 1_000 + u64::from(me), seed: 3 };
+        let parts = (0..2).map(|me| Parts::new(settings.clone(), birth(me), 0).expect("it starts"));
+        Pair { parts: parts.collect(), now: 0, peers: vec![Vec::new(); 2], lines: vec![Vec::new(); 2] }
+    }
+
+    fn run(&mut self, span: u64, connected: bool) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += MS;
+            for me in 0..2 {
+                if self.parts[me].next_wake(self.now).is_some_and(|at| at <= self.now) {
+                    self.parts[me].due(self.now);
+                }
+                while let Some(effect) = self.parts[me].poll() {
+                    match effect {
+                        Effect::Send { to, bytes } if connected && to < 2 => {
+                            assert!(self.parts[to as usize].understands(&bytes) && bytes.len() <= 256);
+                            self.parts[to as usize].hear(self.now, me as u32, &bytes);
+                        }
+                        Effect::Send { .. } => {}
+                        Effect::Peers(holders) => self.peers[me].push(holders),
+                        Effect::Line { hidden, .. } => self.lines[me].push(hidden),
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A place that was never heard of holds work for a while, and then no longer; the dead do not; the own place always does.
+#[test]
+fn what_the_module_is_told_of_places() {
+    let mut pair = Pair::new(3);
+    pair.run(400 * MS, true);
+    assert_eq!(pair.peers[0], [[true; 3]], "all may, at first");
+    pair.run(10_000 * MS, true);
+    assert_eq!(pair.peers[0].last(), Some(&vec![true, true, false]), "one was never heard of");
+    pair.run(20_000 * MS, false);
+    let alone = [vec![true, false, false], vec![false, true, false]];
+    assert!((0..2).all(|me| pair.peers[me].last() == Some(&alone[me])), "{:?}", pair.peers);
+    pair.run(20_000 * MS, true);
+    assert!(pair.peers.iter().all(|told| told.last() == Some(&vec![true, true, false])), "{:?}", pair.peers);
+    let told = pair.peers[0].len();
+    pair.run(20_000 * MS, true);
+    assert_eq!(pair.peers[0].len(), told, "nothing is said twice");
+    // Another process speaks for the first: it says nothing more, no farewell either, until it begins anew.
+    pair.parts[0].fall_silent();
+    pair.parts[0].leave(pair.now);
+    assert!(pair.parts[0].next_wake(pair.now).is_none() && pair.parts[0].poll().is_none());
+    let birth = Birth { me: 0, peers: 3, epoch: 9_000, seed: 4 };
+    pair.parts[0].renew(birth, pair.now).expect("it begins anew");
+    pair.run(2_000 * MS, true);
+    let seen = pair.parts[1].view().and_then(|view| view.member(0).copied()).expect("a view");
+    assert_eq!((seen.epoch, seen.state), (9_000, mothproxy_membership::State::Alive));
+}
+
+/// However often a place comes and goes, lines of the log are few, and those left out are counted.
+#[test]
+fn lines_are_limited_and_what_is_left_out_is_counted() {
+    let mut pair = Pair::new(2);
+    for _ in 0..60 {
+        pair.parts[1]
+            .renew(Birth { me: 1, peers: 2, epoch: 2_000 + pair.now, seed: 3 }, pair.now)
+            .expect("anew");
+        pair.run(100 * MS, true);
+    }
+    pair.run(3_000 * MS, true);
+    pair.parts[1].leave(pair.now);
+    pair.run(2_000 * MS, true);
+    let (lines, hidden) = (pair.lines[0].len() as u64, pair.lines[0].iter().sum::<u64>());
+    let version = pair.parts[0].view().map_or(0, |view| view.version());
+    assert!(lines < 40 && hidden > 0, "{lines} lines, {hidden} left out");
+    assert_eq!(lines + hidden, version, "each change has a line or is counted");
+}
