Membership: deals by rank, the bound on what a place takes, and more said where many die

A worker's owner follows the view, by rendezvous hashing; how much a place may take does not: its part of the room in the worker's own report, less what it took within twice the report's lag.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,6 +13,7 @@
 mod member;
 pub mod model;
 mod queue;
+pub mod share;
 mod sync;
 mod view;
 mod wire;
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -680,7 +680,10 @@
             while let Some(target) = self.order.get(self.turn).copied() {
                 self.turn += 1;
                 let holds = matches!(self.view.state(target), State::Alive | State::Suspect);
-                if holds && self.probes.iter().all(|p| p.target != target) {
+                // One whose accusers are enough has its time, and what it says will be heard.
+                let enough = self.confirmations() + 1;
+                let settled = self.suspicions.get(&target).is_some_and(|s| s.accusers.len() >= enough);
+                if holds && !settled && self.probes.iter().all(|p| p.target != target) {
                     return self.probe(target, Reason::Turn);
                 }
             }
@@ -804,9 +807,13 @@
         if self.now < self.next_gossip || self.present < 2 {
             return;
         }
-        for _ in 0..self.config.gossip_fanout {
+        // Where many die at once, there is more to say than fits into a few datagrams.
+        let fanout = self.config.gossip_fanout * if self.news.len() > TRIED { 2 } else { 1 };
+        for _ in 0..fanout {
             if (!self.news.is_empty() || !self.fact_news.is_empty()) && self.may_send_more() {
-                let to = self.someone(&[]);
+                // A suspect is most likely gone; whoever accuses it tells it so.
+                let to = self.someone(&[]).filter(|to| self.view.state(*to) == State::Alive);
+                let to = to.or_else(|| self.someone(&[]));
                 to.into_iter().for_each(|to| self.send(to, &Body::Gossip, false));
             }
         }
--- a/crates/membership/src/model/story.rs
+++ b/crates/membership/src/model/story.rs
@@ -1,7 +1,7 @@
 //! What was asked of the model, and whether it held.
 
 use super::{Net, SECOND};
-use crate::{Micros, State};
+use crate::{Micros, State, share};
 use std::collections::BTreeMap;
 
 /// How much to run.
@@ -428,6 +428,48 @@
     report
 }
 
+/// A worker of limit 64 that 30 places take of, each by the last report it has, cut off and killed as may be: the most it
+/// ever had beyond its limit, and what part of it the three in ten that survive come to use.
+fn bound(extent: Extent, seeds: u64) -> Report {
+    let over: u32 = (0..seeds * 100).map(|n| share::adversary(extent.first + n, 2.0)).max().unwrap_or(0);
+    let short = (0..seeds * 100).filter(|n| share::adversary(extent.first + n, 1.0) > 0).count();
+    let one = |seed| {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (limit, peers, lag) = (64_u32, 30_u16, 2 * SECOND);
+        let mut takes = vec![share::Takes::default(); peers.into()];
+        let (mut ends, mut reports): (Vec<Micros>, Vec<share::Room>) = (Vec::new(), Vec::new());
+        let (mut most, mut late) = (0, 0.0);
+        for step in 1..=400_u64 {
+            let now = step * SECOND / 10;
+            ends.retain(|at| *at > now);
+            if step % 7 == 0 {
+                reports.push(share::Room { free: limit - (ends.len() as u32).min(limit), measured: now });
+            }
+            for place in (0..peers).filter(|p| step < 200 || p % 10 < 3) {
+                // It came within 0.4 s, and the one before it may be the last that came.
+                let heard =
+                    reports.iter().rev().filter(|r| r.measured + SECOND * 2 / 5 <= now).nth(rng.usize(0..2));
+                let Some(room) = heard.copied() else { continue };
+                let n = takes[usize::from(place)].may(now, room, lag, peers, share::rank(seed, place, peers));
+                takes[usize::from(place)].took(now, n);
+                ends.extend((0..n).map(|_| now + rng.u64(SECOND..20 * SECOND)));
+            }
+            most = most.max(ends.len() as u32);
+            late += if step > 300 { ends.len() as f64 / f64::from(limit) / 100.0 } else { 0.0 };
+        }
+        (most.saturating_sub(limit), late)
+    };
+    let runs = each(extent, seeds, one);
+    let mut report = Report::default();
+    let beyond = runs.iter().map(|r| r.0).max().unwrap_or(0).max(over);
+    report.put("bound_beyond_limit", f64::from(beyond));
+    report.put("bound_found_with_half_the_window", short as f64);
+    report.put("bound_used_by_three_in_ten", runs.iter().map(|r| r.1).sum::<f64>() / runs.len() as f64);
+    report.hold(beyond == 0, format!("a worker had {beyond} more than its limit"));
+    report.hold(short > 0, "the search for a broken bound finds none where there is one");
+    report
+}
+
 /// All stories.
 pub fn run(extent: Extent) -> Report {
     let mut report = Report::default();
@@ -446,6 +488,7 @@
         report.take(mass(extent, members, seeds));
         report.take(facts(extent, members, seeds.div_ceil(4)));
     }
+    report.take(bound(extent, seeds));
     report.take(kill(extent, 300, seeds));
     if extent.large > 0 {
         report.take(loss(extent, 300, 2));
--- a/crates/membership/src/queue.rs
+++ b/crates/membership/src/queue.rs
@@ -52,6 +52,10 @@
         self.sent.is_empty()
     }
 
+    pub fn len(&self) -> usize {
+        self.sent.len()
+    }
+
     pub fn first(&self, most: usize) -> Vec<K> {
         self.order.iter().take(most).map(|(.., key)| *key).collect()
     }
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -13,7 +13,7 @@
 /// At most so many pages answer one digest.
 const PAGES: usize = 4;
 /// Facts of at most so many places are compared after one page.
-const PLACES: usize = 4;
+const PLACES: usize = 8;
 /// At first so many facts are named, then so many.
 const FIRST: usize = 8;
 const NEXT: usize = 32;
@@ -119,6 +119,9 @@
         }
         self.send_records(from, newer);
         self.rng.shuffle(&mut differ);
+        if !differ.is_empty() {
+            self.next_sync = self.next_sync.min(self.now.max(self.synced_at + self.config.sync_period / 4));
+        }
         for place in differ.into_iter().take(PLACES) {
             self.send_have(from, salt, place, None, FIRST);
         }
