What the sides of a cut may take of a worker: parts kept for who is away, held by the invariant

Two sides of a cut each took all of a worker's slots: up to twice its limit. Event::Peers now tells of each node whether it is here, away (dead, or never heard of) or gone (has left).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -482,9 +482,9 @@
         self.events.push(Event::Mail { from, bytes });
     }
 
-    /// Which dispatchers may hold work, by their numbers.
-    pub fn peers(&mut self, holders: Vec<bool>) {
-        self.events.push(Event::Peers(holders));
+    /// What is believed of each dispatcher, by their numbers.
+    pub fn peers(&mut self, peers: Vec<Presence>) {
+        self.events.push(Event::Peers(peers));
     }
 
     /// News of a job, by the names that the worker uses. Whether they told anything new.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,13 +7,17 @@
 
 pub use settings::{FleetSettings, MembershipSettings};
 
-use crate::interface::Micros;
-use mothproxy_membership::{Change, Config, ConfigError, Figures, Membership, Output, State, VERSION, View};
+use crate::interface::{Micros, Presence};
+use mothproxy_membership::{
+    Change, Config, ConfigError, Figures, Member, Membership, Output, State, VERSION, View,
+};
 use std::collections::VecDeque;
 
 /// Changes of the view reach the module at most this often: after a heal they come by the dozen, and each deals the
 /// workers anew.
 const SETTLE: Micros = 200_000;
+/// Parts that are kept for a time are looked at this often.
+const LOOK_AGAIN: Micros = 1_000_000;
 /// So many lines of changes in one go, and then one each `LINE_EVERY`.
 const LINES: u64 = 16;
 const LINE_EVERY: Micros = 500_000;
@@ -28,8 +32,8 @@
         /// The bytes, 256 at most.
         bytes: Vec<u8>,
     },
-    /// Which places may hold work, for [`crate::Event::Peers`].
-    Peers(Vec<bool>),
+    /// What is believed of each place, for [`crate::Event::Peers`].
+    Peers(Vec<Presence>),
     /// A change of the view that is worth a line of the log.
     Line {
         /// The change.
@@ -66,10 +70,12 @@
 struct Members {
     me: usize,
     machine: Membership,
-    /// Until when a place that was never heard of may hold work.
+    /// Until when a place that was never heard of counts as here.
     unknown_until: Micros,
+    /// For how long a dead place's part is kept, if not for as long as it is dead.
+    keep_part: Option<Micros>,
     /// What the module was told last.
-    told: Option<Vec<bool>>,
+    told: Option<Vec<Presence>>,
     /// When it is to be told again, if anything has changed.
     tell_at: Option<Micros>,
     lines: Lines,
@@ -114,20 +120,25 @@
             me: birth.me as usize,
             machine: Membership::new(config, now)?,
             unknown_until,
+            keep_part: set.keep_part,
             told: None,
             tell_at: Some(now),
             lines: Lines { spare: LINES, refilled: now, hidden: 0 },
         })
     }
 
-    /// Which places may hold work: those alive or suspected, those never heard of for a while, and one's own.
-    fn holders(&self, now: Micros) -> Vec<bool> {
-        let holds = |(place, state): (u16, State)| match state {
-            State::Alive | State::Suspect => true,
-            State::Unknown => now < self.unknown_until,
-            State::Dead | State::Left => usize::from(place) == self.me,
+    /// Which places may hold work: those alive or suspected, those never heard of for a while, and one's own. A dead one
+    /// may be alive on the other side of a cut; one that has said that it leaves is not.
+    fn peers(&self, now: Micros) -> Vec<Presence> {
+        let kept = |since: Micros| self.keep_part.is_none_or(|keep| now < since.saturating_add(keep));
+        let presence = |(place, member): (u16, &Member)| match member.state {
+            _ if usize::from(place) == self.me => Presence::Here,
+            State::Alive | State::Suspect => Presence::Here,
+            State::Unknown if now < self.unknown_until => Presence::Here,
+            State::Unknown | State::Dead if kept(member.since) => Presence::Away,
+            State::Unknown | State::Dead | State::Left => Presence::Gone,
         };
-        self.machine.view().iter().map(|(place, m)| (place, m.state)).map(holds).collect()
+        self.machine.view().iter().map(presence).collect()
     }
 
     fn next_wake(&self, now: Micros) -> Micros {
@@ -250,10 +261,14 @@
         }
         if members.tell_at.is_some_and(|at| at <= now) {
             members.tell_at = None;
-            let holders = members.holders(now);
-            if members.told.as_ref() != Some(&holders) {
-                members.told = Some(holders.clone());
-                self.effects.push_back(Effect::Peers(holders));
+            let peers = members.peers(now);
+            // Until when a part is kept is looked at every now and then.
+            if members.keep_part.is_some() && peers.contains(&Presence::Away) {
+                members.tell_at = Some(now + LOOK_AGAIN);
+            }
+            if members.told.as_ref() != Some(&peers) {
+                members.told = Some(peers.clone());
+                self.effects.push_back(Effect::Peers(peers));
             }
         }
     }
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -21,6 +21,8 @@
     pub suspicion_mult: f64,
     /// The most bytes of datagrams that a member sends a second.
     pub bytes_per_s: u32,
+    /// For how long a dead member's part of each worker is kept for it, in microseconds; for as long as it is dead if absent.
+    pub keep_part: Option<Micros>,
     /// What a member that died has taught is kept for so long, in microseconds.
     pub forget_after: Micros,
 }
@@ -33,6 +35,7 @@
             probe_timeout: set.probe_timeout,
             suspicion_mult: set.suspicion_factor,
             bytes_per_s: set.budget,
+            keep_part: None,
             forget_after: set.forget_after,
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -469,6 +469,17 @@
     pub never_ran: bool,
 }
 
+/// What is believed of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It may hold work.
+    Here,
+    /// It is not heard of, and may hold work where this node does not see it: its part of each worker is kept for it.
+    Away,
+    /// It holds no work any more: its part is the others'.
+    Gone,
+}
+
 /// What has happened. Events about unknown jobs, attempts, workers or alarms are ignored.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -527,8 +538,8 @@
     Alarm(AlarmId),
     /// A probe came back.
     Probed(Probed),
-    /// Which nodes may hold work, by their numbers; where it never comes, all of them may.
-    Peers(Vec<bool>),
+    /// What is believed of each node, by their numbers; where it never comes, all of them are here.
+    Peers(Vec<Presence>),
     /// Another node's message.
     Mail {
         /// The sender's number.
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -83,7 +83,7 @@
         while let Some(effect) = self.link.fleet.poll() {
             match effect {
                 Effect::Send { to, bytes } => self.tell_peer(to, &bytes),
-                Effect::Peers(holders) => self.core.peers(holders),
+                Effect::Peers(peers) => self.core.peers(peers),
                 Effect::Line { change, hidden } => {
                     let at = self.config.peers.get(usize::from(change.place));
                     let at = at.map_or("?".to_owned(), |at| at.to_string());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -122,7 +122,7 @@
             Event::Alarm(AlarmId(TELL_ALARM)) => self.m.tell(acts),
             Event::Alarm(AlarmId(id)) => self.review(JobId(id - 1), acts),
             Event::Probed(echo) => self.probed(echo, acts),
-            Event::Peers(holders) => self.m.hold_by(&holders, &self.set),
+            Event::Peers(peers) => self.m.hold_by(&peers, &self.set),
             Event::Mail { from, bytes } => match self.m.share.hear(self.m.now, from, &bytes) {
                 Heard::Wish(zone) => self.lend(from, zone, acts),
                 Heard::Offer => self.wake_held(acts),
@@ -397,7 +397,7 @@
         if self.m.share.on_offer(known.worker, self.m.now) {
             return Some((0.5, 0.5, 1.0));
         }
-        if let Some(mates) = self.m.share.load(known, self.m.now) {
+        if let Some(mates) = self.m.taken(known) {
             let age = known.started_at.map_or(self.set.cold_time, |at| self.m.now.saturating_sub(at));
             let planned = if age < self.set.cold_time { self.set.fall_multiple * COLD_SAFETY } else { 1.0 };
             let room = slots * (planned * self.grown(age)).min(1.0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -267,6 +267,7 @@
     if let Some(ms) = whole("probe_timeout_ms", 5, 59_999) {
         set.probe_timeout = u64::from(ms) * 1000;
     }
+    set.keep_part = whole("keep_part_s", 1, 86_400).map(|seconds| u64::from(seconds) * 1_000_000);
     set.bytes_per_s = whole("bytes_per_s", 1_024, 100_000_000).unwrap_or(set.bytes_per_s);
     if let Some(seconds) = whole("forget_after_s", 1, 86_400) {
         set.forget_after = u64::from(seconds) * 1_000_000;
