--- a/crates/membership/src/model/story.rs
+++ b/crates/membership/src/model/story.rs
@@ -431,8 +431,9 @@
 /// A worker of limit 64 that 30 places take of, each by the last report it has, cut off and killed as may be: the most it
 /// ever had beyond its limit, and what part of it the three in ten that survive come to use.
 fn bound(extent: Extent, seeds: u64) -> Report {
-    let over: u32 = (0..seeds * 100).map(|n| share::adversary(extent.first + n, 2.0)).max().unwrap_or(0);
-    let short = (0..seeds * 100).filter(|n| share::adversary(extent.first + n, 1.0) > 0).count();
+    let searched = 3_000.max(seeds * 100);
+    let over: u32 = (0..searched).map(|n| share::adversary(extent.first + n, 2.0)).max().unwrap_or(0);
+    let short = (0..searched).filter(|n| share::adversary(extent.first + n, 1.0) > 0).count();
     let one = |seed| {
         let mut rng = fastrand::Rng::with_seed(seed);
         let (limit, peers, lag) = (64_u32, 30_u16, 2 * SECOND);
