--- a/crates/coldstart/src/model.rs
+++ b/crates/coldstart/src/model.rs
@@ -201,6 +201,7 @@
     Refused,
     Reset,
     Mute,
+    TimedOut,
 }
 
 struct Item(u64, u64, Ev);
@@ -603,7 +604,7 @@
     fn reply(&mut self, place: u16, number: u64, reply: Reply) {
         let now = self.now;
         let (service, number) = (number >> 32, number & 0xffff_ffff);
-        if reply != Reply::Reset {
+        if !matches!(reply, Reply::Reset | Reply::TimedOut) {
             if service != self.service_life {
                 return;
             }
@@ -615,7 +616,7 @@
         }
         let (waited, life) = (now - one.asked, one.life);
         if reply == Reply::Mute {
-            return self.later(now + SILENCE, Ev::Reply(place, life, number, Reply::Reset));
+            return self.later(now + SILENCE, Ev::Reply(place, life, number, Reply::TimedOut));
         }
         one.out -= 1;
         let event = match reply {
@@ -634,6 +635,7 @@
                 Event::Answered { generation: 2, waited }
             }
             Reply::Refused => Event::Refused { waited, retry_after: None },
+            Reply::TimedOut => Event::TimedOut,
             _ => Event::Failed,
         };
         if reply == Reply::List {
--- a/crates/coldstart/src/pacer.rs
+++ b/crates/coldstart/src/pacer.rs
@@ -114,8 +114,10 @@
         /// What the answer's `Retry-After` says, in microseconds.
         retry_after: Option<u64>,
     },
-    /// The call failed: no connection, a reset, no answer in time.
+    /// The call failed: no connection, a reset, an end.
     Failed,
+    /// No answer came in time. That says nothing of the service for others: a watch may be silent by itself.
+    TimedOut,
     /// The watch has ended.
     WatchEnded,
     /// The watch has fallen silent and counts as broken; the next call has to be made by then.
@@ -261,13 +263,17 @@
     pub fn handle(&mut self, now: u64, event: Event) {
         self.now = self.now.max(now);
         let out = match event {
-            Event::Answered { .. } | Event::Refused { .. } | Event::Failed => self.out.take(),
+            Event::Answered { .. } | Event::Refused { .. } | Event::Failed | Event::TimedOut => self.out.take(),
             _ => None,
         };
         match event {
-            Event::Answered { .. } | Event::Refused { .. } | Event::Failed if out.is_none() => {
+            Event::Answered { .. } | Event::Refused { .. } | Event::Failed | Event::TimedOut if out.is_none() => {
                 self.figures.stray += 1;
             }
+            Event::TimedOut => {
+                self.figures.failed += 1;
+                self.again(true, 0);
+            }
             Event::Answered { generation, waited } => {
                 self.figures.answered += 1;
                 let unix = self.unix_ms();
@@ -433,10 +439,17 @@
         news.filter(|n| n.refused > fresh).map(|n| n.level.min(MOST_LEVEL)).max().unwrap_or(0)
     }
 
+    /// How long first asks are stretched where others can be heard.
+    fn hear_span(round: u64) -> u64 {
+        ((round as f64 * HEAR_PART) as u64).clamp(HEAR[0], HEAR[1])
+    }
+
     /// The first time from `at` on that is the own slot of rounds of this length.
     fn slot(&self, at: u64, round: u64) -> u64 {
+        // Stretched first asks come later by as much: so do all, for slots not to overlap.
+        let shift = if self.config.hears { Self::hear_span(round) / 4 * 3 } else { 0 };
         let into = (self.config.unix + at) % round;
-        let own = (self.phase * round as f64) as u64;
+        let own = ((self.phase * round as f64) as u64 + shift) % round;
         at + (own + round - into) % round
     }
 
@@ -448,12 +461,14 @@
         self.recheck = if self.config.hears { self.now + HEAR[1] } else { u64::MAX };
         let round = self.round();
         self.slot_round = round;
-        let mut wait = self.slot(self.now, round) - self.now;
+        let mut at = self.slot(self.now, round);
         if self.config.hears && self.by.is_none() {
-            let hear = ((round as f64 * HEAR_PART) as u64).clamp(HEAR[0], HEAR[1]);
-            wait = if wait < hear / 4 { wait * 4 } else { wait + hear / 4 * 3 };
+            // One in four of the first slots, at its full distance; the others come in the next round.
+            let (hear, wait) = (Self::hear_span(round), at - self.now);
+            let unshifted = (wait + round - hear / 4 * 3 % round) % round;
+            at = self.now + if unshifted < hear / 4 { unshifted * 4 } else { unshifted + hear / 4 * 3 };
         }
-        self.set_due(self.now + wait);
+        self.set_due(at);
     }
 
     fn set_due(&mut self, at: u64) {
@@ -543,7 +558,7 @@
             // Somebody was answered: one round for all that waited for that.
             self.turn = false;
             self.slot_round = self.round();
-            self.due = self.due.min(self.slot(self.now, self.slot_round));
+            self.due = self.slot(self.now, self.slot_round);
         }
     }
 }
