--- a/crates/coldstart/src/findings.rs
+++ b/crates/coldstart/src/findings.rs
@@ -219,7 +219,9 @@
         let before = self.all.get(&key).copied().unwrap_or_default();
         // Told is what changes the others' minds; a proof of life that nobody doubted only now and then.
         let worth = match seen {
-            Seen::Trouble(kind) => before.worst().is_none_or(|(worst, since)| worst < kind || since + TROUBLE_EVERY < at),
+            Seen::Trouble(kind) => {
+                before.worst().is_none_or(|(worst, since)| worst < kind || since + TROUBLE_EVERY < at)
+            }
             Seen::Alive => before.worst().is_some() || before.alive + self.proof_every < at,
             Seen::Cold => before.cold + self.proof_every < at,
             Seen::Report(_) => before.worst().is_some() || before.report.0 + self.proof_every < at,
@@ -256,7 +258,8 @@
     /// What is found of a worker, if anything that still counts.
     pub fn finding(&self, tag: u64, now: u64) -> Option<Finding> {
         let (held, unix) = (self.all.get(&key(tag))?, self.unix_ms(now));
-        let fresh = |at: u64| (at > 0 && unix.saturating_sub(at) <= FORGET).then(|| unix.saturating_sub(at) * 1_000);
+        let fresh =
+            |at: u64| (at > 0 && unix.saturating_sub(at) <= FORGET).then(|| unix.saturating_sub(at) * 1_000);
         let newest = fresh(held.newest())?;
         Some(Finding {
             trouble: held.worst().and_then(|(kind, at)| fresh(at).map(|age| (kind, age))),
@@ -321,7 +324,8 @@
         let mut told = Told { at, rows: Vec::new() };
         let mut bytes = None;
         for (print, held) in rows {
-            let ages = [held.alive, held.trouble[0], held.trouble[1], held.trouble[2], held.cold, held.report.0];
+            let ages =
+                [held.alive, held.trouble[0], held.trouble[1], held.trouble[2], held.cold, held.report.0];
             told.rows.push(Row(print, ages.map(before), held.report.1));
             match postcard::to_extend(&told, vec![VERSION]) {
                 Ok(text) if text.len() <= MOST_BYTES => bytes = Some(text),
@@ -365,7 +369,8 @@
                 let told: Told = postcard::from_bytes(body).map_err(|_| AbsorbError::Malformed)?;
                 sane(told.at)?;
                 for Row(print, ages, report) in told.rows {
-                    let when = |age: u32| if age == 0 { 0 } else { (told.at + 1).saturating_sub(u64::from(age)) };
+                    let when =
+                        |age: u32| if age == 0 { 0 } else { (told.at + 1).saturating_sub(u64::from(age)) };
                     let [alive, resets, hangs, refuses, cold, reported] = ages.map(when);
                     let report = (reported, if reported > 0 { report } else { Report::default() });
                     let found = Held { alive, trouble: [resets, hangs, refuses], cold, report };
--- a/crates/coldstart/src/model.rs
+++ b/crates/coldstart/src/model.rs
@@ -367,7 +367,8 @@
         }
         if let Some((count, _)) = self.set.paused {
             for place in 0..count.min(self.set.count) {
-                self.all[usize::from(place * (self.set.count / count.max(1)).max(1) % self.set.count)].pauses = true;
+                self.all[usize::from(place * (self.set.count / count.max(1)).max(1) % self.set.count)]
+                    .pauses = true;
             }
         }
         if self.how == Behaviour::Heard {
@@ -386,7 +387,9 @@
     fn step(&mut self, ev: Ev) {
         // What is for one that is stopped waits until it goes on.
         let to = match &ev {
-            Ev::Wake(place, life) | Ev::Reply(place, life, ..) | Ev::Noticed(place, life) => Some((*place, *life)),
+            Ev::Wake(place, life) | Ev::Reply(place, life, ..) | Ev::Noticed(place, life) => {
+                Some((*place, *life))
+            }
             Ev::Gossip(place, life) | Ev::Job(place, life) => Some((*place, *life)),
             Ev::Try(place, life, _) | Ev::Ended(place, life, ..) => Some((*place, *life)),
             _ => None,
@@ -455,7 +458,8 @@
                 // model change for all at once, by their own period.
                 let lives: Vec<(bool, u32)> = self.all.iter().map(|one| (one.running, one.life)).collect();
                 let before = std::mem::replace(&mut self.lives, lives);
-                let changed = self.lives.iter().zip(&before).enumerate().filter(|(_, (now, then))| now.1 != then.1);
+                let changed =
+                    self.lives.iter().zip(&before).enumerate().filter(|(_, (now, then))| now.1 != then.1);
                 let gone: Vec<u16> = changed.map(|(place, _)| place as u16).collect();
                 for place in 0..self.set.count {
                     let view: Vec<bool> = (0..self.set.count)
@@ -469,8 +473,9 @@
                 self.later(self.now + VIEWS, Ev::Views);
             }
             Ev::Job(place, life) => {
-                let rate = self.set.load * PER_SECOND * self.workers.iter().filter(|w| !w.dead).count() as f64
-                    / f64::from(self.set.count);
+                let rate =
+                    self.set.load * PER_SECOND * self.workers.iter().filter(|w| !w.dead).count() as f64
+                        / f64::from(self.set.count);
                 let gap = -(1.0 - self.rng.f64()).ln() / rate * SECOND as f64;
                 self.later(self.now + gap as u64, Ev::Job(place, life));
                 let work = -(1.0 - self.rng.f64()).ln();
@@ -862,7 +867,8 @@
         let nodes = u64::from(self.set.count);
         let turns = ((budget / 2.0) as u64).clamp(1, nodes);
         let epoch = age / WINDOW;
-        let place = (u64::from(place) + crate::mix(id as u64) % nodes + epoch % nodes * (nodes / 2 + 1)) % nodes;
+        let place =
+            (u64::from(place) + crate::mix(id as u64) % nodes + epoch % nodes * (nodes / 2 + 1)) % nodes;
         let sent = tie.map_or(0.0, |t| if t.cold.0 == epoch { t.cold.1 } else { 0.0 });
         place < turns && (sent == 0.0 || sent + work.max(1.0) <= budget / turns as f64)
     }
--- a/crates/coldstart/src/pacer.rs
+++ b/crates/coldstart/src/pacer.rs
@@ -263,11 +263,15 @@
     pub fn handle(&mut self, now: u64, event: Event) {
         self.now = self.now.max(now);
         let out = match event {
-            Event::Answered { .. } | Event::Refused { .. } | Event::Failed | Event::TimedOut => self.out.take(),
+            Event::Answered { .. } | Event::Refused { .. } | Event::Failed | Event::TimedOut => {
+                self.out.take()
+            }
             _ => None,
         };
         match event {
-            Event::Answered { .. } | Event::Refused { .. } | Event::Failed | Event::TimedOut if out.is_none() => {
+            Event::Answered { .. } | Event::Refused { .. } | Event::Failed | Event::TimedOut
+                if out.is_none() =>
+            {
                 self.figures.stray += 1;
             }
             Event::TimedOut => {
@@ -291,7 +295,8 @@
                 self.figures.refused += 1;
                 let busy = waited >= BUSY_LEAST.max(BUSY_SERVICES * self.config.service_time);
                 if busy {
-                    (self.own.level, self.own.refused) = ((self.own.level + 1).min(MOST_LEVEL), self.unix_ms());
+                    (self.own.level, self.own.refused) =
+                        ((self.own.level + 1).min(MOST_LEVEL), self.unix_ms());
                 } else {
                     self.own.failed = self.unix_ms();
                 }
@@ -490,7 +495,11 @@
         if self.turn && self.others() == 0 {
             self.turn = false;
             self.due = self.due.min(self.slot(self.now + self.wait, round));
-        } else if !self.turn && self.by.is_none() && !self.knows_down() && (round as f64) * CHANGED < self.slot_round as f64 {
+        } else if !self.turn
+            && self.by.is_none()
+            && !self.knows_down()
+            && (round as f64) * CHANGED < self.slot_round as f64
+        {
             self.slot_round = round;
             self.due = self.due.min(self.slot(self.now, round));
         }
@@ -510,7 +519,11 @@
         let from = self.now + retry_after;
         self.turn = !busy && self.config.hears && self.believed() > 0 && self.knows_down();
         self.slot_round = round;
-        let at = if self.turn { self.slot(from + 1, self.turns()) } else { self.slot(from.max(self.now + self.wait), round) };
+        let at = if self.turn {
+            self.slot(from + 1, self.turns())
+        } else {
+            self.slot(from.max(self.now + self.wait), round)
+        };
         self.set_due(at);
         if !self.config.ask_without_pacer {
             self.due = self.due.max(from);
--- a/crates/coldstart/src/ration.rs
+++ b/crates/coldstart/src/ration.rs
@@ -227,7 +227,8 @@
         };
         let turn = self.turn(worker, stream, age, unix);
         let (key, cost) = ((worker.tag, stream), (units * 1e3).ceil() as u64);
-        let spent = self.spent.get(&key).filter(|(start, _)| *start == turn.start).map_or(0, |(_, spent)| *spent);
+        let spent =
+            self.spent.get(&key).filter(|(start, _)| *start == turn.start).map_or(0, |(_, spent)| *spent);
         invariant!(spent <= turn.grant * 1_000, "more than the own part of a turn was spent");
         let part = self.config.without_turns || turn.start >= self.born && self.owns(worker.tag, &turn);
         let open = part && spent + cost <= turn.grant * 1_000;
@@ -280,7 +281,14 @@
             _ if all == 0 => None,
             0 => {
                 // Half for each of two leases that touch.
-                let turn = Turn { start: 0, length: lease, index: unix / lease, owners: all / 2, grant: 1, kinds: 1 };
+                let turn = Turn {
+                    start: 0,
+                    length: lease,
+                    index: unix / lease,
+                    owners: all / 2,
+                    grant: 1,
+                    kinds: 1,
+                };
                 Some((u32::from(all >= 2 && self.owns(tag, &turn)), until))
             }
             part => Some((u32::try_from(part).unwrap_or(u32::MAX), u64::MAX)),
