--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -136,7 +136,7 @@
     fn new(places: usize) -> Pair {
         let set =
             MembershipSettings { probe_interval: 100 * MS, probe_timeout: 30 * MS, ..Default::default() };
-        let settings = FleetSettings { membership: Some(set) };
+        let settings = FleetSettings { membership: Some(set), ..FleetSettings::default() };
         let birth = |me| Birth { me, peers: places, epoch: 1_000 + u64::from(me), seed: 3 };
         let parts = (0..2).map(|me| Parts::new(settings.clone(), birth(me), 0).expect("it starts"));
         Pair { parts: parts.collect(), now: 0, peers: vec![Vec::new(); 2], lines: vec![Vec::new(); 2] }
