--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,7 +5,7 @@
 
 mod settings;
 
-pub use settings::{FleetSettings, MembershipSettings};
+pub use settings::{ColdStartSettings, FleetSettings, MembershipSettings};
 
 use crate::interface::{Micros, Presence};
 use mothproxy_membership::{
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -8,6 +8,21 @@
 pub struct FleetSettings {
     /// Who is there.
     pub membership: Option<MembershipSettings>,
+    /// Who asks discovery when.
+    pub cold_start: Option<ColdStartSettings>,
+}
+
+/// How a cold start spares discovery; all of a site must have the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdStartSettings {
+    /// What a call is taken to cost discovery, in microseconds.
+    pub call_time: Micros,
+}
+
+impl Default for ColdStartSettings {
+    fn default() -> Self {
+        ColdStartSettings { call_time: mothproxy_coldstart::pacer::SERVICE_TIME }
+    }
 }
 
 /// How the members find out about each other; all of a site must have the same.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! Calls to discovery: the watch, and the whole list once.
 
+use super::ask::CallEnd;
 use super::conn::{Conn, ReadEnd};
 use super::{Role, Server, Token, WATCH_TIMER};
 use crate::config::ServerList;
@@ -16,6 +17,8 @@
 /// The longest object of a watch, or whole list.
 const MOST: usize = 4 * 1024 * 1024;
 
+/// A longer `Retry-After` is not heeded, in seconds: what changes meanwhile counts as told.
+const MOST_RETRY_AFTER: f64 = 10.0;
 /// Failed calls that told nothing are logged this far apart.
 const QUIET: Micros = 1_000_000;
 
@@ -26,6 +29,8 @@
     text: Objects,
     /// Whether the status was 200 and the call counts as answered by a list.
     answered: bool,
+    /// It was refused, and when to come again if the answer says so.
+    refused: Option<Option<Micros>>,
 }
 
 /// The watch of this dispatcher.
@@ -54,9 +59,10 @@
         }
     }
 
-    /// The module wants a watch. One that a change of discovery, or a silence, has begun already is as good.
+    /// The module wants a watch. One that a change of discovery, or a silence, has begun already is as good; so is one that
+    /// the pacer has scheduled.
     pub(super) fn watch_wanted(&mut self) {
-        if self.lists.watch.is_none() {
+        if self.lists.watch.is_none() && !self.ask.on() {
             self.call(true);
         }
     }
@@ -70,12 +76,18 @@
         let conn = self.make_room(0).then(|| Conn::connect(self.config.discovery).ok()).flatten();
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(platform::list(after));
-            let call =
-                Call { watch, connecting: true, body: None, text: Objects::default(), answered: false };
+            let call = Call {
+                watch,
+                connecting: true,
+                body: None,
+                text: Objects::default(),
+                answered: false,
+                refused: None,
+            };
             self.add(conn, |_| Role::Call(call))
         });
         let up_by = if watch { self.lists.clock.called(self.now) } else { self.now + CONNECT_TIME };
-        let Some(token) = token else { return self.watch_over(watch, Broken::Ended) };
+        let Some(token) = token else { return self.watch_over(watch, CallEnd::Failed) };
         if watch {
             self.lists.watch = Some(token);
         }
@@ -126,7 +138,13 @@
                     conn.inbox.drain(..head.len);
                     call.body = Some(Body::new(head.framing));
                 }
-                Ok(Some(_)) => return Err("refused"),
+                Ok(Some(head)) => {
+                    let seconds =
+                        head.fields.text(&conn.inbox, "Retry-After").and_then(|t| t.trim().parse().ok());
+                    let within = |s: &f64| (0.0..=MOST_RETRY_AFTER).contains(s);
+                    call.refused = Some(seconds.filter(within).map(|s| (s * 1e6) as Micros));
+                    return Err("refused");
+                }
                 Err(_) => return Err("not HTTP"),
             }
         }
@@ -164,6 +182,9 @@
                 }
                 let told = if call.watch { self.lists.clock.told(self.now) } else { self.now };
                 self.core.listed(told, &list, false);
+                if call.watch {
+                    self.ask_listed(list.generation);
+                }
                 // A new service may answer with changes though it was asked for everything. Workers that it has
                 // never heard of would then stay in the table: the whole list is asked for once.
                 if std::mem::take(&mut self.lists.whole_due) && !list.reset {
@@ -177,7 +198,7 @@
     pub(super) fn call_failed(&mut self, token: Token, conn: Conn, call: Call, why: &str) {
         self.log_failed(&call, why);
         if !call.watch || self.lists.watch.take_if(|watch| *watch == token).is_some() {
-            self.watch_over(call.watch, Broken::Ended);
+            self.watch_over(call.watch, call.refused.map_or(CallEnd::Failed, CallEnd::Refused));
         }
         self.close(token, conn, Role::Call(call));
     }
@@ -189,7 +210,7 @@
         }
         self.log_failed(&call, if call.answered { "fell silent" } else { "no answer in time" });
         self.close(token, conn, Role::Call(call));
-        self.watch_over(true, Broken::Silent);
+        self.watch_over(true, CallEnd::Silent);
     }
 
     /// A line for each call that failed; of those that told nothing, one in so long: an agent is asked again at once.
@@ -202,8 +223,11 @@
     }
 
     /// No call is under way any more: it is asked anew by the clock of silence, or when the module wants it.
-    fn watch_over(&mut self, watch: bool, why: Broken) {
-        match watch.then(|| self.lists.clock.broke(self.now, why)).flatten() {
+    fn watch_over(&mut self, watch: bool, end: CallEnd) {
+        let why = if end == CallEnd::Silent { Broken::Silent } else { Broken::Ended };
+        let again = watch.then(|| self.lists.clock.broke(self.now, why)).flatten();
+        match again {
+            _ if watch && self.ask.on() => self.ask_over(end),
             Some(again) => self.core.remind(again, WATCH_TIMER),
             None => self.core.list_failed(),
         }
@@ -213,6 +237,7 @@
     pub(super) fn leave_discovery(&mut self) {
         self.lists.watch = None;
         self.lists.clock.moved();
+        self.ask_moved();
         for slot in 0..self.slots.len() {
             if let Some((_, Role::Call(_))) = self.slots[slot].held {
                 self.close_token(Token::new(slot, self.slots[slot].used));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The sockets: one epoll loop that turns what arrives into events of the core and its commands into bytes.
 
 mod admin;
+mod ask;
 mod backend;
 mod conn;
 mod discovery;
@@ -76,6 +77,7 @@
 const RELAY_TIMER: u64 = u64::MAX - 14;
 const WATCH_TIMER: u64 = u64::MAX - 15;
 const FLEET_TIMER: u64 = u64::MAX - 16;
+const ASK_TIMER: u64 = u64::MAX - 17;
 
 /// What a connection is for.
 enum Role {
@@ -196,6 +198,7 @@
     peers: Option<UdpSocket>,
     /// What this dispatcher and the others know of each other.
     link: fleet::Link,
+    ask: ask::Asker,
     /// Where keyed jobs are noted, if they are.
     notes: Option<Notes>,
     /// Jobs apart from their streams, where the SSE front is on.
@@ -336,6 +339,7 @@
         }
         core.remind(now + SUMMARY, SUMMARY_TIMER);
         let budget = Budget::of(config.limits, if state.is_some() { notes::FDS } else { 0 });
+        let ask = ask::Asker::open(fleet.cold_start.as_ref(), &config, now, core.servers.generation);
         let link = fleet::Link::open(fleet, &config, now);
         let mut server = Server {
             classes,
@@ -354,6 +358,7 @@
             handed: false,
             peers,
             link,
+            ask,
             notes: None,
             watch_jobs,
             slots: Vec::new(),
@@ -404,6 +409,7 @@
         self.clock();
         self.tell_state();
         self.fleet_go_on();
+        self.ask_go_on();
         while !self.done {
             self.clock();
             self.core.turn(self.now);
@@ -482,6 +488,7 @@
                 Command::Due(HAND_TIMER) => self.hand_step(),
                 Command::Due(DRAIN_TIMER) => self.drain_step(),
                 Command::Due(FLEET_TIMER) => self.fleet_due(),
+                Command::Due(ASK_TIMER) => self.ask_due(),
                 Command::Due(PEER_TIMER) => self.tell_state_again(),
                 Command::Due(ACCEPT_TIMER) => self.accept_again(),
                 Command::Due(token) => self.due(Token(token)),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The operators' file, `deploy/mothproxy.txtpb`: protobuf text format by the schema in `proto/mothproxy.proto`.
 
 use crate::config::SseSettings;
-use crate::fleet::{FleetSettings, MembershipSettings};
+use crate::fleet::{ColdStartSettings, FleetSettings, MembershipSettings};
 use crate::net::StateDir;
 use miette::Diagnostic;
 use mothproxy_store::SyncMode;
@@ -248,7 +248,19 @@
 }
 
 fn fleet(reader: &mut Reader<'_>, message: &DynamicMessage) -> FleetSettings {
-    FleetSettings { membership: part(message, "membership").map(|m| membership(reader, &m)) }
+    FleetSettings {
+        membership: part(message, "membership").map(|m| membership(reader, &m)),
+        cold_start: part(message, "cold_start").map(|m| cold_start(reader, &m)),
+    }
+}
+
+fn cold_start(reader: &mut Reader<'_>, message: &DynamicMessage) -> ColdStartSettings {
+    let default = ColdStartSettings::default();
+    let call_time = number(message, "call_ms").map_or(default.call_time, |ms| u64::from(ms) * 1_000);
+    if !(1_000..=10_000_000).contains(&call_time) {
+        reader.fault("fleet.cold_start.call_ms", "is not 1 to 10000".to_owned());
+    }
+    ColdStartSettings { call_time }
 }
 
 fn membership(reader: &mut Reader<'_>, message: &DynamicMessage) -> MembershipSettings {
