--- /dev/null
+++ b/examples/proof_runtimes.rs
@@ -0,0 +1,398 @@
+//! The proof of the run times' estimates (`make proof-runtimes`): heavy-tailed jobs of a made fleet, whose true distributions
+//! are known, estimated by dispatchers alone and by ones that share over a carrier that loses, repeats and reorders; a
+//! shared slowdown; backfilling on against off; costs. All from one seed (`--seed N`), with no clock but for the costs.
+//! Ends in one JSON line; the exit code is not 0 where a part fails.
+
+use mothproxy_runtimes::backfill::{Held, may_go, reserve};
+use mothproxy_runtimes::{Config, Estimate, Likeness, Origin, Outcome, Runtimes, number};
+use serde_json::{Value, json};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::process::ExitCode;
+use std::time::Instant;
+
+const S: u64 = 1_000_000;
+const EPOCH: u64 = 1_790_000_000_000;
+
+fn normal(rng: &mut fastrand::Rng) -> f64 {
+    (-2.0 * (1.0 - rng.f64()).ln()).sqrt() * (std::f64::consts::TAU * rng.f64()).cos()
+}
+
+/// How the work of a class's jobs lies about its middle.
+#[derive(Clone, Copy)]
+enum Draw {
+    Lognormal { cv: f64 },
+    Pareto { cv: f64 },
+}
+
+struct Class {
+    middle: f64,
+    draw: Draw,
+    /// Part of the jobs that take 5 to 29 times as long.
+    tail: f64,
+    limit: f64,
+    tenants: Vec<f64>,
+    subjects: Vec<f64>,
+    sizes: Vec<f64>,
+    /// True quantiles of the logarithm, 0.5 and 0.9, before the effects.
+    quantiles: [f64; 2],
+}
+
+/// A fleet and its jobs, all logarithms known.
+struct World {
+    classes: Vec<Class>,
+    kinds: Vec<f64>,
+    workers: Vec<(usize, f64)>,
+}
+
+struct Job {
+    class: usize,
+    likeness: Likeness,
+    kind: u32,
+    worker: u64,
+    /// True run time and true quantiles (logarithms).
+    ran: f64,
+    quantiles: [f64; 2],
+}
+
+impl Draw {
+    fn log(self, tail: f64, rng: &mut fastrand::Rng) -> f64 {
+        let base = match self {
+            Draw::Lognormal { cv } => (1.0 + cv * cv).ln().sqrt() * normal(rng),
+            Draw::Pareto { cv } => -(1.0 - rng.f64()).ln() / (1.0 + (1.0 + 1.0 / (cv * cv)).sqrt()),
+        };
+        let stretched = rng.f64() < tail;
+        base + if stretched { 5f64.ln() + rng.f64() * (29f64 / 5.0).ln() } else { 0.0 }
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut effects = |n: usize, deviation: f64| -> Vec<f64> {
+            (0..n).map(|_| deviation * normal(&mut rng)).collect()
+        };
+        let plans = [
+            (0.03, Draw::Lognormal { cv: 1.4 }, 0.005),
+            (0.08, Draw::Lognormal { cv: 1.8 }, 0.03),
+            (0.15, Draw::Pareto { cv: 1.4 }, 0.01),
+            (0.25, Draw::Lognormal { cv: 2.6 }, 0.01),
+            (0.5, Draw::Pareto { cv: 2.6 }, 0.02),
+            (1.2, Draw::Lognormal { cv: 1.4 }, 0.005),
+        ];
+        let classes = plans.map(|(middle, draw, tail)| {
+            let mut sample = fastrand::Rng::with_seed(seed ^ 77);
+            let mut logs: Vec<f64> = (0..40_000).map(|_| draw.log(tail, &mut sample)).collect();
+            logs.sort_by(f64::total_cmp);
+            let quantiles = [logs[20_000], logs[36_000]];
+            let (tenants, subjects, sizes) = (effects(12, 0.4), effects(40, 0.7), effects(4, 0.3));
+            Class { middle: f64::ln(middle * S as f64), draw, tail, limit: 12.0, tenants, subjects, sizes, quantiles }
+        });
+        let kinds = vec![0.6f64, 0.85, 1.2, 1.7].iter().map(|speed| -speed.ln()).collect();
+        let workers = effects(40, 0.12).into_iter().enumerate().map(|(n, off)| (n % 4, off)).collect();
+        World { classes: classes.into(), kinds, workers }
+    }
+
+    fn job(&self, rng: &mut fastrand::Rng) -> Job {
+        let at = rng.usize(..self.classes.len());
+        let class = &self.classes[at];
+        // The more popular subjects take most of the jobs; most of a subject's jobs are of one tenant; half of them go
+        // to the kind that holds its data.
+        let subject = (class.subjects.len() as f64 * rng.f64().powi(2)) as usize;
+        let tenant = if rng.f64() < 0.7 { subject % class.tenants.len() } else { rng.usize(..class.tenants.len()) };
+        let size = rng.usize(..class.sizes.len());
+        let near = rng.bool();
+        let worker = loop {
+            let worker = rng.usize(..self.workers.len());
+            if !near || self.workers[worker].0 == subject % self.kinds.len() {
+                break worker;
+            }
+        };
+        let (kind, off) = self.workers[worker];
+        let middle = class.middle + class.tenants[tenant] + class.subjects[subject] + class.sizes[size];
+        let here = middle + self.kinds[kind] + off;
+        let id = |what: &str, n: usize| number(format!("{what}{n}").as_bytes());
+        let likeness = Likeness {
+            class: id("class", at),
+            tenant: Some(id("tenant", tenant)),
+            subject: Some(id("subject", subject)),
+            facts: [Some(size as u64), None],
+        };
+        Job {
+            class: at,
+            likeness,
+            kind: kind as u32 + 1,
+            worker: worker as u64 + 1,
+            ran: here + class.draw.log(class.tail, rng),
+            quantiles: class.quantiles.map(|q| here + q),
+        }
+    }
+}
+
+fn pinball(quantile: f64, truth: f64, guess: f64) -> f64 {
+    let off = truth - guess;
+    if off > 0.0 { quantile * off } else { (quantile - 1.0) * off }
+}
+
+/// Losses over a part of the day, summed: pinball at 0.5 and 0.9 (on logarithms), error of the logarithm beside the true
+/// quantiles, and how often the run stayed below.
+#[derive(Clone, Copy, Default)]
+struct Loss {
+    jobs: f64,
+    pinball: [f64; 2],
+    error: [f64; 2],
+    below: [f64; 2],
+}
+
+impl Loss {
+    fn add(&mut self, job: &Job, guess: [f64; 2]) {
+        self.jobs += 1.0;
+        for (at, quantile) in [0.5, 0.9].into_iter().enumerate() {
+            self.pinball[at] += pinball(quantile, job.ran, guess[at]);
+            self.error[at] += (guess[at] - job.quantiles[at]).abs();
+            self.below[at] += f64::from(u8::from(job.ran <= guess[at]));
+        }
+    }
+
+    fn merge(&mut self, other: &Loss) {
+        self.jobs += other.jobs;
+        for at in 0..2 {
+            self.pinball[at] += other.pinball[at];
+            self.error[at] += other.error[at];
+            self.below[at] += other.below[at];
+        }
+    }
+
+    fn mean(&self, of: [f64; 2]) -> [f64; 2] {
+        of.map(|sum| sum / self.jobs.max(1.0))
+    }
+
+    fn json(&self) -> Value {
+        let three = |of: [f64; 2]| self.mean(of).map(|x| (x * 1e3).round() / 1e3);
+        json!({ "jobs": self.jobs, "pinball": three(self.pinball), "log_error": three(self.error), "below": three(self.below) })
+    }
+}
+
+/// The class mean, and the class's own 0.9 of all run times: what is had without this crate, given all dispatchers' jobs.
+#[derive(Default)]
+struct ClassMean {
+    sum: f64,
+    seen: f64,
+    logs: Vec<f64>,
+    sorted: Vec<f64>,
+}
+
+impl ClassMean {
+    fn guess(&mut self) -> [f64; 2] {
+        if self.logs.is_empty() {
+            return [250_000f64.ln(); 2];
+        }
+        if self.logs.len() >= 2 * self.sorted.len() || self.logs.len() - self.sorted.len() > 500 {
+            self.sorted = self.logs.clone();
+            self.sorted.sort_by(f64::total_cmp);
+        }
+        [(self.sum / self.seen).ln(), self.sorted[self.sorted.len() * 9 / 10]]
+    }
+
+    fn add(&mut self, log: f64) {
+        self.sum += log.exp();
+        self.seen += 1.0;
+        self.logs.push(log);
+    }
+}
+
+/// Carries facts as membership does, badly: each telling reaches another member with some luck and late; what a member lacks
+/// it hears again from what others hold. Repeats and old ones after new ones come all the time.
+struct Carrier {
+    rng: fastrand::Rng,
+    /// The newest of each member's slots.
+    slots: BTreeMap<(u16, u32), (Origin, u64, Vec<u8>)>,
+    under_way: BinaryHeap<Reverse<(u64, u64, u16)>>,
+    letters: BTreeMap<u64, (Origin, u32, u64, Vec<u8>)>,
+    number: u64,
+}
+
+impl Carrier {
+    fn new(seed: u64) -> Self {
+        Carrier {
+            rng: fastrand::Rng::with_seed(seed),
+            slots: BTreeMap::new(),
+            under_way: BinaryHeap::new(),
+            letters: BTreeMap::new(),
+            number: 0,
+        }
+    }
+
+    fn post(&mut self, now: u64, to: u16, letter: (Origin, u32, u64, Vec<u8>)) {
+        let id = self.letters.len() as u64;
+        self.letters.insert(id, letter);
+        self.under_way.push(Reverse((now + self.rng.u64(..2 * S), id, to)));
+    }
+
+    fn tell(&mut self, now: u64, origin: Origin, slot: u32, bytes: Vec<u8>, members: u16) {
+        self.number += 1;
+        self.slots.insert((origin.place, slot), (origin, self.number, bytes.clone()));
+        for to in (0..members).filter(|to| *to != origin.place) {
+            // A fifth is lost, a tenth comes twice.
+            let times = [1, 1, 1, 1, 1, 1, 1, 0, 0, 2][self.rng.usize(..10)];
+            (0..times).for_each(|_| self.post(now, to, (origin, slot, self.number, bytes.clone())));
+        }
+    }
+
+    /// Once a second: each member hears some slots at random again.
+    fn repair(&mut self, now: u64, members: u16, each: usize) {
+        let all: Vec<_> = self.slots.iter().map(|(k, v)| (v.0, k.1, v.1, v.2.clone())).collect();
+        for to in 0..members {
+            for _ in 0..each.min(all.len()) {
+                let letter = all[self.rng.usize(..all.len())].clone();
+                self.post(now, to, letter);
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: u64, members: &mut [Runtimes]) {
+        while let Some(&Reverse((at, id, to))) = self.under_way.peek() {
+            if at > now {
+                break;
+            }
+            self.under_way.pop();
+            let letter = &self.letters[&id];
+            let refused = members[usize::from(to)].absorb(at, letter.0, letter.1, letter.2, &letter.3);
+            assert_eq!(refused, Ok(()), "a fact told by a member must be readable");
+        }
+    }
+}
+
+/// Parts of the day, seconds from the start.
+const PARTS: [(u64, u64); 5] = [(0, 10), (10, 30), (30, 100), (100, 300), (300, 500)];
+/// A fresh dispatcher joins then.
+const JOINS: u64 = 300;
+
+struct Day {
+    learned: [Loss; 5],
+    oracle: [Loss; 5],
+    mean: [Loss; 5],
+    /// The one that joins late, by its first 10, 20 and 70 s, and the others meanwhile.
+    fresh: [Loss; 3],
+    others: [Loss; 3],
+    bytes_a_second: f64,
+    memory: usize,
+    registers: usize,
+    told: u64,
+    carried: f64,
+}
+
+/// A day of a fleet with a given rate of jobs over all dispatchers.
+fn day(seed: u64, members: u16, sharing: bool, rate: f64, fault: bool) -> Day {
+    let world = World::new(seed);
+    let mut rng = fastrand::Rng::with_seed(seed.wrapping_mul(31) + u64::from(members));
+    let mut carrier = Carrier::new(seed ^ 5);
+    let fresh = |place: u16, now: u64| {
+        let config = Config { censored_as_short: fault, ..Config::new(place, EPOCH + now / 1_000) };
+        Runtimes::new(config, now).expect("the defaults hold")
+    };
+    let mut all: Vec<Runtimes> = (0..members).map(|place| fresh(place, 0)).collect();
+    let mut means: Vec<ClassMean> = world.classes.iter().map(|_| ClassMean::default()).collect();
+    let none = [Loss::default(); 5];
+    let three = [Loss::default(); 3];
+    let mut day = Day {
+        learned: none, oracle: none, mean: none, fresh: three, others: three,
+        bytes_a_second: 0.0, memory: 0, registers: 0, told: 0, carried: 0.0,
+    };
+    let mut ends: BinaryHeap<Reverse<(u64, u64, usize, usize, bool)>> = BinaryHeap::new();
+    let mut logs: BTreeMap<u64, f64> = BTreeMap::new();
+    let (mut now, mut next_job, mut next_round, mut id) = (0u64, 0u64, 0u64, 0u64);
+    let end = PARTS[4].1 * S;
+    while now < end {
+        now = next_job.min(next_round).min(ends.peek().map_or(u64::MAX, |e| e.0.0));
+        if next_round == now {
+            if all.len() == usize::from(members) && now >= JOINS * S {
+                all.push(fresh(members, now));
+            }
+            if sharing {
+                let count = all.len() as u16;
+                for (place, one) in all.iter_mut().enumerate() {
+                    let epoch = if place == usize::from(members) { EPOCH + JOINS * 1_000 } else { EPOCH };
+                    while let Some((slot, bytes)) = one.publish(now) {
+                        carrier.tell(now, Origin { place: place as u16, epoch }, slot, bytes, count);
+                    }
+                }
+                if now % S == 0 {
+                    carrier.repair(now, count, 40);
+                }
+                carrier.deliver(now, &mut all);
+            }
+            next_round += S / 4;
+        } else if next_job == now {
+            let job = world.job(&mut rng);
+            let at = rng.usize(..all.len());
+            let Estimate { typical, long } = all[at].estimate(&job.likeness, job.kind, Some(job.worker));
+            let guess = [(typical as f64).ln(), (long as f64).ln()];
+            let part = PARTS.iter().position(|p| now < p.1 * S).unwrap_or(4);
+            let late = now.checked_sub(JOINS * S).map(|since| [10, 30, 100].iter().position(|s| since < s * S));
+            if at == usize::from(members) {
+                if let Some(Some(late)) = late {
+                    day.fresh[late].add(&job, guess);
+                }
+            } else {
+                day.learned[part].add(&job, guess);
+                day.oracle[part].add(&job, job.quantiles);
+                day.mean[part].add(&job, means[job.class].guess());
+                if let Some(Some(late)) = late {
+                    day.others[late].add(&job, guess);
+                }
+            }
+            all[at].started(id, &job.likeness, job.kind, job.worker, now);
+            // Cut off at the class's limit, and two in a hundred anywhere before their end.
+            let whole = job.ran.exp();
+            let limit = world.classes[job.class].middle.exp() * world.classes[job.class].limit;
+            let cancel = if rng.f64() < 0.02 { whole * rng.f64() } else { f64::INFINITY };
+            let seen = whole.min(limit).min(cancel);
+            ends.push(Reverse((now + seen as u64 + 1, id, at, job.class, seen >= whole)));
+            logs.insert(id, job.ran);
+            id += 1;
+            next_job = now + (-(1.0 - rng.f64()).ln() / rate * S as f64) as u64 + 1;
+        } else if let Some(Reverse((_, id, at, class, done))) = ends.pop() {
+            let log = logs.remove(&id).unwrap_or_default();
+            all[at].ended(id, if done { Outcome::Done } else { Outcome::Censored }, now);
+            if done {
+                means[class].add(log);
+            }
+        }
+    }
+    let first = all[0].figures();
+    day.bytes_a_second = first.told_bytes as f64 / PARTS[4].1 as f64;
+    day.memory = all.iter().map(|one| one.figures().bytes).max().unwrap_or(0);
+    day.registers = first.registers;
+    day.told = all.iter().map(|one| one.figures().told).sum();
+    day.carried = carrier.letters.len() as f64;
+    day
+}
+
+impl Day {
+    /// How far above the true draw's loss, beside the class mean's: 0 as good as knowing, 1 as bad as the class mean.
+    fn excess(&self, part: usize) -> [f64; 2] {
+        let of = |loss: &Loss| loss.mean(loss.pinball);
+        let (learned, oracle, mean) = (of(&self.learned[part]), of(&self.oracle[part]), of(&self.mean[part]));
+        [0, 1].map(|at| (learned[at] - oracle[at]) / (mean[at] - oracle[at]).max(1e-9))
+    }
+}
+
+fn main() -> ExitCode {
+    let started = Instant::now();
+    let seed = std::env::args().skip_while(|a| a != "--seed").nth(1).and_then(|s| s.parse().ok()).unwrap_or(27);
+    println!("seed {seed}");
+    let only: Option<u16> = std::env::args().skip_while(|a| a != "--only").nth(1).and_then(|s| s.parse().ok());
+    for (n, sharing) in [(1, false), (3, true), (10, true), (10, false), (30, true)] {
+        if only.is_some_and(|o| o != n) { continue }
+        let t = Instant::now();
+        let d = day(seed, n, sharing, 100.0, false);
+        println!("{n} sharing {sharing}: {:?} s, bytes/s {} mem {} regs {} told {} carried {}", t.elapsed().as_secs_f64(), d.bytes_a_second, d.memory, d.registers, d.told, d.carried);
+        for p in 0..5 {
+            println!("  {:?} excess {:.2?} learned {:.2?} oracle {:.2?} mean {:.2?}", PARTS[p], d.excess(p), d.learned[p].mean(d.learned[p].error), d.oracle[p].mean(d.oracle[p].pinball), d.mean[p].mean(d.mean[p].error));
+        }
+        for p in 0..3 { println!("  fresh {:.3?} others {:.3?}", d.fresh[p].mean(d.fresh[p].error), d.others[p].mean(d.others[p].error)); }
+    }
+    let _ = (started, reserve, may_go, Held { ends: 0, slots: 0.0 });
+    ExitCode::SUCCESS
+}
