--- a/crates/runtimes/src/estimator.rs
+++ b/crates/runtimes/src/estimator.rs
@@ -29,6 +29,8 @@
 const EXPECTED: f64 = 2.0;
 /// Something grown a little is told after this long, µs.
 const TELL_ANYWAY: u64 = 30_000_000;
+/// What was not told for want of anything new may be told at once, for so many seconds.
+const BURST: f64 = 10.0;
 /// No register counts more jobs than this.
 const MOST_JOBS: u32 = 1 << 22;
 /// Run times at speed 1 are taken for no more than this, µs.
@@ -101,7 +103,7 @@
     /// An estimator that has seen nothing; `now` is the moment that `config.epoch` names.
     pub fn new(config: Config, now: u64) -> Result<Self, ConfigError> {
         config.check()?;
-        let slots = config.own.min(u32::MAX as usize) as u32;
+        let slots = config.slots;
         // A run begins at another slot than the one before, so that what that one told is overwritten late.
         let mut hasher = SipHasher13::new();
         hasher.write_u64(config.epoch);
@@ -123,7 +125,7 @@
             rests_on: 0.0,
             changed: 0.0,
             slots: (first..slots).chain(0..first).collect(),
-            tokens: 1.0,
+            tokens: BURST * config.facts_per_s,
             paid_at: now,
             figures: Figures::default(),
             config,
@@ -237,7 +239,8 @@
         }
         if !self.own.contains_key(&key) && self.own.len() >= self.config.own {
             let old = self.own.iter().take_while(|(key, _)| key.0 < span);
-            let least = old.min_by_key(|(key, own)| (own.register.jobs(), **key)).map(|(key, _)| *key);
+            let least = old.min_by_key(|(key, own)| (self.rank(key.0, own.register.jobs()), **key));
+            let least = least.map(|(key, _)| *key);
             self.figures.crowded += 1;
             self.leave(&least?);
         }
@@ -246,6 +249,13 @@
         (own.register.jobs() < MOST_JOBS).then_some(&mut own.register)
     }
 
+    /// How much a register is used: by decayed count, reckoned forward so that it does not change with time. Which registers
+    /// stay where there are too many then depends on the registers alone and not on the order in which they came.
+    fn rank(&self, span: u32, jobs: u32) -> i64 {
+        let spans = 64.0 * self.config.span as f64 / self.config.half_life as f64;
+        (f64::from(jobs.max(1)).log2() * 64.0 + f64::from(span) * spans) as i64
+    }
+
     fn leave(&mut self, key: &(u32, CellId)) {
         let slot = self.own.remove(key).and_then(|own| own.slot);
         self.slots.extend(slot);
@@ -383,11 +393,16 @@
         self.advance(now);
         let earned = (self.now - self.paid_at) as f64 * self.config.facts_per_s / 1e6;
         self.paid_at = self.now;
-        self.tokens = (self.tokens + earned).min(self.config.facts_per_s.max(1.0));
+        self.tokens = (self.tokens + earned).min((BURST * self.config.facts_per_s).max(1.0));
         if self.tokens < 1.0 {
             return None;
         }
         let now = self.now;
+        // Where all slots are taken, that of the least used summary is used again: who has heard it keeps it.
+        let spare = !self.slots.is_empty();
+        let told = self.own.iter().filter(|(_, own)| own.slot.is_some() && !spare);
+        let least = told.map(|(key, own)| (self.rank(key.0, own.register.jobs()), *key)).min();
+        let least_told = least.map_or(i64::MAX, |least| least.0);
         let worth = |key: &(u32, CellId), own: &Own| {
             let jobs = own.register.jobs();
             let least = match key.1.level {
@@ -397,17 +412,18 @@
             };
             let more = f64::from(jobs) / f64::from(own.told.max(1));
             let ripe = more >= 1.25 || now - own.told_at >= TELL_ANYWAY;
-            let free = own.slot.is_some() || !self.slots.is_empty();
-            (jobs > own.told && jobs >= least && (own.told == 0 || ripe) && free)
+            let room = own.slot.is_some() || spare || self.rank(key.0, jobs) > least_told;
+            (jobs > own.told && jobs >= least && (own.told == 0 || ripe) && room)
                 .then(|| f64::from(jobs - own.told) / f64::from(own.told + 4))
         };
         let candidates = self.own.iter().filter_map(|(key, own)| Some((worth(key, own)?, *key)));
         let (_, key) = candidates.max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(&a.1)))?;
-        let own = self.own.get_mut(&key)?;
-        let slot = match own.slot {
-            Some(slot) => slot,
-            None => self.slots.pop_front()?,
+        let slot = match (self.own.get(&key)?.slot, least) {
+            (Some(slot), _) => slot,
+            (None, Some((_, least))) => self.own.get_mut(&least)?.slot.take()?,
+            (None, None) => self.slots.pop_front()?,
         };
+        let own = self.own.get_mut(&key)?;
         own.slot = Some(slot);
         own.told = own.register.jobs();
         own.told_at = self.now;
@@ -458,10 +474,7 @@
         if let Some((_, rank, _)) = before {
             self.ranks.remove(&(rank, key));
         }
-        // By decayed use, reckoned forward so that it does not change with time: which registers stay then depends on
-        // the registers alone and not on the order in which they came.
-        let spans = 64.0 * self.config.span as f64 / self.config.half_life as f64;
-        let rank = (f64::from(told.jobs).log2() * 64.0 + f64::from(key.span) * spans) as i64;
+        let rank = self.rank(key.span, told.jobs);
         let grown = f64::from(told.jobs) - before.map_or(0.0, |b| f64::from(b.2));
         self.ranks.insert((rank, key));
         self.held.insert(key, Held { stamp, rank, told });
--- a/crates/runtimes/src/lib.rs
+++ b/crates/runtimes/src/lib.rs
@@ -68,8 +68,10 @@
     pub span: u64,
     /// What was seen this long ago weighs half; 20 minutes. Forgotten altogether after six times that.
     pub half_life: u64,
-    /// Summaries of its own that are kept and told, at most; 1,024. Each takes a slot of the carrier.
+    /// Summaries of its own that are kept, at most; 2,048.
     pub own: usize,
+    /// Slots of the carrier that it tells them in, at most; 1,024.
+    pub slots: u32,
     /// Summaries of others that are kept, at most; 8,192.
     pub held: usize,
     /// Jobs followed at a time, at most; 16,384. Others teach nothing.
@@ -99,7 +101,8 @@
             speeds: Vec::new(),
             span: 600_000_000,
             half_life: 1_200_000_000,
-            own: 1_024,
+            own: 2_048,
+            slots: 1_024,
             held: 8_192,
             running: 16_384,
             facts_per_s: 4.0,
@@ -117,7 +120,7 @@
         } else if positive.into_iter().chain(self.speeds.iter().map(|s| s.1)).any(|x| !x.is_finite() || x <= 0.0) {
             Err(ConfigError::Positive)
         } else if [self.first_guess, self.span, self.half_life, self.slowdown_span, self.slowdown_memory].contains(&0)
-            || [self.own, self.held, self.running].contains(&0)
+            || [self.own, self.held, self.running, self.slots as usize].contains(&0)
         {
             Err(ConfigError::Zero)
         } else if self.epoch > 1 << 44 {
--- a/examples/proof_runtimes.rs
+++ b/examples/proof_runtimes.rs
@@ -12,7 +12,8 @@
 use std::time::Instant;
 
 const S: u64 = 1_000_000;
-const EPOCH: u64 = 1_790_000_000_000;
+/// A span of the summaries (10 minutes) ends 150 s after it.
+const EPOCH: u64 = 1_790_000_250_000;
 
 fn normal(rng: &mut fastrand::Rng) -> f64 {
     (-2.0 * (1.0 - rng.f64()).ln()).sqrt() * (std::f64::consts::TAU * rng.f64()).cos()
@@ -154,15 +155,6 @@
         }
     }
 
-    fn merge(&mut self, other: &Loss) {
-        self.jobs += other.jobs;
-        for at in 0..2 {
-            self.pinball[at] += other.pinball[at];
-            self.error[at] += other.error[at];
-            self.below[at] += other.below[at];
-        }
-    }
-
     fn mean(&self, of: [f64; 2]) -> [f64; 2] {
         of.map(|sum| sum / self.jobs.max(1.0))
     }
@@ -264,9 +256,9 @@
 }
 
 /// Parts of the day, seconds from the start.
-const PARTS: [(u64, u64); 5] = [(0, 10), (10, 30), (30, 100), (100, 300), (300, 500)];
+const PARTS: [(u64, u64); 5] = [(0, 10), (10, 30), (30, 100), (100, 200), (200, 300)];
 /// A fresh dispatcher joins then.
-const JOINS: u64 = 300;
+const JOINS: u64 = 200;
 
 struct Day {
     learned: [Loss; 5],
@@ -378,10 +370,233 @@
     }
 }
 
+
+/// When a run of so much work (µs at the usual speed) from `from` ends, if all is `factor` times slower from `slow.0` to `slow.1`.
+fn through(from: u64, work: f64, factor: f64, slow: (u64, u64)) -> u64 {
+    let (mut at, mut left) = (from as f64, work);
+    for (until, factor) in [(slow.0 as f64, 1.0), (slow.1 as f64, factor), (f64::INFINITY, 1.0)] {
+        let room = (until - at).max(0.0);
+        if left * factor <= room {
+            return (at + left * factor) as u64 + 1;
+        }
+        left -= room / factor;
+        at += room;
+    }
+    at as u64
+}
+
+/// One dispatcher through a shared slowdown of 2.5 from 120 to 180 s: seconds until estimates are within a fifth of it and,
+/// after its end, of none; the furthest they strayed in the calm minute before; log error at 0.5 before and after.
+fn slowdown(seed: u64, rate: f64) -> [f64; 5] {
+    let (factor, slow, end) = (2.5, (120 * S, 180 * S), 260 * S);
+    let world = World::new(seed);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut one = Runtimes::new(Config::new(0, EPOCH), 0).expect("the defaults hold");
+    let mut ends: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
+    let (mut now, mut next_job, mut next_look, mut id) = (0u64, 0u64, 0u64, 0u64);
+    let (mut follows, mut returns, mut strayed) = (f64::NAN, f64::NAN, 0f64);
+    let mut errors = [(0.0, 0.0); 2];
+    while now < end {
+        now = next_job.min(next_look).min(ends.peek().map_or(u64::MAX, |e| e.0.0));
+        if next_look == now {
+            one.advance(now);
+            let seen = one.figures().slowdown;
+            if (60 * S..slow.0).contains(&now) {
+                strayed = strayed.max(seen.ln().abs());
+            }
+            if now > slow.0 && follows.is_nan() && seen > factor / 1.2 {
+                follows = (now - slow.0) as f64 / S as f64;
+            }
+            if now > slow.1 && returns.is_nan() && seen < 1.2 {
+                returns = (now - slow.1) as f64 / S as f64;
+            }
+            next_look += S / 10;
+        } else if next_job == now {
+            let job = world.job(&mut rng);
+            let guess = one.estimate(&job.likeness, job.kind, Some(job.worker)).typical as f64;
+            let error = (guess.ln() - job.quantiles[0]).abs();
+            for (at, part) in [(90 * S, slow.0), (230 * S, end)].into_iter().enumerate() {
+                if (part.0..part.1).contains(&now) {
+                    errors[at] = (errors[at].0 + error, errors[at].1 + 1.0);
+                }
+            }
+            one.started(id, &job.likeness, job.kind, job.worker, now);
+            ends.push(Reverse((through(now, job.ran.exp(), factor, slow), id)));
+            id += 1;
+            next_job = now + (-(1.0 - rng.f64()).ln() / rate * S as f64) as u64 + 1;
+        } else if let Some(Reverse((_, id))) = ends.pop() {
+            one.ended(id, Outcome::Done, now);
+        }
+    }
+    [follows, returns, strayed, errors[0].0 / errors[0].1, errors[1].0 / errors[1].1]
+}
+
+/// How the estimates of the backfilling play are come by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Guess {
+    /// The run itself, known beforehand.
+    True,
+    /// The estimator's.
+    Learned,
+    /// The run times this.
+    Times(f64),
+    /// The run times a draw of its own, half of them wrong by a factor of 2 or more.
+    Random,
+}
+
+struct Waiting {
+    id: u64,
+    arrived: u64,
+    large: bool,
+    likeness: Likeness,
+    work: f64,
+    wrong: f64,
+}
+
+struct Running {
+    id: u64,
+    worker: usize,
+    slots: f64,
+    started: u64,
+    ends: u64,
+    guessed: u64,
+}
+
+/// Shares of large and small jobs that ended in time, over a pool of workers with 8 slots each, 3 jobs in 100 large (6 slots,
+/// up to 29 times the work): whoever fits goes first (`on` false, as without reservations), or large ones that wait hold
+/// reservations and others go before them only where the arithmetic of `backfill` lets them.
+fn play(seed: u64, guess: Guess, on: bool) -> [f64; 2] {
+    const WORKERS: usize = 8;
+    let speeds: Vec<f64> = (0..WORKERS).map(|w| [0.6, 0.85, 1.2, 1.7][w % 4]).collect();
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut one = Runtimes::new(Config::new(0, EPOCH), 0).expect("the defaults hold");
+    let effects: Vec<f64> = (0..20).map(|_| 0.6 * normal(&mut rng)).collect();
+    let (mut waiting, mut running): (Vec<Waiting>, Vec<Running>) = (Vec::new(), Vec::new());
+    let (mut now, mut next_job, mut id) = (0u64, 0u64, 0u64);
+    let (warm, end, rate) = (60 * S, 360 * S, 62.0);
+    let mut shares = [(0.0, 0.0); 2];
+    while now < end {
+        let next_end = running.iter().enumerate().min_by_key(|(_, r)| (r.ends, r.id));
+        let next_end = next_end.map(|(at, r)| (at, r.ends));
+        now = next_job.min(next_end.map_or(u64::MAX, |e| e.1));
+        match next_end.filter(|e| e.1 == now) {
+            Some((at, _)) => {
+                let gone = running.swap_remove(at);
+                one.ended(gone.id, Outcome::Done, now);
+            }
+            None => {
+                let large = rng.f64() < 0.03;
+                let subject = rng.usize(..effects.len());
+                let stretch = if large { 5f64.ln() + rng.f64() * (29f64 / 5.0).ln() } else { 0.0 };
+                let spread = if large { 0.5 } else { 1.04 };
+                let work = (150_000f64.ln() + effects[subject] + stretch + spread * normal(&mut rng)).exp();
+                let likeness = Likeness { subject: Some(subject as u64), ..Likeness::of_class(u64::from(large)) };
+                let wrong = match guess {
+                    Guess::Times(factor) => factor,
+                    Guess::Random => normal(&mut rng).exp(),
+                    _ => 1.0,
+                };
+                waiting.push(Waiting { id, arrived: now, large, likeness, work, wrong });
+                id += 1;
+                next_job = now + (-(1.0 - rng.f64()).ln() / rate * S as f64) as u64 + 1;
+            }
+        }
+        // In time: a second and three times its work; a client leaves after six times that.
+        let aim = |job: &Waiting| S + (3.0 * job.work) as u64;
+        waiting.retain(|job| {
+            let left = now > job.arrived + 6 * aim(job);
+            if left && job.arrived >= warm {
+                shares[usize::from(job.large)].1 += 1.0;
+            }
+            !left
+        });
+        let until = |run: &Running, one: &Runtimes| match guess {
+            Guess::True => run.ends,
+            Guess::Learned => one.remaining(run.id, now).map_or(now, |left| now + left.typical),
+            // Raised by a quarter of what it has run where it proved too low.
+            _ => run.guessed.max(now + (now - run.started) / 4),
+        };
+        let mut free = [8.0; WORKERS];
+        running.iter().for_each(|run| free[run.worker] -= run.slots);
+        let mut reserved = [None; WORKERS];
+        let mut at = 0;
+        while at < waiting.len() {
+            let job = &waiting[at];
+            let slots = if job.large { 6.0 } else { 1.0 };
+            let typical = |worker: usize, long: bool| match guess {
+                Guess::Learned => {
+                    let guess = one.estimate(&job.likeness, worker as u32 % 4 + 1, None);
+                    if long { guess.long } else { guess.typical }
+                }
+                _ => (job.work * job.wrong / speeds[worker]) as u64,
+            };
+            let fits = |&worker: &usize| {
+                free[worker] >= slots
+                    && reserved[worker].is_none_or(|r| may_go(now, slots, typical(worker, true), &r))
+            };
+            let room = |worker: &usize| (free[*worker] * 10.0) as u64 + (speeds[*worker] * 10.0) as u64;
+            match (0..WORKERS).filter(fits).max_by_key(room) {
+                Some(worker) => {
+                    let ran = (job.work / speeds[worker]) as u64 + 1;
+                    let guessed = now + typical(worker, false);
+                    one.started(job.id, &job.likeness, worker as u32 % 4 + 1, worker as u64 + 1, now);
+                    if job.arrived >= warm {
+                        let share = &mut shares[usize::from(job.large)];
+                        share.1 += 1.0;
+                        share.0 += f64::from(u8::from(now + ran <= job.arrived + aim(job)));
+                    }
+                    let run = Running { id: job.id, worker, slots, started: now, ends: now + ran, guessed };
+                    running.push(run);
+                    free[worker] -= slots;
+                    waiting.remove(at);
+                    // What a reservation leaves beside it is used up by what goes in beside it.
+                    if let Some(reservation) = reserved[worker] {
+                        reserved[worker] = again(now, worker, free[worker], 6.0, &running, |r| until(r, &one)).or(Some(reservation));
+                    }
+                }
+                None => {
+                    if on && job.large {
+                        let open = (0..WORKERS).filter(|w| reserved[*w].is_none());
+                        let best = open
+                            .filter_map(|w| Some((w, again(now, w, free[w], slots, &running, |r| until(r, &one))?)))
+                            .min_by_key(|(w, r)| (r.at + (job.work / speeds[*w]) as u64, *w));
+                        if let Some((worker, reservation)) = best {
+                            reserved[worker] = Some(reservation);
+                        }
+                    }
+                    at += 1;
+                }
+            }
+        }
+    }
+    [shares[1].0 / shares[1].1, shares[0].0 / shares[0].1]
+}
+
+fn again(
+    now: u64,
+    worker: usize,
+    free: f64,
+    need: f64,
+    running: &[Running],
+    until: impl Fn(&Running) -> u64,
+) -> Option<mothproxy_runtimes::backfill::Reservation> {
+    let held = running.iter().filter(|run| run.worker == worker);
+    let mut held: Vec<Held> = held.map(|run| Held { ends: until(run), slots: run.slots }).collect();
+    reserve(now, free, need, &mut held)
+}
+
 fn main() -> ExitCode {
     let started = Instant::now();
     let seed = std::env::args().skip_while(|a| a != "--seed").nth(1).and_then(|s| s.parse().ok()).unwrap_or(27);
     println!("seed {seed}");
+    for rate in [100.0, 20.0] {
+        for k in 0..6 { println!("slowdown {rate} {:.2?}", slowdown(seed + k, rate)); }
+    }
+    println!("{:?}", started.elapsed());
+    for guess in [Guess::True, Guess::Learned, Guess::Times(2.0), Guess::Times(0.5), Guess::Random] {
+        for k in 0..3 { println!("{guess:?} off {:.3?} on {:.3?}", play(seed + k, guess, false), play(seed + k, guess, true)); }
+    }
+    println!("{:?}", started.elapsed());
     let only: Option<u16> = std::env::args().skip_while(|a| a != "--only").nth(1).and_then(|s| s.parse().ok());
     for (n, sharing) in [(1, false), (3, true), (10, true), (10, false), (30, true)] {
         if only.is_some_and(|o| o != n) { continue }
@@ -393,6 +608,5 @@
         }
         for p in 0..3 { println!("  fresh {:.3?} others {:.3?}", d.fresh[p].mean(d.fresh[p].error), d.others[p].mean(d.others[p].error)); }
     }
-    let _ = (started, reserve, may_go, Held { ends: 0, slots: 0.0 });
     ExitCode::SUCCESS
 }
