--- a/crates/runtimes/src/backfill.rs
+++ b/crates/runtimes/src/backfill.rs
@@ -47,3 +47,37 @@
 pub fn may_go(now: u64, slots: f64, long: u64, reserved: &Reservation) -> bool {
     now.saturating_add(long) <= reserved.at || slots <= reserved.spare
 }
+
+/// Whether room at `at` still serves: the job, expected to run for `typical` µs, ends by `wanted`. Where it does not, what is
+/// held for it is held for a late answer, and only a decider knows what that is worth.
+pub fn serves(reserved: &Reservation, typical: u64, wanted: u64) -> bool {
+    reserved.at.saturating_add(typical) <= wanted
+}
+
+/// What all reservations together may cost those that could have run meanwhile: slots held idle are paid from an income in
+/// proportion to the slots there are. Over any span at most `part` of all slots' time is held, and `burst` besides.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    part: f64,
+    burst: f64,
+    left: f64,
+    at: u64,
+    held: f64,
+}
+
+impl Allowance {
+    /// Of `slots` slots, at most the part `part` of their time over any span, and `burst` µs of each at once.
+    pub fn new(now: u64, slots: f64, part: f64, burst: u64) -> Self {
+        let burst = slots * part * burst as f64;
+        Allowance { part: slots * part, burst, left: burst, at: now, held: 0.0 }
+    }
+
+    /// Pays for what was held since the last call, and says what is held idle from now on. Whether any may be: if not, those
+    /// that wait for reserved slots must be let in.
+    pub fn settle(&mut self, now: u64, held: f64) -> bool {
+        let passed = now.saturating_sub(self.at) as f64;
+        self.left = (self.left + (self.part - self.held) * passed).min(self.burst);
+        (self.at, self.held) = (self.at.max(now), held);
+        self.left > 0.0
+    }
+}
--- a/crates/runtimes/src/estimator.rs
+++ b/crates/runtimes/src/estimator.rs
@@ -4,7 +4,7 @@
 use crate::likeness::{CellId, Chain, Level, Likeness, worker};
 use crate::register::{AbsorbError, Key, Register, Sum, Told};
 use crate::shape::bin;
-use crate::slowdown::Slowdown;
+use crate::slowdown::{Clocks, Slowdown};
 use crate::{Config, ConfigError, Estimate, Figures, Origin, Outcome};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -24,7 +24,7 @@
 /// Spans of others may lie this many ahead: clocks differ.
 const AHEAD: u32 = 2;
 /// A class is told about and followed once so many jobs of it ended.
-const KNOWN: f64 = 30.0;
+const KNOWN: f64 = 100.0;
 /// A residual is entered once the class's expectation rests on so many jobs.
 const EXPECTED: f64 = 2.0;
 /// Something grown a little is told after this long, µs.
@@ -54,8 +54,8 @@
     chain: Chain,
     kind: u32,
     worker: u64,
-    /// The work clock when it started.
-    begun: f64,
+    /// The clocks when it started.
+    begun: Clocks,
     /// Expected logarithmic run time at its start.
     expected: f64,
     /// Residual up to which its hazard was counted; `None` where its class was not known well enough.
@@ -171,7 +171,7 @@
         let expected = self.fit.expected(&chain);
         let log = expected.work + self.fit.slowness(kind) + self.fit.worker(worker);
         let counted = (expected.class_jobs >= KNOWN).then_some(f64::NEG_INFINITY);
-        let begun = self.slow.clock();
+        let begun = self.slow.clocks();
         let job_now = Job { chain, kind, worker, begun, expected: log, counted, progress: None };
         self.running.insert(job, job_now);
     }
@@ -179,7 +179,7 @@
     /// An attempt told the share it has done, 0 to 1. What is no number counts as nothing told.
     pub fn progress(&mut self, job: u64, share: f64, now: u64) {
         self.advance(now);
-        let clock = self.slow.clock();
+        let clock = self.slow.clocks().work;
         if let Some(job) = self.running.get_mut(&job).filter(|_| share.is_finite()) {
             job.progress = Some((share.clamp(0.0, 1.0), clock));
         }
@@ -192,7 +192,7 @@
         let done = outcome == Outcome::Done || self.config.censored_as_short;
         self.figures.seen += 1;
         self.figures.censored += u64::from(outcome == Outcome::Censored);
-        let ran = log(self.slow.clock() - job.begun);
+        let ran = log(self.slow.clocks().learning - job.begun.learning);
         let grown = self.hazard_grown(&job);
         if job.counted.is_some() {
             self.slow.learn(grown, f64::from(u8::from(done)));
@@ -262,18 +262,18 @@
     }
 
     fn residual(&self, job: &Job, clock: f64) -> f64 {
-        log(clock - job.begun) - job.expected
+        log(clock - job.begun.work) - job.expected
     }
 
     fn hazard_grown(&self, job: &Job) -> f64 {
         let shape = self.fit.class_shape(&job.chain.class());
         let before = job.counted.map_or(0.0, |x| if x.is_finite() { shape.hazard(x) } else { 0.0 });
-        (shape.hazard(self.residual(job, self.slow.clock())) - before).max(0.0)
+        (shape.hazard(self.residual(job, self.slow.clocks().work)) - before).max(0.0)
     }
 
     /// Adds what running jobs' hazards grew by.
     fn count(&mut self) {
-        let clock = self.slow.clock();
+        let clock = self.slow.clocks().work;
         let most = COUNT_MOST.min(self.running.len());
         let next = self.running.range(self.counted_to..).chain(self.running.range(..self.counted_to));
         let next: Vec<u64> = next.take(most).map(|(id, _)| *id).collect();
@@ -328,7 +328,7 @@
                 continue;
             }
             let at_worker = self.fit.worker(job.worker);
-            let ran = log(self.slow.clock() - job.begun) - at_worker;
+            let ran = log(self.slow.clocks().learning - job.begun.learning) - at_worker;
             let residual = ran - self.fit.slowness(job.kind) - expected.work;
             let shape = self.fit.shape(&expected);
             let (whole, weight) = (ran - residual + shape.mean_beyond(residual), 1.0 - shape.beyond(residual));
@@ -369,13 +369,13 @@
         let expected = self.fit.expected(&job.chain);
         let shape = self.fit.shape(&expected);
         let middle = expected.work + self.fit.slowness(job.kind) + self.fit.worker(job.worker);
-        let ran = (self.slow.clock_at(now) - job.begun).max(1.0);
+        let ran = (self.slow.work_at(now) - job.begun.work).max(1.0);
         let left = shape.beyond(log(ran) - middle);
         let whole = |part: f64| shape.where_left(left * part) + middle;
         let (mut typical, mut long) = (whole(0.5), whole(1.0 - self.config.long));
         if let Some((share, clock)) = job.progress.filter(|p| p.0 > 0.01) {
             // What it told, and what is known of its like, by their precisions. Its word is worth more the further it is.
-            let told = log((clock - job.begun).max(1.0) / share);
+            let told = log((clock - job.begun.work).max(1.0) / share);
             let doubt = 0.5 * (1.0 - share) + 0.02;
             let trust = shape.variance / (shape.variance + doubt * doubt);
             let spread = (long - typical) * (1.0 - trust).sqrt();
