--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -106,8 +106,14 @@
         let set = settings::load(file, true).map_err(Failure::input)?;
         let on = |on: bool| if on { "on" } else { "off" };
         let (streams, state) = (on(set.streams.is_some()), on(set.state.is_some()));
-        let members = on(set.fleet.membership.is_some());
-        println!("{}: sound: streams {streams}, state {state}, membership {members}", file.display());
+        let fleet = &set.fleet;
+        let parts =
+            [fleet.membership.is_some(), fleet.cold_start.is_some(), fleet.runtimes.is_some()].map(on);
+        let [members, cold, runtimes] = parts;
+        println!(
+            "{}: sound: streams {streams}, state {state}, membership {members}, cold start {cold}, runtimes {runtimes}",
+            file.display()
+        );
         return Ok(());
     }
     let named = |name: &str| (name == "GW_CONFIG").then(|| file.display().to_string());
--- a/src/fleet/learners.rs
+++ b/src/fleet/learners.rs
@@ -11,6 +11,19 @@
 /// Facts told in one go at most.
 const FACTS: usize = 16;
 
+/// What was counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LearnersFigures {
+    /// Attempts whose end was seen.
+    pub seen: u64,
+    /// Facts told.
+    pub told: u64,
+    /// Facts of others that changed what is held.
+    pub taken: u64,
+    /// Facts that could not be taken in.
+    pub refused: u64,
+}
+
 /// What a job is called by those that tell of it.
 #[derive(Clone, Copy, Debug)]
 pub struct Traits<'a> {
@@ -37,8 +50,6 @@
 #[derive(Default)]
 pub struct Learners {
     runtimes: Option<Runtimes>,
-    /// Facts that could not be taken in.
-    refused: u64,
 }
 
 impl Learners {
@@ -51,7 +62,7 @@
             crate::invariant!(made.is_ok(), "settings that were checked");
             made.ok()
         });
-        Learners { runtimes, refused: 0 }
+        Learners { runtimes }
     }
 
     /// Whether any part is on.
@@ -100,8 +111,8 @@
             && let Some(runtimes) = &mut self.runtimes
         {
             let origin = Origin { place: fact.place, epoch: fact.epoch };
-            let taken = runtimes.absorb(now, origin, fact.slot, fact.number, &fact.bytes);
-            self.refused += u64::from(taken.is_err());
+            // What cannot be read is counted there.
+            let _ = runtimes.absorb(now, origin, fact.slot, fact.number, &fact.bytes);
         }
     }
 
@@ -110,8 +121,9 @@
         self.on().then_some(now + LOOK)
     }
 
-    /// Facts that could not be taken in.
-    pub fn refused(&self) -> u64 {
-        self.refused
+    /// What was counted, where a part is on.
+    pub fn figures(&self) -> Option<LearnersFigures> {
+        let f = self.runtimes.as_ref()?.figures();
+        Some(LearnersFigures { seen: f.seen, told: f.told, taken: f.taken, refused: f.refused })
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,13 +3,15 @@
 //! Datagrams and time go in, [`Effect`]s come out ([`Fleet::poll`]); it knows no socket and reads no clock. A part that
 //! is off is not there: with all of them off nothing ever comes out. `docs/design/parts.md` has what crosses between them.
 
+mod learners;
 mod settings;
 
-pub use settings::{ColdStartSettings, FleetSettings, MembershipSettings};
+pub use learners::{Learners, LearnersFigures, Traits};
+pub use settings::{ColdStartSettings, FleetSettings, MembershipSettings, RuntimesSettings};
 
 use crate::interface::{Micros, Presence};
 use mothproxy_membership::{
-    Change, Config, ConfigError, Figures, Member, Membership, Output, State, VERSION, View,
+    Change, Config, ConfigError, Figures, Member, Membership, Output, OwnedFact, State, VERSION, View,
 };
 use std::collections::VecDeque;
 
@@ -34,6 +36,8 @@
     },
     /// What is believed of each place, for [`crate::Event::Peers`].
     Peers(Vec<Presence>),
+    /// Another has told this, or this place at an earlier start.
+    Fact(OwnedFact),
     /// A change of the view that is worth a line of the log.
     Line {
         /// The change.
@@ -213,6 +217,19 @@
         self.members.as_ref().filter(|_| !self.quiet).map(|members| members.next_wake(now))
     }
 
+    /// Whether there is anybody to tell anything.
+    pub fn tells(&self) -> bool {
+        self.members.is_some() && !self.quiet
+    }
+
+    /// Tells the others a fact, in the place of the one told before of this kind and slot. Whether it could be.
+    pub fn tell(&mut self, now: Micros, kind: u8, slot: u32, bytes: &[u8]) -> bool {
+        let members = self.members.as_mut().filter(|_| !self.quiet);
+        let told = members.is_some_and(|members| members.machine.tell(now, kind, slot, bytes).is_ok());
+        self.drain(now);
+        told
+    }
+
     /// This dispatcher takes its leave of the others.
     pub fn leave(&mut self, now: Micros) {
         if let (Some(members), false) = (&mut self.members, self.quiet) {
@@ -256,7 +273,7 @@
                         self.effects.push_back(Effect::Line { change, hidden });
                     }
                 }
-                Output::Fact(_) => {} // of a part that is off here
+                Output::Fact(fact) => self.effects.push_back(Effect::Fact(fact)),
             }
         }
         if members.tell_at.is_some_and(|at| at <= now) {
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -10,6 +10,8 @@
     pub membership: Option<MembershipSettings>,
     /// Who asks discovery when.
     pub cold_start: Option<ColdStartSettings>,
+    /// How long jobs run.
+    pub runtimes: Option<RuntimesSettings>,
 }
 
 /// How a cold start spares discovery; all of a site must have the same.
@@ -25,6 +27,19 @@
     }
 }
 
+/// How run times are learned.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RuntimesSettings {
+    /// The quantile that counts as long, 0.5 to 0.99.
+    pub long: f64,
+}
+
+impl Default for RuntimesSettings {
+    fn default() -> Self {
+        RuntimesSettings { long: mothproxy_runtimes::Config::new(0, 0).long }
+    }
+}
+
 /// How the members find out about each other; all of a site must have the same.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MembershipSettings {
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -2,6 +2,7 @@
 //! a connection; a 2xx answer means yes, any other no.
 
 use super::platform::Reject;
+use crate::fleet::LearnersFigures;
 use crate::http::{Piece, Request};
 use mothproxy_membership::Figures as MemberFigures;
 use serde_json::json;
@@ -135,6 +136,8 @@
     pub streams: Option<StreamFigures>,
     /// Where membership is on.
     pub members: Option<MembersPage>,
+    /// Where something is learned of jobs.
+    pub learners: Option<LearnersFigures>,
 }
 
 /// The figures, a line each.
@@ -186,6 +189,12 @@
         line("members_health", u64::from(f.health), 'g');
         line("members_facts", f.facts_held, 'g');
     }
+    if let Some(f) = &figures.learners {
+        line("runtimes_seen", f.seen, 'c');
+        line("runtimes_told", f.told, 'c');
+        line("runtimes_taken", f.taken, 'c');
+        line("runtimes_refused", f.refused, 'c');
+    }
     answer("200 OK", "text/plain", text)
 }
 
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -134,6 +134,7 @@
             state: self.state_figures(),
             streams: self.stream_figures(),
             members: self.members_page(),
+            learners: self.core.learners.figures(),
         }
     }
 }
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::{FLEET_TIMER, Server};
 use crate::config::Config;
-use crate::fleet::{Birth, Effect, Fleet, FleetError, FleetSettings};
+use crate::fleet::{Birth, Effect, Fleet, FleetError, FleetSettings, Learners};
 use crate::front::admin::{MemberRow, MembersPage};
 use crate::interface::Micros;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -12,6 +12,8 @@
 pub(super) struct Link {
     fleet: Fleet,
     timer: Option<Micros>,
+    /// When what was learned is looked through next for what there is to tell.
+    look: Option<Micros>,
 }
 
 /// The start of this process, or of what goes on in its place, at its place of a configuration.
@@ -22,6 +24,11 @@
     Birth { me: config.settings.me, peers, epoch: unix.as_millis() as u64, seed: config.seed }
 }
 
+/// What learns of jobs, where any of it is on.
+pub(super) fn learners(settings: &FleetSettings, config: &Config, now: Micros) -> Learners {
+    Learners::new(settings, birth(config), now)
+}
+
 impl Link {
     /// The parts that are on. Those that lack what they need stay off, with a line of the log that says why.
     pub fn open(settings: FleetSettings, config: &Config, now: Micros) -> Link {
@@ -29,7 +36,7 @@
             tracing::warn!("members: off: {error} in this configuration with peer_listen");
             Fleet::default()
         });
-        Link { fleet, timer: None }
+        Link { fleet, timer: None, look: Some(now) }
     }
 }
 
@@ -47,6 +54,12 @@
     pub(super) fn fleet_due(&mut self) {
         self.link.timer = None;
         self.link.fleet.due(self.now);
+        if self.link.fleet.tells() && self.link.look.is_some_and(|at| at <= self.now) {
+            for (kind, slot, bytes) in self.core.learners.publish(self.now) {
+                self.link.fleet.tell(self.now, kind, slot, &bytes);
+            }
+            self.link.look = self.core.learners.next_look(self.now);
+        }
         self.fleet_go_on();
     }
 
@@ -83,6 +96,7 @@
         while let Some(effect) = self.link.fleet.poll() {
             match effect {
                 Effect::Send { to, bytes } => self.tell_peer(to, &bytes),
+                Effect::Fact(fact) => self.core.learners.absorb(self.now, &fact),
                 Effect::Peers(peers) => self.core.peers(peers),
                 Effect::Line { change, hidden } => {
                     let at = self.config.peers.get(usize::from(change.place));
@@ -100,7 +114,8 @@
                 }
             }
         }
-        let wake = self.link.fleet.next_wake(self.now);
+        let look = self.link.look.filter(|_| self.link.fleet.tells());
+        let wake = self.link.fleet.next_wake(self.now).into_iter().chain(look).min();
         if wake != self.link.timer {
             if let Some(old) = self.link.timer.take() {
                 self.core.unremind(old, FLEET_TIMER);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -340,6 +340,7 @@
         core.remind(now + SUMMARY, SUMMARY_TIMER);
         let budget = Budget::of(config.limits, if state.is_some() { notes::FDS } else { 0 });
         let ask = ask::Asker::open(fleet.cold_start.as_ref(), &config, now, core.servers.generation);
+        core.learners = fleet::learners(&fleet, &config, now);
         let link = fleet::Link::open(fleet, &config, now);
         let mut server = Server {
             classes,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The operators' file, `deploy/mothproxy.txtpb`: protobuf text format by the schema in `proto/mothproxy.proto`.
 
 use crate::config::SseSettings;
-use crate::fleet::{ColdStartSettings, FleetSettings, MembershipSettings};
+use crate::fleet::{ColdStartSettings, FleetSettings, MembershipSettings, RuntimesSettings};
 use crate::net::StateDir;
 use miette::Diagnostic;
 use mothproxy_store::SyncMode;
@@ -251,6 +251,7 @@
     FleetSettings {
         membership: part(message, "membership").map(|m| membership(reader, &m)),
         cold_start: part(message, "cold_start").map(|m| cold_start(reader, &m)),
+        runtimes: part(message, "runtimes").map(|m| runtimes(reader, &m)),
     }
 }
 
@@ -263,6 +264,14 @@
     ColdStartSettings { call_time }
 }
 
+fn runtimes(reader: &mut Reader<'_>, message: &DynamicMessage) -> RuntimesSettings {
+    let long = real(message, "long").unwrap_or(RuntimesSettings::default().long);
+    if !(0.5..=0.99).contains(&long) {
+        reader.fault("fleet.runtimes.long", "is not 0.5 to 0.99".to_owned());
+    }
+    RuntimesSettings { long }
+}
+
 fn membership(reader: &mut Reader<'_>, message: &DynamicMessage) -> MembershipSettings {
     let mut set = MembershipSettings::default();
     let mut whole = |name: &str, least: u32, most: u32| {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -479,6 +479,8 @@
                     slots: f.finite("Needs")?.unwrap_or(1.0),
                     memory: f.finite("MemNeeded")?,
                     repeat: flags & 2 == 2,
+                    estimate: None,
+                    worth: None,
                 };
                 self.next_job += 1;
                 self.job_ids.insert(name.to_owned(), id);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -87,6 +87,27 @@
     fleet.until("the last figures", || figure(&fleet, 0, "declared_dead") > 0);
 }
 
+/// What one learns of run times reaches the others as facts, and a restarted one is taught anew.
+#[test]
+fn what_one_learns_the_others_hold() {
+    let on = "fleet { membership { probe_interval_ms: 100 } runtimes {} }";
+    let fleet = Fleet::start(plan(3, 0x6d65_6d04, Some(on))).expect("a fleet");
+    let load = fleet.plain_load(&[0], 40.0, Duration::from_secs(60));
+    let figure = |i: usize, name: &str| fleet.counters(i).get(name).copied().unwrap_or(0.0);
+    fleet.until("ends are seen", || figure(0, "runtimes_seen") > 10.0);
+    fleet.until("the others are told", || (1..3).all(|i| figure(i, "runtimes_taken") > 0.0));
+    assert_eq!(
+        (figure(1, "runtimes_seen"), figure(1, "runtimes_told")),
+        (0.0, 0.0),
+        "it has nothing of its own"
+    );
+    fleet.kill(1);
+    fleet.restart(1).expect("it starts again");
+    fleet.until("the new one is told", || figure(1, "runtimes_taken") > 0.0);
+    assert!((0..3).all(|i| figure(i, "runtimes_refused") == 0.0), "a fact that cannot be read");
+    drop(load.stop());
+}
+
 /// SIGHUP with other peers begins anew, with a new epoch, and a file that cannot be changes nothing.
 #[test]
 fn other_peers_at_a_reload_begin_anew() {
@@ -159,6 +180,7 @@
                             self.parts[to as usize].hear(self.now, me as u32, &bytes);
                         }
                         Effect::Send { .. } => {}
+                        Effect::Fact(_) => {}
                         Effect::Peers(peers) => self.peers[me].push(peers),
                         Effect::Line { hidden, .. } => self.lines[me].push(hidden),
                     }
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -131,6 +131,8 @@
         slots: 2.0,
         memory: None,
         repeat: false,
+        estimate: None,
+        worth: None,
     };
     assert_eq!(sends(&node.feed(Event::Arrived(new))), [(1, WorkerId(1))]);
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -73,8 +73,8 @@
             &["f:3: fleet.membership.probe_interval_ms: ", "f:4: fleet.membership.suspicion_mult: "],
         ),
         (
-            "fleet { membership {\n  probe_interval_ms: 100\n  probe_timeout_ms: 100 } }",
-            &["f:3: fleet.membership.probe_timeout_ms: "],
+            "fleet { membership {\n  probe_interval_ms: 100\n  probe_timeout_ms: 100 }\n runtimes {\n long: 1 } }",
+            &["f:3: fleet.membership.probe_timeout_ms: ", "f:5: fleet.runtimes.long: "],
         ),
         ("log {\n  form: XML\n}\n", &["f:2: ", "XML"]),
     ];
