--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -95,6 +95,11 @@
     nack_at: Micros,
 }
 
+/// The most that may be saved up, in millionths of a byte: what half a second allows.
+fn budget(config: &Config) -> u64 {
+    u64::from(config.budget) * 500_000
+}
+
 #[derive(Debug)]
 struct Suspicion {
     since: Micros,
@@ -114,7 +119,7 @@
         // Whoever starts together asks apart.
         let [next_probe, next_sync, next_meet] =
             [config.probe_period, config.sync_period, config.probe_period].map(|span| now + rng.u64(0..span));
-        let tokens = u64::from(config.budget) * 1_000_000;
+        let tokens = budget(&config);
         let mut member = Membership {
             now,
             view,
@@ -318,7 +323,7 @@
     /// did not hear says nothing: everybody gets the time that was lost here.
     fn advance(&mut self, now: Micros) {
         let now = now.max(self.now);
-        let full = u64::from(self.config.budget) * 1_000_000;
+        let full = budget(&self.config);
         let gained = (now - self.now).saturating_mul(self.config.budget.into());
         self.tokens = self.tokens.saturating_add(gained).min(full);
         self.now = now;
@@ -833,7 +838,7 @@
 
     /// Whether the budget has room for what can wait: a quarter of it is kept for probes and what refutes.
     pub(crate) fn may_send_more(&self) -> bool {
-        self.tokens >= (u64::from(self.config.budget) / 4 + MOST as u64) * 1_000_000
+        self.tokens >= budget(&self.config) / 4 + MOST as u64 * 1_000_000
     }
 
     pub(crate) fn send(&mut self, to: u16, body: &Body, urgent: bool) {
@@ -890,3 +895,173 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use State::{Alive, Dead, Left, Suspect, Unknown};
+
+    /// A member at place 0 of 5, started at epoch 100, and the others at epoch 50.
+    fn member() -> Membership {
+        let mut member = Membership::new(Config::new(0, 5, 100, 1), 1_000_000).unwrap();
+        member.assume(&[100, 50, 50, 50, 50]);
+        member
+    }
+
+    fn datagram(from: u16, epoch: u64, incarnation: u32, records: &[Record]) -> Vec<u8> {
+        let mut writer = Writer::new(epoch, incarnation, &Body::Gossip);
+        assert!(records.iter().all(|record| writer.add(record)));
+        writer.finish(Route { from, to: 0, peers: 5 })
+    }
+
+    fn word(place: u16, state: State, epoch: u64, incarnation: u32) -> Record {
+        let accusers = if state == Suspect { vec![2] } else { Vec::new() };
+        Record::State { place, state, epoch, incarnation, accusers }
+    }
+
+    /// What is known of place 3, what place 1 says of it, and what is believed then.
+    #[test]
+    fn words_on_a_place() {
+        let table = [
+            // Of somebody unknown anything is believed.
+            ((Unknown, 0, 0), (Alive, 50, 0), (Alive, 50, 0)),
+            ((Unknown, 0, 0), (Suspect, 50, 0), (Suspect, 50, 0)),
+            ((Unknown, 0, 0), (Dead, 50, 2), (Dead, 50, 2)),
+            ((Unknown, 0, 0), (Left, 50, 2), (Left, 50, 2)),
+            // A doubt counts, a death alone does not: this member asks for itself.
+            ((Alive, 50, 1), (Suspect, 50, 1), (Suspect, 50, 1)),
+            ((Alive, 50, 1), (Suspect, 50, 0), (Alive, 50, 1)),
+            ((Alive, 50, 1), (Dead, 50, 1), (Alive, 50, 1)),
+            ((Alive, 50, 1), (Dead, 50, 3), (Alive, 50, 3)),
+            ((Alive, 50, 1), (Left, 50, 2), (Left, 50, 2)),
+            // Only what the suspect itself has said since clears it.
+            ((Suspect, 50, 1), (Alive, 50, 1), (Suspect, 50, 1)),
+            ((Suspect, 50, 1), (Alive, 50, 2), (Alive, 50, 2)),
+            ((Suspect, 50, 1), (Dead, 50, 1), (Suspect, 50, 1)),
+            ((Dead, 50, 1), (Alive, 50, 1), (Dead, 50, 1)),
+            ((Dead, 50, 1), (Suspect, 50, 1), (Dead, 50, 1)),
+            ((Dead, 50, 1), (Alive, 50, 2), (Alive, 50, 2)),
+            // Who has left is back with another epoch only.
+            ((Left, 50, 1), (Alive, 50, 9), (Left, 50, 1)),
+            ((Left, 50, 1), (Dead, 50, 9), (Left, 50, 1)),
+            ((Left, 50, 1), (Alive, 51, 0), (Alive, 51, 0)),
+            // A restart replaces whatever was before it; news of an earlier epoch is refused.
+            ((Dead, 50, 7), (Alive, 51, 0), (Alive, 51, 0)),
+            ((Alive, 50, 7), (Suspect, 51, 0), (Suspect, 51, 0)),
+            ((Alive, 50, 7), (Dead, 51, 0), (Alive, 51, 0)),
+            ((Alive, 50, 0), (Suspect, 49, 9), (Alive, 50, 0)),
+            ((Alive, 50, 0), (Left, 49, 9), (Alive, 50, 0)),
+        ];
+        for (known, said, then) in table {
+            let mut m = member();
+            let (state, epoch, incarnation) = known;
+            if state == Unknown {
+                m.view.members[3].state = Unknown;
+                m.view.members[3].epoch = 0;
+                m.present -= 1;
+            } else {
+                if state == Suspect {
+                    m.suspect(3, epoch, incarnation, &[4]);
+                } else {
+                    m.set(3, state, epoch, incarnation);
+                }
+            }
+            let (state, epoch, incarnation) = said;
+            m.receive(1_000_100, 1, &datagram(1, 50, 0, &[word(3, state, epoch, incarnation)]));
+            let is = m.view().members[3];
+            assert_eq!((is.state, is.epoch, is.incarnation), then, "{known:?} and {said:?}");
+            let holds = m.view().holders().iter().filter(|h| **h).count();
+            assert_eq!(holds, m.present, "{known:?} and {said:?}");
+        }
+    }
+
+    /// What is said of this member, at epoch 100 and incarnation 0, and what it is then.
+    #[test]
+    fn words_on_oneself() {
+        let table = [
+            ((Suspect, 100, 0), (100, 1)),
+            ((Dead, 100, 4), (100, 5)),
+            ((Alive, 100, 0), (100, 0)),
+            ((Left, 100, 0), (101, 0)),
+            ((Suspect, 99, 5), (100, 0)),
+            // Its clock went back: it raises its epoch above the one it is known by.
+            ((Alive, 200, 0), (201, 0)),
+        ];
+        for ((state, epoch, incarnation), then) in table {
+            let mut m = member();
+            m.tell(1_000_000, 1, 7, b"x").unwrap();
+            m.receive(1_000_100, 1, &datagram(1, 50, 0, &[word(0, state, epoch, incarnation)]));
+            assert_eq!((m.me().epoch, m.me().incarnation), then, "{state:?} {epoch} {incarnation}");
+            assert_eq!(m.me().state, Alive);
+            // What it told goes along to the new epoch.
+            assert_eq!(m.facts().map(|f| f.epoch).collect::<Vec<_>>(), [then.0]);
+        }
+    }
+
+    /// A datagram of a sender's earlier epoch has no effect, and its sender hears why.
+    #[test]
+    fn an_earlier_epoch_is_refused() {
+        let mut m = member();
+        let mut writer = Writer::new(49, 9, &Body::Ping { seq: 3 });
+        assert!(writer.add(&word(3, Suspect, 50, 0)));
+        m.receive(1_000_100, 1, &writer.finish(Route { from: 1, to: 0, peers: 5 }));
+        assert_eq!((m.view().state(3), m.figures().refused_stale), (Alive, 1));
+        let Some(Output::Send { to: 1, bytes }) = m.poll() else { panic!("nothing was said") };
+        let said = wire::read(&bytes, Route { from: 0, to: 1, peers: 5 }).unwrap();
+        assert_eq!(said.records.first(), Some(&word(1, Alive, 50, 0)));
+    }
+
+    /// Whatever comes, no more is sent than the budget allows; and facts are refused beyond their bounds.
+    #[test]
+    fn bounds_hold() {
+        let mut m = member();
+        let (mut now, mut sent) = (1_000_000, 0);
+        let ping = |seq| Writer::new(50, 0, &Body::Ping { seq }).finish(Route { from: 1, to: 0, peers: 5 });
+        for n in 0..10_000 {
+            now += 200;
+            m.receive(now, 1, &ping(n));
+            m.tick(now);
+            while let Some(output) = m.poll() {
+                sent += if let Output::Send { bytes, .. } = output { bytes.len() } else { 0 };
+            }
+        }
+        assert!(sent <= m.config.budget as usize * 5 / 2, "{sent} bytes in two seconds");
+        assert!(m.figures().over_budget > 0);
+        assert_eq!(m.tell(now, 1, 0, &[0; FACT_BYTES + 1]), Err(FactError::TooLong(FACT_BYTES + 1)));
+        assert!((0..FACT_SLOTS as u32).all(|slot| m.tell(now, 1, slot, b"x").is_ok()));
+        assert_eq!(m.tell(now, 2, 0, b"x"), Err(FactError::Full));
+        assert_eq!(m.tell(now, 1, 0, b"y"), Ok(()));
+        m.leave(now);
+        assert_eq!(m.tell(now, 1, 0, b"y"), Err(FactError::Left));
+    }
+
+    /// Facts of the dead stay for a while, and come anew with who comes back.
+    #[test]
+    fn facts_of_the_dead_are_forgotten_late() {
+        let mut m = member();
+        let fact =
+            Record::Fact { place: 3, key: (1, 7), stamp: Stamp { epoch: 50, number: 1 }, bytes: vec![1] };
+        m.receive(1_000_100, 1, &datagram(1, 50, 0, &[fact.clone(), word(3, Left, 50, 1)]));
+        let gone = 1_000_100 + m.config.forget_after;
+        for (now, held) in [(gone - 1, 1), (gone, 0)] {
+            m.tick(now);
+            assert_eq!(m.facts().count(), held);
+        }
+        m.receive(gone + 10, 1, &datagram(1, 50, 0, std::slice::from_ref(&fact)));
+        assert_eq!(m.facts().count(), 0);
+        m.receive(gone + 20, 1, &datagram(1, 50, 0, &[word(3, Alive, 60, 0), fact]));
+        assert_eq!(m.facts().count(), 1);
+    }
+
+    /// A process that did not run blames nobody for what it did not hear.
+    #[test]
+    fn who_was_starved_doubts_itself() {
+        let mut m = member();
+        let epoch = 50;
+        m.suspect(3, epoch, 0, &[1, 2, 4]);
+        m.tick(m.next_wake());
+        let until = m.expiries.first().unwrap().0;
+        m.tick(until + 10_000_000);
+        assert_eq!((m.view().state(3), m.figures().starved, m.figures().health), (Suspect, 1, 1));
+    }
+}
--- a/crates/membership/src/sync.rs
+++ b/crates/membership/src/sync.rs
@@ -74,32 +74,44 @@
     pub(crate) fn hear_roots(&mut self, from: u16, salt: u16, roots: &[u32]) {
         let mine = self.roots(salt);
         let mut differ: Vec<usize> = (0..ROOTS).filter(|n| mine[*n] != roots[*n]).collect();
-        self.rng.shuffle(&mut differ);
-        for n in differ.into_iter().take(PAGES) {
+        if differ.is_empty() {
+            return;
+        }
+        // From any of them on; a page goes on over the next parts as long as it has room.
+        let first = self.rng.usize(0..differ.len());
+        differ.rotate_left(first);
+        let (mut pages, mut covered) = (0, 0..0);
+        for n in differ {
             let (lo, hi) = (self.part(n), self.part(n + 1));
-            // A part that is longer than a page: any stretch of it.
-            let lo = if hi - lo > 24 { self.rng.u16(lo..hi) } else { lo };
-            self.send_page(from, salt, lo, hi);
+            if pages < PAGES && !(covered.contains(&lo) && hi <= covered.end) {
+                // A part that is longer than a page: any stretch of it.
+                let lo = if hi - lo > 24 { self.rng.u16(lo..hi) } else { lo };
+                covered = lo..self.send_page(from, salt, lo, self.config.peers);
+                pages += 1;
+            }
         }
     }
 
-    fn send_page(&mut self, to: u16, salt: u16, lo: u16, hi: u16) {
+    /// Sends what is held of places in a row, as many as a datagram has room for; returns where it ends.
+    fn send_page(&mut self, to: u16, salt: u16, lo: u16, hi: u16) -> u16 {
         let me = self.me();
         let mut rows = Vec::new();
         for place in lo..hi {
             rows.push(self.row(place, salt));
             let body = Body::Page { salt, lo, rows };
             let fits = Writer::new(me.epoch, me.incarnation, &body).len() <= MOST;
-            let Body::Page { rows: back, .. } = body else { return };
+            let Body::Page { rows: back, .. } = body else { return hi };
             rows = back;
             if !fits {
                 rows.pop();
                 break;
             }
         }
+        let end = lo + rows.len() as u16;
         if !rows.is_empty() {
             self.send(to, &Body::Page { salt, lo, rows }, false);
         }
+        end
     }
 
     pub(crate) fn hear_page(&mut self, from: u16, salt: u16, lo: u16, rows: &[Row]) {
