--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,7 +8,9 @@
 pub use settings::{ColdStartSettings, FleetSettings, MembershipSettings};
 
 use crate::interface::Micros;
-use mothproxy_membership::{Change, Config, ConfigError, Figures, Membership, Output, State, VERSION, View};
+use mothproxy_membership::{
+    Change, Config, ConfigError, Figures, Membership, Output, OwnedFact, State, VERSION, View,
+};
 use std::collections::VecDeque;
 
 /// Changes of the view reach the module at most this often: after a heal they come by the dozen, and each deals the
@@ -30,6 +32,10 @@
     },
     /// Which places may hold work, for [`crate::Event::Peers`].
     Peers(Vec<bool>),
+    /// A member's state or epoch has changed: for the parts that are not in here.
+    Changed(Change),
+    /// What another member told, for the part that owns its kind.
+    Fact(OwnedFact),
     /// A change of the view that is worth a line of the log.
     Line {
         /// The change.
@@ -221,6 +227,14 @@
         self.effects.pop_front()
     }
 
+    /// Tells the others a fact.
+    pub fn tell(&mut self, now: Micros, kind: u8, slot: u32, bytes: &[u8]) {
+        if let (Some(members), false) = (&mut self.members, self.quiet) {
+            let _ = members.machine.tell(now, kind, slot, bytes); // full, or it has left: then nobody hears of it
+            self.drain(now);
+        }
+    }
+
     /// What is believed of all places, where membership is on.
     pub fn view(&self) -> Option<&View> {
         self.members.as_ref().map(|members| members.machine.view())
@@ -240,12 +254,13 @@
                     self.effects.push_back(Effect::Send { to: u32::from(to), bytes })
                 }
                 Output::Changed(change) => {
+                    self.effects.push_back(Effect::Changed(change));
                     members.tell_at.get_or_insert(now + SETTLE);
                     if let Some(hidden) = members.lines.take(now) {
                         self.effects.push_back(Effect::Line { change, hidden });
                     }
                 }
-                Output::Fact(_) => {} // of a part that is off here
+                Output::Fact(fact) => self.effects.push_back(Effect::Fact(fact)),
             }
         }
         if members.tell_at.is_some_and(|at| at <= now) {
--- a/src/net/ask.rs
+++ b/src/net/ask.rs
@@ -4,9 +4,12 @@
 
 use super::{ASK_TIMER, Server};
 use crate::config::Config;
-use crate::fleet::ColdStartSettings;
+use crate::fleet::FleetSettings;
 use crate::interface::Micros;
 use mothproxy_coldstart::pacer::{Config as Pace, Event, Pacer};
+use mothproxy_coldstart::{Findings, KIND, Origin};
+use mothproxy_membership::{Change, OwnedFact, State};
+use std::collections::HashMap;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A watch is noticed to be silent this long before what it missed counts as told; a call and its answer take a part of that.
@@ -29,6 +32,10 @@
 #[derive(Default)]
 pub(super) struct Asker {
     pacer: Option<Pacer>,
+    /// What the members say of the service, where membership is on.
+    findings: Option<Findings>,
+    /// The epochs of the members by place, as last heard.
+    epochs: HashMap<u16, u64>,
     timer: Option<Micros>,
     asked: Micros,
     /// The present watch has told a list.
@@ -37,23 +44,28 @@
 
 impl Asker {
     /// The pacer begins now, holding this generation. Where lists are pushed there is nothing to pace.
-    pub fn open(set: Option<&ColdStartSettings>, config: &Config, now: Micros, generation: u64) -> Asker {
-        let made = set.filter(|_| config.settings.roster_on_request).and_then(|set| {
-            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    pub fn open(set: &FleetSettings, config: &Config, now: Micros, generation: u64) -> Asker {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let unix = unix.saturating_sub(now);
+        let hears = set.membership.is_some() && config.peer_listen.is_some();
+        let wanted = set.cold_start.as_ref().filter(|_| config.settings.roster_on_request);
+        let pacer = wanted.and_then(|set| {
             let pace = Pace {
                 place: u16::try_from(config.settings.me).ok()?,
                 count: u16::try_from(config.settings.nodes).ok()?,
                 service_time: set.call_time,
                 ask_within: config.settings.ask_within,
-                unix: unix.saturating_sub(now),
+                unix,
                 seed: config.seed,
-                hears: false,
+                hears,
                 ask_without_pacer: false,
             };
             let made = Pacer::new(pace, now, generation);
             made.inspect_err(|error| tracing::warn!("cold start: the pacer is off: {error}")).ok()
         });
-        Asker { pacer: made, ..Asker::default() }
+        let place = u16::try_from(config.settings.me).unwrap_or(u16::MAX);
+        let findings = pacer.as_ref().filter(|_| hears).map(|_| Findings::new(place, unix, now));
+        Asker { pacer, findings, ..Asker::default() }
     }
 
     /// Whether the pacer decides when discovery is called.
@@ -63,9 +75,18 @@
 }
 
 impl Server {
-    /// Sets the pacer's timer; called after each event for it.
+    /// Tells the others what the pacer found, and sets the timer; called after each event for it.
     pub(super) fn ask_go_on(&mut self) {
-        let wake = self.ask.pacer.as_ref().and_then(Pacer::next_wake);
+        let mut told = None;
+        if let (Some(pacer), Some(findings)) = (&self.ask.pacer, &mut self.ask.findings) {
+            findings.say(pacer.news(), pacer.is_news());
+            while let Some((slot, bytes)) = findings.publish(self.now) {
+                self.link.fleet.tell(self.now, KIND, slot, &bytes);
+            }
+            told = findings.next_wake();
+        }
+        let asks = self.ask.pacer.as_ref().and_then(Pacer::next_wake);
+        let wake = asks.into_iter().chain(told).min();
         if wake == self.ask.timer {
             return;
         }
@@ -78,6 +99,38 @@
         self.ask.timer = wake;
     }
 
+    /// A member's state or epoch has changed: what it said counts no longer if it is another process, or none.
+    pub(super) fn ask_changed(&mut self, change: Change) {
+        let Some(pacer) = &mut self.ask.pacer else { return };
+        let before = self.ask.epochs.insert(change.place, change.epoch);
+        let another = before.is_some_and(|epoch| epoch < change.epoch);
+        if another || matches!(change.to, State::Dead | State::Left) {
+            pacer.handle(self.now, Event::Gone(change.place));
+        }
+        let here = |state| matches!(state, State::Alive | State::Suspect);
+        if let Some(view) = self.link.fleet.view() {
+            let alive = view.iter().map(|(_, member)| here(member.state)).collect();
+            pacer.handle(self.now, Event::View(alive));
+        }
+        self.ask_go_on();
+    }
+
+    /// A fact has come; those of other kinds are not for this.
+    pub(super) fn ask_hears(&mut self, fact: &OwnedFact) {
+        let (Some(pacer), Some(findings)) = (&mut self.ask.pacer, &mut self.ask.findings) else { return };
+        let origin = Origin { place: fact.place, epoch: fact.epoch };
+        if fact.kind != KIND || u32::from(fact.place) == self.config.settings.me {
+            return;
+        }
+        if let Err(error) = findings.absorb(self.now, origin, fact.slot, fact.number, &fact.bytes) {
+            return tracing::debug!("cold start: a fact of member {}: {error}", fact.place);
+        }
+        for (place, news) in findings.service_news() {
+            pacer.handle(self.now, Event::Peer { place, news });
+        }
+        self.ask_go_on();
+    }
+
     pub(super) fn ask_due(&mut self) {
         self.ask.timer = None;
         if self.ask.pacer.as_mut().is_some_and(|pacer| pacer.tick(self.now).is_some()) {
@@ -85,6 +138,7 @@
             self.call(true);
         }
         self.ask_go_on();
+        self.fleet_go_on();
     }
 
     /// The watch told a list.
@@ -120,6 +174,7 @@
         if let Some(pacer) = &mut self.ask.pacer {
             pacer.handle(self.now, event);
             self.ask_go_on();
+            self.fleet_go_on();
         }
     }
 }
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -10,7 +10,7 @@
 /// The state machine, and when its timer is set to.
 #[derive(Default)]
 pub(super) struct Link {
-    fleet: Fleet,
+    pub(super) fleet: Fleet,
     timer: Option<Micros>,
 }
 
@@ -84,6 +84,8 @@
             match effect {
                 Effect::Send { to, bytes } => self.tell_peer(to, &bytes),
                 Effect::Peers(holders) => self.core.peers(holders),
+                Effect::Changed(change) => self.ask_changed(change),
+                Effect::Fact(fact) => self.ask_hears(&fact),
                 Effect::Line { change, hidden } => {
                     let at = self.config.peers.get(usize::from(change.place));
                     let at = at.map_or("?".to_owned(), |at| at.to_string());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -339,7 +339,7 @@
         }
         core.remind(now + SUMMARY, SUMMARY_TIMER);
         let budget = Budget::of(config.limits, if state.is_some() { notes::FDS } else { 0 });
-        let ask = ask::Asker::open(fleet.cold_start.as_ref(), &config, now, core.servers.generation);
+        let ask = ask::Asker::open(&fleet, &config, now, core.servers.generation);
         let link = fleet::Link::open(fleet, &config, now);
         let mut server = Server {
             classes,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -156,7 +156,7 @@
                             assert!(self.parts[to as usize].understands(&bytes) && bytes.len() <= 256);
                             self.parts[to as usize].hear(self.now, me as u32, &bytes);
                         }
-                        Effect::Send { .. } => {}
+                        Effect::Send { .. } | Effect::Changed(_) | Effect::Fact(_) => {}
                         Effect::Peers(holders) => self.peers[me].push(holders),
                         Effect::Line { hidden, .. } => self.lines[me].push(hidden),
                     }
