--- a/crates/coldstart/src/pacer.rs
+++ b/crates/coldstart/src/pacer.rs
@@ -33,7 +33,9 @@
 const NEWS_AGE: u64 = 60_000_000;
 /// What calls took says what they take for so long; it takes so many members to tell a long service from a long queue.
 const TIME_AGE: u64 = 15_000_000;
-const TIME_TOLD: usize = 5;
+const TIME_TOLD: usize = 8;
+/// A service that is kept just busy has a queue of so many, the call itself included.
+const SHORT_QUEUE: u64 = 3;
 /// Rounds that have changed by less than this factor since the slot was taken leave it where it is.
 const CHANGED: f64 = 1.5;
 /// The first asks of a start are stretched until this part of a round, within these bounds: one that finds the service
@@ -184,6 +186,8 @@
     rechecks: u32,
     /// Processes that ended since the reason to ask arose.
     gone: u64,
+    /// What the last `Retry-After` said.
+    not_before: u64,
     /// The last wait after a failure.
     wait: u64,
     least_waited: Option<u64>,
@@ -218,6 +222,7 @@
             recheck: u64::MAX,
             rechecks: 0,
             gone: 0,
+            not_before: 0,
             wait: 0,
             least_waited: None,
             own: Service { generation, ..Service::default() },
@@ -318,7 +323,7 @@
                 self.begin(false);
             }
             Event::Moved { by } => {
-                (self.out, self.by, self.least_waited) = (None, by, None);
+                (self.out, self.by, self.least_waited, self.not_before) = (None, by, None, 0);
                 self.own = Service { generation: self.own.generation, ..Service::default() };
                 self.peers.fill(None);
                 self.begin(true);
@@ -408,8 +413,8 @@
         let told = self.all_news().filter(|n| n.answered > fresh && n.waited > 0);
         let (count, least) = told.fold((0, u32::MAX), |(count, least), n| (count + 1, least.min(n.waited)));
         let told = (u64::from(least) * 1_000).clamp(base / 8 + 1, base * 16);
-        let near = told as f64 <= base as f64 * CHANGED && base as f64 <= told as f64 * CHANGED;
-        // Nearly as configured counts as configured: rounds of one length have slots that do not overlap.
+        let near = told <= base * SHORT_QUEUE && base as f64 <= told as f64 * CHANGED;
+        // Up to a short queue's worth above what is configured counts as configured: rounds of one length have slots that do not overlap.
         (count >= TIME_TOLD).then_some(if near { base } else { told })
     }
 
@@ -492,7 +497,7 @@
         self.rechecks += 1;
         self.recheck = self.now + 2 * HEAR[1];
         let round = self.round();
-        if self.turn && self.others() == 0 {
+        if self.turn && self.others() == 0 && self.now >= self.not_before {
             self.turn = false;
             self.due = self.due.min(self.slot(self.now + self.wait, round));
         } else if !self.turn
@@ -517,6 +522,7 @@
         let cap = (2 * round).max(LEAST_CAP.min(held)).max(base);
         self.wait = self.rng.u64(base..=(3 * self.wait.max(base)).min(cap));
         let from = self.now + retry_after;
+        self.not_before = from;
         self.turn = !busy && self.config.hears && self.believed() > 0 && self.knows_down();
         self.slot_round = round;
         let at = if self.turn {
@@ -567,11 +573,16 @@
     fn hear(&mut self, place: u16, news: Service) {
         let Some(held) = self.peers.get_mut(usize::from(place)) else { return };
         *held = Some(news);
-        if self.turn && self.out.is_none() && !self.own.watching && !self.knows_down() {
-            // Somebody was answered: one round for all that waited for that.
-            self.turn = false;
+        // Somebody was answered since this one found it down, or since it was put off: one round for all that wait for that.
+        let failed = self.wait > 0 && self.own.failed > self.own.answered && news.answered > self.own.failed;
+        let waits = self.out.is_none() && !self.own.watching && self.by.is_none();
+        if waits && (failed || self.turn && !self.knows_down()) {
+            (self.turn, self.wait) = (false, 0);
             self.slot_round = self.round();
-            self.due = self.slot(self.now, self.slot_round);
+            let at = self.slot(self.now.max(self.not_before), self.slot_round);
+            // Who hears of it late has no whole round left: its slot, or the turn that it has, whichever is sooner.
+            let late = self.unix_ms().saturating_sub(news.answered) * 1_000 > self.slot_round / 8;
+            self.due = if late { self.due.min(at) } else { at };
         }
     }
 }
