--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -36,7 +36,9 @@
     },
     /// What is believed of each place, for [`crate::Event::Peers`].
     Peers(Vec<Presence>),
-    /// Another has told this, or this place at an earlier start.
+    /// A member's state or epoch has changed: for the parts that are not in here.
+    Changed(Change),
+    /// What another member told, or this place at an earlier start, for the part that owns its kind.
     Fact(OwnedFact),
     /// A change of the view that is worth a line of the log.
     Line {
@@ -222,14 +224,6 @@
         self.members.is_some() && !self.quiet
     }
 
-    /// Tells the others a fact, in the place of the one told before of this kind and slot. Whether it could be.
-    pub fn tell(&mut self, now: Micros, kind: u8, slot: u32, bytes: &[u8]) -> bool {
-        let members = self.members.as_mut().filter(|_| !self.quiet);
-        let told = members.is_some_and(|members| members.machine.tell(now, kind, slot, bytes).is_ok());
-        self.drain(now);
-        told
-    }
-
     /// This dispatcher takes its leave of the others.
     pub fn leave(&mut self, now: Micros) {
         if let (Some(members), false) = (&mut self.members, self.quiet) {
@@ -249,6 +243,14 @@
         self.effects.pop_front()
     }
 
+    /// Tells the others a fact.
+    pub fn tell(&mut self, now: Micros, kind: u8, slot: u32, bytes: &[u8]) {
+        if let (Some(members), false) = (&mut self.members, self.quiet) {
+            let _ = members.machine.tell(now, kind, slot, bytes); // full, or it has left: then nobody hears of it
+            self.drain(now);
+        }
+    }
+
     /// What is believed of all places, where membership is on.
     pub fn view(&self) -> Option<&View> {
         self.members.as_ref().map(|members| members.machine.view())
@@ -268,6 +270,7 @@
                     self.effects.push_back(Effect::Send { to: u32::from(to), bytes })
                 }
                 Output::Changed(change) => {
+                    self.effects.push_back(Effect::Changed(change));
                     members.tell_at.get_or_insert(now + SETTLE);
                     if let Some(hidden) = members.lines.take(now) {
                         self.effects.push_back(Effect::Line { change, hidden });
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -10,7 +10,7 @@
 /// The state machine, and when its timer is set to.
 #[derive(Default)]
 pub(super) struct Link {
-    fleet: Fleet,
+    pub(super) fleet: Fleet,
     timer: Option<Micros>,
     /// When what was learned is looked through next for what there is to tell.
     look: Option<Micros>,
@@ -96,8 +96,12 @@
         while let Some(effect) = self.link.fleet.poll() {
             match effect {
                 Effect::Send { to, bytes } => self.tell_peer(to, &bytes),
-                Effect::Fact(fact) => self.core.learners.absorb(self.now, &fact),
                 Effect::Peers(peers) => self.core.peers(peers),
+                Effect::Changed(change) => self.ask_changed(change),
+                Effect::Fact(fact) => {
+                    self.core.learners.absorb(self.now, &fact);
+                    self.ask_hears(&fact);
+                }
                 Effect::Line { change, hidden } => {
                     let at = self.config.peers.get(usize::from(change.place));
                     let at = at.map_or("?".to_owned(), |at| at.to_string());
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -179,8 +179,7 @@
                             assert!(self.parts[to as usize].understands(&bytes) && bytes.len() <= 256);
                             self.parts[to as usize].hear(self.now, me as u32, &bytes);
                         }
-                        Effect::Send { .. } => {}
-                        Effect::Fact(_) => {}
+                        Effect::Send { .. } | Effect::Changed(_) | Effect::Fact(_) => {}
                         Effect::Peers(peers) => self.peers[me].push(peers),
                         Effect::Line { hidden, .. } => self.lines[me].push(hidden),
                     }
