--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run ci build-proof proof-store proof-sse demo bench-decision
+.PHONY: build test lint run ci build-proof proof-store proof-sse proof-fairshare demo bench-decision
 
 build:
 	cargo build --locked --release
@@ -29,6 +29,9 @@
 proof-sse: build-proof
 	target/release/examples/proof_sse
 
+proof-fairshare: build-proof
+	target/release/examples/proof_fairshare
+
 # A stand-in fleet, the dispatcher and a small load on loopback, with a page that follows a job.
 demo: build
 	cargo run --locked --release -q -p mothproxy-stand-ins --bin demo
