Merge the fair shares' crate; use is recorded at final answers, told as facts, and each new job comes with its tenant's worth

fleet.fair_share of the operators' file: the tree of shares, points a second, the worth beyond a share; faults by line and field. The ledger begins anew with the member's epoch, so that nothing is told twice. The module does not heed NewJob::worth yet.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -109,9 +109,10 @@
         let fleet = &set.fleet;
         let parts =
             [fleet.membership.is_some(), fleet.cold_start.is_some(), fleet.runtimes.is_some()].map(on);
-        let [members, cold, runtimes] = parts;
+        let ([members, cold, runtimes], shares) = (parts, on(fleet.fair_share.is_some()));
         println!(
-            "{}: sound: streams {streams}, state {state}, membership {members}, cold start {cold}, runtimes {runtimes}",
+            "{}: sound: streams {streams}, state {state}, membership {members}, cold start {cold}, runtimes {runtimes}, \
+             fair share {shares}",
             file.display()
         );
         return Ok(());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -333,7 +333,10 @@
             estimate: self
                 .traits(new.class, new.tenant, new.key)
                 .and_then(|job| self.learners.estimate(&job)),
-            worth: None,
+            worth: {
+                let tenant = new.tenant.and_then(|t| self.names.0.tenants.names().get(usize::from(t.0)));
+                self.learners.worth(now, tenant.map(String::as_str), new.class.0)
+            },
         };
         let session = Session {
             name: new.name,
@@ -670,6 +673,12 @@
         if let Some(at) = session.backstop.take() {
             self.deadlines.drop(at, Deadline::Backstop(id));
         }
+        if entry == Entry::Served {
+            let (new, took) = (session.new, now.saturating_sub(session.arrived));
+            let tenant = new.tenant.and_then(|t| self.names.0.tenants.names().get(usize::from(t.0)));
+            let points = self.dispatcher.set.classes.get(usize::from(new.class.0)).map_or(0.0, |c| c.points);
+            self.learners.served(now, tenant.map(String::as_str), new.class.0, points, took);
+        }
         let (class, sent) = (session.new.class, session.token.is_some() && !session.dispatches.is_empty());
         if sent && entry != Entry::Served {
             self.note(now, id, None, None);
--- a/src/fleet/learners.rs
+++ b/src/fleet/learners.rs
@@ -1,9 +1,10 @@
-//! What a dispatcher learns of its jobs and shares with the others: how long they run. Inputs to the decision module come
-//! from here; it decides.
+//! What a dispatcher learns of its jobs and shares with the others: how long they run, and what tenants have used. Inputs
+//! to the decision module come from here; it decides.
 
-use super::{Birth, FleetSettings};
+use super::{Birth, FairShareSettings, FleetSettings};
 use crate::interface::{Estimate, Micros};
-use mothproxy_membership::OwnedFact;
+use mothproxy_fairshare::{Ledger, TenantKey, Use};
+use mothproxy_membership::{Change, OwnedFact, State};
 use mothproxy_runtimes::{Config, Likeness, Origin, Outcome, Runtimes, number};
 
 /// Facts are looked for this often.
@@ -11,10 +12,19 @@
 /// Facts told in one go at most.
 const FACTS: usize = 16;
 
-/// What was counted.
+/// What was counted, of the parts that are on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LearnersFigures {
-    /// Attempts whose end was seen.
+    /// How long jobs run.
+    pub runtimes: Option<LearnerFigures>,
+    /// What tenants have used.
+    pub shares: Option<LearnerFigures>,
+}
+
+/// What was counted of one part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LearnerFigures {
+    /// Attempts whose end was seen; or tenants that are held.
     pub seen: u64,
     /// Facts told.
     pub told: u64,
@@ -50,8 +60,13 @@
 #[derive(Default)]
 pub struct Learners {
     runtimes: Option<Runtimes>,
+    shares: Option<Ledger>,
+    share_set: Option<FairShareSettings>,
 }
 
+/// A point, in the units in which use is told.
+const POINT: f64 = 1_000.0;
+
 impl Learners {
     /// The parts that the settings name. What they teach is told under the epoch of `birth`.
     pub fn new(settings: &FleetSettings, birth: Birth, now: Micros) -> Learners {
@@ -62,12 +77,50 @@
             crate::invariant!(made.is_ok(), "settings that were checked");
             made.ok()
         });
-        Learners { runtimes }
+        let mut learners = Learners { runtimes, shares: None, share_set: settings.fair_share.clone() };
+        learners.begin_anew(birth, now);
+        learners
+    }
+
+    /// What is told from now on is told under another epoch. Reports of use are told apart by it, so they begin anew too: what
+    /// was told before comes back from the others, and is not told twice. Estimates name their run themselves.
+    pub fn begin_anew(&mut self, birth: Birth, now: Micros) {
+        let place = u16::try_from(birth.me).unwrap_or(u16::MAX);
+        self.shares = self.share_set.as_ref().and_then(|set| {
+            let wall = (birth.epoch * 1_000).saturating_sub(now);
+            let made = Ledger::new(set.config(place, birth.peers, birth.epoch, wall), &set.shares, now);
+            crate::invariant!(made.is_ok(), "shares that were checked");
+            made.ok()
+        });
     }
 
     /// Whether any part is on.
     pub fn on(&self) -> bool {
-        self.runtimes.is_some()
+        self.runtimes.is_some() || self.shares.is_some()
+    }
+
+    /// What one more job of this tenant and class is worth, as a part of its class's worth, where shares are kept.
+    pub fn worth(&mut self, now: Micros, tenant: Option<&str>, class: u16) -> Option<f64> {
+        let class = u8::try_from(class).unwrap_or(u8::MAX);
+        let worth = self.shares.as_mut()?.worth(TenantKey::of(tenant?), class, now);
+        Some(worth.part)
+    }
+
+    /// A job was served: it was worth so many points, and took so long.
+    pub fn served(&mut self, now: Micros, tenant: Option<&str>, class: u16, points: f64, took: Micros) {
+        if let Some((shares, tenant)) = self.shares.as_mut().zip(tenant) {
+            let used = Use { worth: (points * POINT).max(0.0) as u64, work: took / 1_000 };
+            let class = u8::try_from(class).unwrap_or(u8::MAX);
+            // What has no room is counted there.
+            let _ = shares.record(now, now, TenantKey::of(tenant), class, used);
+        }
+    }
+
+    /// What is believed of a member has changed: one that is gone reports no more.
+    pub fn changed(&mut self, now: Micros, change: Change) {
+        if let Some(shares) = self.shares.as_mut().filter(|_| change.to == State::Left) {
+            shares.left(now, mothproxy_fairshare::Origin { place: change.place, epoch: change.epoch });
+        }
     }
 
     /// The work of such a job, where that is learned.
@@ -100,9 +153,16 @@
 
     /// What there is to tell the others now: kind, slot and bytes.
     pub fn publish(&mut self, now: Micros) -> Vec<(u8, u32, Vec<u8>)> {
-        let Some(runtimes) = &mut self.runtimes else { return Vec::new() };
-        let facts = std::iter::from_fn(|| runtimes.publish(now)).take(FACTS);
-        facts.map(|(slot, bytes)| (mothproxy_runtimes::KIND, slot, bytes)).collect()
+        let mut facts = Vec::new();
+        if let Some(runtimes) = &mut self.runtimes {
+            let told = std::iter::from_fn(|| runtimes.publish(now)).take(FACTS);
+            facts.extend(told.map(|(slot, bytes)| (mothproxy_runtimes::KIND, slot, bytes)));
+        }
+        if let Some(shares) = &mut self.shares {
+            let told = std::iter::from_fn(|| shares.publish(now)).take(FACTS);
+            facts.extend(told.map(|(slot, bytes)| (mothproxy_fairshare::KIND, slot, bytes)));
+        }
+        facts
     }
 
     /// Takes in what another has told, or this place at an earlier start.
@@ -114,6 +174,12 @@
             // What cannot be read is counted there.
             let _ = runtimes.absorb(now, origin, fact.slot, fact.number, &fact.bytes);
         }
+        if fact.kind == mothproxy_fairshare::KIND
+            && let Some(shares) = &mut self.shares
+        {
+            let origin = mothproxy_fairshare::Origin { place: fact.place, epoch: fact.epoch };
+            let _ = shares.absorb(now, origin, fact.slot, fact.number, &fact.bytes);
+        }
     }
 
     /// When [`Learners::publish`] is to be asked next, if a part is on.
@@ -121,9 +187,17 @@
         self.on().then_some(now + LOOK)
     }
 
-    /// What was counted, where a part is on.
-    pub fn figures(&self) -> Option<LearnersFigures> {
-        let f = self.runtimes.as_ref()?.figures();
-        Some(LearnersFigures { seen: f.seen, told: f.told, taken: f.taken, refused: f.refused })
+    /// What was counted, of the parts that are on.
+    pub fn figures(&self) -> LearnersFigures {
+        let runtimes = self.runtimes.as_ref().map(|runtimes| {
+            let f = runtimes.figures();
+            LearnerFigures { seen: f.seen, told: f.told, taken: f.taken, refused: f.refused }
+        });
+        let shares = self.shares.as_ref().map(|shares| {
+            let f = shares.figures();
+            let refused = f.late + f.future + f.malformed + f.foreign + f.full;
+            LearnerFigures { seen: f.books, told: f.told, taken: f.absorbed - f.stale, refused }
+        });
+        LearnersFigures { runtimes, shares }
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,8 +6,10 @@
 mod learners;
 mod settings;
 
-pub use learners::{Learners, LearnersFigures, Traits};
-pub use settings::{ColdStartSettings, FleetSettings, MembershipSettings, RuntimesSettings};
+pub use learners::{LearnerFigures, Learners, LearnersFigures, Traits};
+pub use settings::{
+    ColdStartSettings, FairShareSettings, FleetSettings, MembershipSettings, RuntimesSettings,
+};
 
 use crate::interface::{Micros, Presence};
 use mothproxy_membership::{
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -1,6 +1,7 @@
 //! What the operators' file says of the parts; [`crate::settings`] reads it.
 
 use crate::interface::Micros;
+use mothproxy_fairshare::Shares;
 use mothproxy_membership::Config;
 
 /// The parts that are on.
@@ -12,6 +13,8 @@
     pub cold_start: Option<ColdStartSettings>,
     /// How long jobs run.
     pub runtimes: Option<RuntimesSettings>,
+    /// What tenants may use.
+    pub fair_share: Option<FairShareSettings>,
 }
 
 /// How a cold start spares discovery; all of a site must have the same.
@@ -40,6 +43,33 @@
     }
 }
 
+/// Who has what share; all of a federation must have the same.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FairShareSettings {
+    /// The tree of shares.
+    pub shares: Shares,
+    /// What the whole federation can serve, in thousandths of a point a second.
+    pub rate: u64,
+    /// The worth of a job beyond all that its tenant may have, as a part of its class's worth.
+    pub over_share: f64,
+}
+
+impl FairShareSettings {
+    /// The settings of the member at a place; `wall` is the Unix time of the caller's zero, in microseconds.
+    pub fn config(&self, me: u16, peers: usize, epoch: u64, wall: u64) -> mothproxy_fairshare::Config {
+        let peers = u16::try_from(peers).unwrap_or(u16::MAX).max(me.saturating_add(1));
+        mothproxy_fairshare::Config {
+            me,
+            epoch,
+            wall_at_zero: wall,
+            peers,
+            rate: self.rate,
+            over_share_worth: self.over_share,
+            ..mothproxy_fairshare::Config::default()
+        }
+    }
+}
+
 /// How the members find out about each other; all of a site must have the same.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MembershipSettings {
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -136,8 +136,8 @@
     pub streams: Option<StreamFigures>,
     /// Where membership is on.
     pub members: Option<MembersPage>,
-    /// Where something is learned of jobs.
-    pub learners: Option<LearnersFigures>,
+    /// What is learned of jobs and tenants.
+    pub learners: LearnersFigures,
 }
 
 /// The figures, a line each.
@@ -189,11 +189,12 @@
         line("members_health", u64::from(f.health), 'g');
         line("members_facts", f.facts_held, 'g');
     }
-    if let Some(f) = &figures.learners {
-        line("runtimes_seen", f.seen, 'c');
-        line("runtimes_told", f.told, 'c');
-        line("runtimes_taken", f.taken, 'c');
-        line("runtimes_refused", f.refused, 'c');
+    for (name, part) in [("runtimes", figures.learners.runtimes), ("shares", figures.learners.shares)] {
+        let Some(f) = part else { continue };
+        line(&format!("{name}_seen"), f.seen, 'c');
+        line(&format!("{name}_told"), f.told, 'c');
+        line(&format!("{name}_taken"), f.taken, 'c');
+        line(&format!("{name}_refused"), f.refused, 'c');
     }
     answer("200 OK", "text/plain", text)
 }
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -85,7 +85,9 @@
     /// Begins anew, with a new epoch: among other peers, or since the process that spoke for this place has ended.
     pub(super) fn fleet_speaks_again(&mut self) {
         if !self.handed {
-            let again = self.link.fleet.renew(birth(&self.config), self.now);
+            let birth = birth(&self.config);
+            let again = self.link.fleet.renew(birth, self.now);
+            self.core.learners.begin_anew(birth, self.now);
             crate::invariant!(again.is_ok(), "a configuration that was checked");
             self.fleet_go_on();
         }
@@ -97,7 +99,10 @@
             match effect {
                 Effect::Send { to, bytes } => self.tell_peer(to, &bytes),
                 Effect::Peers(peers) => self.core.peers(peers),
-                Effect::Changed(change) => self.ask_changed(change),
+                Effect::Changed(change) => {
+                    self.core.learners.changed(self.now, change);
+                    self.ask_changed(change);
+                }
                 Effect::Fact(fact) => {
                     self.core.learners.absorb(self.now, &fact);
                     self.ask_hears(&fact);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,12 @@
 //! The operators' file, `deploy/mothproxy.txtpb`: protobuf text format by the schema in `proto/mothproxy.proto`.
 
 use crate::config::SseSettings;
-use crate::fleet::{ColdStartSettings, FleetSettings, MembershipSettings, RuntimesSettings};
+use crate::fleet::{
+    ColdStartSettings, FairShareSettings, FleetSettings, MembershipSettings, RuntimesSettings,
+};
 use crate::net::StateDir;
 use miette::Diagnostic;
+use mothproxy_fairshare::{Installation, Ledger, Shares, Tenant};
 use mothproxy_store::SyncMode;
 use prost_reflect::{DescriptorPool, DynamicMessage, Value};
 use std::path::{Path, PathBuf};
@@ -252,6 +255,7 @@
         membership: part(message, "membership").map(|m| membership(reader, &m)),
         cold_start: part(message, "cold_start").map(|m| cold_start(reader, &m)),
         runtimes: part(message, "runtimes").map(|m| runtimes(reader, &m)),
+        fair_share: part(message, "fair_share").map(|m| fair_share(reader, &m)),
     }
 }
 
@@ -264,6 +268,52 @@
     ColdStartSettings { call_time }
 }
 
+fn listed(message: &DynamicMessage, name: &str) -> Vec<DynamicMessage> {
+    let list = message.get_field_by_name(name);
+    let list = list.as_ref().and_then(|v| v.as_list()).unwrap_or_default();
+    list.iter().filter_map(|v| v.as_message().cloned()).collect()
+}
+
+fn fair_share(reader: &mut Reader<'_>, message: &DynamicMessage) -> FairShareSettings {
+    let weight = |m: &DynamicMessage| number(m, "weight").unwrap_or(0);
+    let tenant = |m: &DynamicMessage| Tenant {
+        name: text(m, "name"),
+        weight: weight(m),
+        classes: m
+            .get_field_by_name("class_weights")
+            .as_ref()
+            .and_then(|v| v.as_list())
+            .unwrap_or_default()
+            .iter()
+            .filter_map(Value::as_u32)
+            .collect(),
+    };
+    let installation = |m: &DynamicMessage| Installation {
+        name: text(m, "name"),
+        weight: weight(m),
+        tenants: listed(m, "tenants").iter().map(tenant).collect(),
+    };
+    let shares =
+        Shares { installations: listed(message, "installations").iter().map(installation).collect() };
+    let points = real(message, "points_per_s").unwrap_or(0.0);
+    if !(0.001..=1e6).contains(&points) {
+        reader.fault("fleet.fair_share.points_per_s", "is not 0.001 to 1000000".to_owned());
+    }
+    let over_share = real(message, "over_share").unwrap_or(0.1);
+    if !(0.0..=1.0).contains(&over_share) {
+        reader.fault("fleet.fair_share.over_share", "is not 0 to 1".to_owned());
+    }
+    let set = FairShareSettings { shares, rate: (points * 1_000.0).clamp(1.0, 1e9) as u64, over_share };
+    let names = set.shares.installations.iter().flat_map(|i| i.tenants.iter().map(|t| &t.name));
+    if names.clone().any(String::is_empty) {
+        reader.fault("fleet.fair_share.installations.tenants", "one has no name".to_owned());
+    }
+    if let Err(error) = Ledger::new(set.config(0, 1, 0, 0), &set.shares, 0) {
+        reader.fault("fleet.fair_share", error.to_string());
+    }
+    set
+}
+
 fn runtimes(reader: &mut Reader<'_>, message: &DynamicMessage) -> RuntimesSettings {
     let long = real(message, "long").unwrap_or(RuntimesSettings::default().long);
     if !(0.5..=0.99).contains(&long) {
