--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -109,6 +109,8 @@
             slots: 1.0,
             memory: None,
             repeat: false,
+            estimate: None,
+            worth: None,
         }));
         self.attempts.remove(&job.0);
         self.now += MS;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::Dispatcher;
 use crate::config::{ServerList, SiteNames};
+use crate::fleet::{Learners, Traits};
 use crate::interface::*;
 use crate::invariant;
 use deadlines::{Deadline, Deadlines};
@@ -214,6 +215,8 @@
     /// Dispatches that wait to be noted, by their tickets.
     unnoted: HashMap<u64, (SessionId, u32)>,
     unix_offset: i128,
+    /// What is learned of jobs and shared with other dispatchers, where that is on.
+    pub learners: Learners,
     /// News of unknown sessions, or of dispatches that had ended.
     pub stale_news: u64,
 }
@@ -247,6 +250,7 @@
             keys: None,
             unnoted: HashMap::new(),
             unix_offset: CLOCK_START as i128 - unix_now as i128,
+            learners: Learners::default(),
             stale_news: 0,
         })
     }
@@ -326,6 +330,13 @@
             slots: new.slots,
             memory: new.memory,
             repeat: new.repeat,
+            estimate: self
+                .traits(new.class, new.tenant, new.key)
+                .and_then(|job| self.learners.estimate(&job)),
+            worth: {
+                let tenant = new.tenant.and_then(|t| self.names.0.tenants.names().get(usize::from(t.0)));
+                self.learners.worth(now, tenant.map(String::as_str), new.class.0)
+            },
         };
         let session = Session {
             name: new.name,
@@ -361,6 +372,14 @@
         Some(id)
     }
 
+    /// What a job is called by what learns of it. A subject's number is a hash, the same at every dispatcher.
+    fn traits(&self, class: ClassId, tenant: Option<TenantId>, key: Option<KeyId>) -> Option<Traits<'_>> {
+        let names = &self.names.0;
+        let class = names.classes.names().get(usize::from(class.0))?;
+        let tenant = tenant.and_then(|t| names.tenants.names().get(usize::from(t.0)));
+        Some(Traits { class, tenant: tenant.map(String::as_str), subject: key.map(|k| u64::from(k.0)) })
+    }
+
     /// Remembers keyed jobs from now on, beginning with these notes; `clock_sound` unless time may have passed that the
     /// clock does not show. The notes that cannot be read come back, each with the reason.
     pub fn keep_keys(
@@ -483,6 +502,11 @@
         self.events.push(Event::Mail { from, bytes });
     }
 
+    /// What is believed of each dispatcher, by their numbers.
+    pub fn peers(&mut self, peers: Vec<Presence>) {
+        self.events.push(Event::Peers(peers));
+    }
+
     /// News of a job, by the names that the worker uses. Whether they told anything new.
     pub fn news(&mut self, now: Micros, name: &str, from: &str, news: News, report: Option<Report>) -> bool {
         let result = match &news {
@@ -534,6 +558,11 @@
         if repeated {
             return false;
         }
+        match share {
+            None => self.learn_start(now, id, dispatch),
+            Some(share) => self.learners.progress(now, ticket(id, dispatch), share),
+        }
+        let Some(session) = self.sessions.get_mut(&id) else { return false };
         if session.open {
             let frontend = session.frontend;
             if !std::mem::replace(&mut session.told_started, true) {
@@ -551,6 +580,25 @@
         true
     }
 
+    /// An attempt has begun to run: what learns of run times is told where, and of what kind that is.
+    fn learn_start(&mut self, now: Micros, id: SessionId, dispatch: u32) {
+        if !self.learners.on() {
+            return;
+        }
+        let Some(session) = self.sessions.get(&id) else { return };
+        let server = session.dispatches.get(dispatch as usize).and_then(|d| self.servers.get(d.worker));
+        let new = &session.new;
+        let names = &self.names.0;
+        let class = names.classes.names().get(usize::from(new.class.0));
+        let tenant = new.tenant.and_then(|t| names.tenants.names().get(usize::from(t.0)));
+        if let Some((server, class)) = server.zip(class) {
+            let (tenant, subject) = (tenant.map(String::as_str), new.key.map(|k| u64::from(k.0)));
+            let job = Traits { class, tenant, subject };
+            let (worker, kind) = (&server.row.instance_id, &server.row.machine_type);
+            self.learners.started(now, ticket(id, dispatch), &job, worker, kind);
+        }
+    }
+
     /// A dispatch ended. Only its first end counts; a result is the session's answer as long as none was given.
     pub fn ended(
         &mut self,
@@ -593,6 +641,7 @@
         if !was_out {
             return false;
         }
+        self.learners.ended(now, ticket(id, dispatch), outcome == Outcome::Ok);
         if let Some(this) = self.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(dispatch as usize)) {
             this.never_ran = outcome.never_ran();
         }
@@ -624,6 +673,12 @@
         if let Some(at) = session.backstop.take() {
             self.deadlines.drop(at, Deadline::Backstop(id));
         }
+        if entry == Entry::Served {
+            let (new, took) = (session.new, now.saturating_sub(session.arrived));
+            let tenant = new.tenant.and_then(|t| self.names.0.tenants.names().get(usize::from(t.0)));
+            let points = self.dispatcher.set.classes.get(usize::from(new.class.0)).map_or(0.0, |c| c.points);
+            self.learners.served(now, tenant.map(String::as_str), new.class.0, points, took);
+        }
         let (class, sent) = (session.new.class, session.token.is_some() && !session.dispatches.is_empty());
         if sent && entry != Entry::Served {
             self.note(now, id, None, None);
@@ -962,6 +1017,10 @@
             slots: moved.slots,
             memory: moved.memory,
             repeat: moved.repeat,
+            estimate: self
+                .traits(class, tenant, moved.key.map(KeyId))
+                .and_then(|job| self.learners.estimate(&job)),
+            worth: None,
         };
         let past = |d: &Dispatch| Past {
             worker: d.worker,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -371,6 +371,15 @@
     }
 }
 
+/// How long a job holds a slot, as far as is known: work at a worker of speed 1, as [`NewJob::hint`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Estimate {
+    /// As often less as more.
+    pub typical: Micros,
+    /// Rarely more.
+    pub long: Micros,
+}
+
 /// A job as it arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct NewJob {
@@ -392,6 +401,10 @@
     pub memory: Option<f64>,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// What is known of its work from similar jobs, where that is learned.
+    pub estimate: Option<Estimate>,
+    /// What one more job of its tenant is worth now, as a part of its class's worth, 0 to 1, where shares are kept.
+    pub worth: Option<f64>,
 }
 
 /// How an attempt or a probe ended.
@@ -469,6 +482,17 @@
     pub never_ran: bool,
 }
 
+/// What is believed of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It may hold work.
+    Here,
+    /// It is not heard of, and may hold work where this node does not see it: its part of each worker is kept for it.
+    Away,
+    /// It holds no work any more: its part is the others'.
+    Gone,
+}
+
 /// What has happened. Events about unknown jobs, attempts, workers or alarms are ignored.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -527,6 +551,8 @@
     Alarm(AlarmId),
     /// A probe came back.
     Probed(Probed),
+    /// What is believed of each node, by their numbers; where it never comes, all of them are here.
+    Peers(Vec<Presence>),
     /// Another node's message.
     Mail {
         /// The sender's number.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,11 @@
 //! The sockets: one epoll loop that turns what arrives into events of the core and its commands into bytes.
 
 mod admin;
+mod ask;
 mod backend;
 mod conn;
 mod discovery;
+mod fleet;
 mod frontend;
 mod handover;
 mod notes;
@@ -14,6 +16,7 @@
 
 use crate::config::{Config, ConfigError, MachineLimits, SseSettings};
 use crate::core::{Command, Core, SessionId};
+use crate::fleet::FleetSettings;
 use crate::interface::{Class, Micros, WorkerId};
 use crate::invariant;
 use admin::Caller;
@@ -73,6 +76,8 @@
 const NOTES: Token = Token(u64::MAX - 13);
 const RELAY_TIMER: u64 = u64::MAX - 14;
 const WATCH_TIMER: u64 = u64::MAX - 15;
+const FLEET_TIMER: u64 = u64::MAX - 16;
+const ASK_TIMER: u64 = u64::MAX - 17;
 
 /// What a connection is for.
 enum Role {
@@ -191,6 +196,9 @@
     /// This one has handed its listening sockets over.
     handed: bool,
     peers: Option<UdpSocket>,
+    /// What this dispatcher and the others know of each other.
+    link: fleet::Link,
+    ask: ask::Asker,
     /// Where keyed jobs are noted, if they are.
     notes: Option<Notes>,
     /// Jobs apart from their streams, where the SSE front is on.
@@ -273,6 +281,7 @@
         sse: Option<SseSettings>,
         folder: Option<&std::path::Path>,
         state: Option<StateDir>,
+        fleet: FleetSettings,
     ) -> Result<Server, NetError> {
         let io = |what| move |error| NetError::System(what, error);
         // First of all: a SIGHUP that no handler awaits ends the program, with all it has taken.
@@ -330,6 +339,9 @@
         }
         core.remind(now + SUMMARY, SUMMARY_TIMER);
         let budget = Budget::of(config.limits, if state.is_some() { notes::FDS } else { 0 });
+        let ask = ask::Asker::open(&fleet, &config, now, core.servers.generation);
+        core.learners = fleet::learners(&fleet, &config, now);
+        let link = fleet::Link::open(fleet, &config, now);
         let mut server = Server {
             classes,
             core,
@@ -346,6 +358,8 @@
             twin: None,
             handed: false,
             peers,
+            link,
+            ask,
             notes: None,
             watch_jobs,
             slots: Vec::new(),
@@ -395,6 +409,8 @@
         let mut events = Vec::with_capacity(EVENTS);
         self.clock();
         self.tell_state();
+        self.fleet_go_on();
+        self.ask_go_on();
         while !self.done {
             self.clock();
             self.core.turn(self.now);
@@ -472,6 +488,8 @@
                 Command::Due(STOP_TIMER) => self.stop_step(),
                 Command::Due(HAND_TIMER) => self.hand_step(),
                 Command::Due(DRAIN_TIMER) => self.drain_step(),
+                Command::Due(FLEET_TIMER) => self.fleet_due(),
+                Command::Due(ASK_TIMER) => self.ask_due(),
                 Command::Due(PEER_TIMER) => self.tell_state_again(),
                 Command::Due(ACCEPT_TIMER) => self.accept_again(),
                 Command::Due(token) => self.due(Token(token)),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,12 @@
 //! The operators' file, `deploy/mothproxy.txtpb`: protobuf text format by the schema in `proto/mothproxy.proto`.
 
 use crate::config::SseSettings;
+use crate::fleet::{
+    ColdStartSettings, FairShareSettings, FleetSettings, MembershipSettings, RuntimesSettings,
+};
 use crate::net::StateDir;
 use miette::Diagnostic;
+use mothproxy_fairshare::{Installation, Ledger, Shares, Tenant};
 use mothproxy_store::SyncMode;
 use prost_reflect::{DescriptorPool, DynamicMessage, Value};
 use std::path::{Path, PathBuf};
@@ -46,7 +50,7 @@
 impl std::error::Error for Faults {}
 
 /// What the file says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// The SSE front, where it is on.
     pub streams: Option<SseSettings>,
@@ -54,6 +58,8 @@
     pub state: Option<StateDir>,
     /// Log lines are JSON objects.
     pub json_log: bool,
+    /// What the dispatchers of a site know of each other, and do together.
+    pub fleet: FleetSettings,
 }
 
 /// A file being read: faults are collected, each with its place.
@@ -101,6 +107,11 @@
     message.get_field_by_name(name).filter(|_| set)?.as_u32()
 }
 
+fn real(message: &DynamicMessage, name: &str) -> Option<f64> {
+    let set = message.has_field_by_name(name);
+    message.get_field_by_name(name).filter(|_| set)?.as_f64()
+}
+
 fn choice(message: &DynamicMessage, name: &str) -> i32 {
     message.get_field_by_name(name).and_then(|v| v.as_enum_number()).unwrap_or(0)
 }
@@ -169,6 +180,7 @@
         streams: part(&message, "streams").and_then(|m| streams(&mut reader, &m)),
         state: part(&message, "state").and_then(|m| state(&mut reader, &m)),
         json_log: part(&message, "log").is_some_and(|m| choice(&m, "form") == 1),
+        fleet: part(&message, "fleet").map(|m| fleet(&mut reader, &m)).unwrap_or_default(),
     };
     if reader.faults.is_empty() { Ok(settings) } else { Err(Faults(reader.faults)) }
 }
@@ -237,3 +249,107 @@
     }
     (!directory.is_empty()).then(|| StateDir { dir: PathBuf::from(directory), sync })
 }
+
+fn fleet(reader: &mut Reader<'_>, message: &DynamicMessage) -> FleetSettings {
+    FleetSettings {
+        membership: part(message, "membership").map(|m| membership(reader, &m)),
+        cold_start: part(message, "cold_start").map(|m| cold_start(reader, &m)),
+        runtimes: part(message, "runtimes").map(|m| runtimes(reader, &m)),
+        fair_share: part(message, "fair_share").map(|m| fair_share(reader, &m)),
+    }
+}
+
+fn cold_start(reader: &mut Reader<'_>, message: &DynamicMessage) -> ColdStartSettings {
+    let default = ColdStartSettings::default();
+    let call_time = number(message, "call_ms").map_or(default.call_time, |ms| u64::from(ms) * 1_000);
+    if !(1_000..=10_000_000).contains(&call_time) {
+        reader.fault("fleet.cold_start.call_ms", "is not 1 to 10000".to_owned());
+    }
+    ColdStartSettings { call_time }
+}
+
+fn listed(message: &DynamicMessage, name: &str) -> Vec<DynamicMessage> {
+    let list = message.get_field_by_name(name);
+    let list = list.as_ref().and_then(|v| v.as_list()).unwrap_or_default();
+    list.iter().filter_map(|v| v.as_message().cloned()).collect()
+}
+
+fn fair_share(reader: &mut Reader<'_>, message: &DynamicMessage) -> FairShareSettings {
+    let weight = |m: &DynamicMessage| number(m, "weight").unwrap_or(0);
+    let tenant = |m: &DynamicMessage| Tenant {
+        name: text(m, "name"),
+        weight: weight(m),
+        classes: m
+            .get_field_by_name("class_weights")
+            .as_ref()
+            .and_then(|v| v.as_list())
+            .unwrap_or_default()
+            .iter()
+            .filter_map(Value::as_u32)
+            .collect(),
+    };
+    let installation = |m: &DynamicMessage| Installation {
+        name: text(m, "name"),
+        weight: weight(m),
+        tenants: listed(m, "tenants").iter().map(tenant).collect(),
+    };
+    let shares =
+        Shares { installations: listed(message, "installations").iter().map(installation).collect() };
+    let points = real(message, "points_per_s").unwrap_or(0.0);
+    if !(0.001..=1e6).contains(&points) {
+        reader.fault("fleet.fair_share.points_per_s", "is not 0.001 to 1000000".to_owned());
+    }
+    let over_share = real(message, "over_share").unwrap_or(0.1);
+    if !(0.0..=1.0).contains(&over_share) {
+        reader.fault("fleet.fair_share.over_share", "is not 0 to 1".to_owned());
+    }
+    let set = FairShareSettings { shares, rate: (points * 1_000.0).clamp(1.0, 1e9) as u64, over_share };
+    let names = set.shares.installations.iter().flat_map(|i| i.tenants.iter().map(|t| &t.name));
+    if names.clone().any(String::is_empty) {
+        reader.fault("fleet.fair_share.installations.tenants", "one has no name".to_owned());
+    }
+    if let Err(error) = Ledger::new(set.config(0, 1, 0, 0), &set.shares, 0) {
+        reader.fault("fleet.fair_share", error.to_string());
+    }
+    set
+}
+
+fn runtimes(reader: &mut Reader<'_>, message: &DynamicMessage) -> RuntimesSettings {
+    let long = real(message, "long").unwrap_or(RuntimesSettings::default().long);
+    if !(0.5..=0.99).contains(&long) {
+        reader.fault("fleet.runtimes.long", "is not 0.5 to 0.99".to_owned());
+    }
+    RuntimesSettings { long }
+}
+
+fn membership(reader: &mut Reader<'_>, message: &DynamicMessage) -> MembershipSettings {
+    let mut set = MembershipSettings::default();
+    let mut whole = |name: &str, least: u32, most: u32| {
+        let value = number(message, name)?;
+        if !(least..=most).contains(&value) {
+            reader.fault(&format!("fleet.membership.{name}"), format!("is not {least} to {most}"));
+        }
+        Some(value.clamp(least, most))
+    };
+    if let Some(ms) = whole("probe_interval_ms", 20, 60_000) {
+        set.probe_interval = u64::from(ms) * 1000;
+        set.probe_timeout = set.probe_interval * 3 / 10;
+    }
+    if let Some(ms) = whole("probe_timeout_ms", 5, 59_999) {
+        set.probe_timeout = u64::from(ms) * 1000;
+    }
+    set.keep_part = whole("keep_part_s", 1, 86_400).map(|seconds| u64::from(seconds) * 1_000_000);
+    set.bytes_per_s = whole("bytes_per_s", 1_024, 100_000_000).unwrap_or(set.bytes_per_s);
+    if let Some(seconds) = whole("forget_after_s", 1, 86_400) {
+        set.forget_after = u64::from(seconds) * 1_000_000;
+    }
+    if set.probe_timeout >= set.probe_interval {
+        let what = "is not below probe_interval_ms (500 where that is absent)".to_owned();
+        reader.fault("fleet.membership.probe_timeout_ms", what);
+    }
+    set.suspicion_mult = real(message, "suspicion_mult").unwrap_or(set.suspicion_mult);
+    if !(0.1..=100.0).contains(&set.suspicion_mult) {
+        reader.fault("fleet.membership.suspicion_mult", "is not 0.1 to 100".to_owned());
+    }
+    set
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,8 @@
             slots: 1.0,
             memory: None,
             repeat: false,
+            estimate: None,
+            worth: None,
         };
         self.feed(Event::Arrived(new))
     }
