--- a/crates/stand-ins/src/fleet/clients.rs
+++ b/crates/stand-ins/src/fleet/clients.rs
@@ -179,6 +179,11 @@
         self.report.lock().expect("a lock").clone()
     }
 
+    /// Jobs served so far.
+    pub fn served(&self) -> u64 {
+        self.report.lock().expect("a lock").served()
+    }
+
     /// Lets it run its span, waits until each job has ended, and says what became of them.
     pub fn finish(self) -> LoadReport {
         for task in self.tasks {
--- a/crates/stand-ins/src/fleet/datagrams.rs
+++ b/crates/stand-ins/src/fleet/datagrams.rs
@@ -121,7 +121,8 @@
 
 /// The relay of a whole fleet.
 pub struct Datagrams {
-    faces: Vec<Arc<UdpSocket>>,
+    /// Sends go out past the runtime: a datagram that cannot be sent now is lost, as datagrams are.
+    faces: Vec<std::net::UdpSocket>,
     addresses: Vec<SocketAddr>,
     own: Vec<SocketAddr>,
     all: SocketAddr,
@@ -144,12 +145,13 @@
         let _inside = runtime.enter();
         let addresses = faces.iter().map(std::net::UdpSocket::local_addr).collect::<Result<Vec<_>, _>>()?;
         let all_address = all.local_addr()?;
-        let socket = |socket: std::net::UdpSocket| {
+        let socket = |socket: &std::net::UdpSocket| {
             socket.set_nonblocking(true)?;
-            UdpSocket::from_std(socket).map(Arc::new)
+            let _ = socket2::SockRef::from(socket).set_recv_buffer_size(1 << 20);
+            UdpSocket::from_std(socket.try_clone()?)
         };
-        let faces = faces.into_iter().map(socket).collect::<Result<Vec<_>, _>>()?;
-        let all = socket(all)?;
+        let ears = faces.iter().map(socket).collect::<Result<Vec<_>, _>>()?;
+        let all = socket(&all)?;
         let size = own.len();
         let pair = |n: usize| Pair {
             faults: Faults::NONE,
@@ -173,9 +175,9 @@
             clock: record.clock,
             record,
         });
-        for to in 0..size {
-            let (relay, socket) = (relay.clone(), relay.faces[to].clone());
-            runtime.spawn(async move { relay.listen(&socket, Some(to)).await });
+        for (to, ear) in ears.into_iter().enumerate() {
+            let relay = relay.clone();
+            runtime.spawn(async move { relay.listen(&ear, Some(to)).await });
         }
         let shared = relay.clone();
         runtime.spawn(async move { shared.listen(&all, None).await });
@@ -228,15 +230,14 @@
         }
         for wait in waits {
             if wait == 0 {
-                // One that cannot be sent now is lost, as datagrams are.
-                let _ = self.faces[from].try_send_to(bytes, self.own[to]);
+                let _ = self.faces[from].send_to(bytes, self.own[to]);
                 continue;
             }
             let Ok(room) = self.under_way.clone().try_acquire_owned() else { continue };
             let (relay, bytes) = (self.clone(), bytes.to_vec());
             tokio::spawn(async move {
                 tokio::time::sleep(Duration::from_micros(wait)).await;
-                let _ = relay.faces[from].send_to(&bytes, relay.own[to]).await;
+                let _ = relay.faces[from].send_to(&bytes, relay.own[to]);
                 drop(room);
             });
         }
@@ -296,7 +297,7 @@
 
     /// Sends bytes to a dispatcher as if they came from another, past all faults and counts.
     pub fn forge(&self, from: usize, to: usize, bytes: &[u8]) {
-        let _ = self.faces[from].try_send_to(bytes, self.own[to]);
+        let _ = self.faces[from].send_to(bytes, self.own[to]);
     }
 
     /// What each dispatcher sent and was given so far, by number.
--- a/crates/stand-ins/src/fleet/links.rs
+++ b/crates/stand-ins/src/fleet/links.rs
@@ -325,7 +325,8 @@
         // Known before it is connected: the far side asks as soon as it has accepted.
         let far = async {
             let socket = TcpSocket::new_v4()?;
-            socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+            socket.set_reuseaddr(true)?;
+            socket.bind(SocketAddr::new(link.address.ip(), 0))?;
             let own = socket.local_addr()?;
             let crossing = Arc::new(Crossing {
                 link: link.clone(),
@@ -349,7 +350,7 @@
     async fn carry(&self, link: &Arc<Link>, crossing: &Crossing, mut near: TcpStream, mut far: TcpStream) {
         let mut state = link.state.subscribe();
         let begun = *state.borrow_and_update();
-        let mut halved = false;
+        let (mut halved, mut forced) = (false, false);
         let done = {
             let ((near_read, near_write), (far_read, far_write)) = (near.split(), far.split());
             let both = async {
@@ -362,6 +363,7 @@
                 done = both => done.is_ok(),
                 end = state.wait_for(|s| s.resets != begun.resets || s.halves != begun.halves) => {
                     halved = end.is_ok_and(|s| s.halves != begun.halves);
+                    forced = true;
                     false
                 }
             }
@@ -369,6 +371,10 @@
         if done {
             return;
         }
+        if !forced {
+            // What broke on one side is not heard on the other while nothing gets through.
+            let _ = state.wait_for(|s| !s.stalled(Way::Out) && !s.stalled(Way::In)).await;
+        }
         reset(&far);
         drop(far);
         if halved {
--- a/crates/stand-ins/src/fleet/mod.rs
+++ b/crates/stand-ins/src/fleet/mod.rs
@@ -540,7 +540,9 @@
         for i in 0..self.size() {
             let link = self.link(i, worker);
             link.set(LinkFaults { opening: Opening::Refused, ..LinkFaults::default() });
-            link.reset();
+            if !link.is_silent() {
+                link.reset();
+            }
         }
         self.workers[worker].die();
     }
@@ -562,16 +564,24 @@
     /// clock. `None` for those that were not.
     pub fn held(&self, generation: u64, since: u64) -> Vec<Option<u64>> {
         let mut held = vec![None; self.size()];
-        for Entry { at, event } in self.record.entries().0 {
-            if let Event::Told { dispatcher, generation: told, .. } = event {
-                if told >= generation && at >= since {
-                    held[dispatcher].get_or_insert(at);
-                }
+        self.record.each(|entry| match entry.event {
+            Event::Told { dispatcher, generation: told, .. } if told >= generation && entry.at >= since => {
+                held[dispatcher].get_or_insert(entry.at);
             }
-        }
+            _ => {}
+        });
         held
     }
 
+    /// Waits until these dispatchers have been told of a generation or a later one since a time.
+    pub fn until_held(&self, which: &[usize], generation: u64, since: u64) {
+        let what = format!("generation {generation} reaches {which:?}");
+        self.until(&what, || {
+            let held = self.held(generation, since);
+            which.iter().all(|i| held[*i].is_some())
+        });
+    }
+
     /// What must not have happened, by these rules. Loads should have been finished.
     pub fn audit(&self, rules: &Rules) -> Vec<Finding> {
         self.clients.sweep();
--- a/crates/stand-ins/src/fleet/record.rs
+++ b/crates/stand-ins/src/fleet/record.rs
@@ -1,6 +1,5 @@
 //! What crossed the wires, as the relays, workers, clients and the list service saw it: the auditor's only source.
 
-use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -154,9 +153,8 @@
         self.inner.lock().expect("a lock").entries.iter().filter(|entry| such(&entry.event)).count()
     }
 
-    /// The numbers of dispatchers that some such entry names, since a time.
-    pub fn dispatchers(&self, since: u64, such: impl Fn(&Event) -> Option<usize>) -> BTreeSet<usize> {
-        let inner = self.inner.lock().expect("a lock");
-        inner.entries.iter().filter(|e| e.at >= since).filter_map(|e| such(&e.event)).collect()
+    /// Looks at every entry, in the order in which they were noted, which is nearly that of their times.
+    pub fn each(&self, look: impl FnMut(&Entry)) {
+        self.inner.lock().expect("a lock").entries.iter().for_each(look);
     }
 }
--- a/crates/stand-ins/src/fleet/workers.rs
+++ b/crates/stand-ins/src/fleet/workers.rs
@@ -373,7 +373,8 @@
         let held = Arc::new(Held::default());
         let full = {
             let mut all = self.held.lock().expect("a lock");
-            let full = script.act == Act::Refuse || all.len() >= script.slots + script.queue;
+            let no_room = all.len() >= script.slots + script.queue && script.act != Act::Forget;
+            let full = script.act == Act::Refuse || no_room;
             if !full && script.act != Act::Forget {
                 all.insert(id.clone(), held.clone());
                 let count = all.len();
--- a/tests/fleet_processes.rs
+++ b/tests/fleet_processes.rs
@@ -14,7 +14,7 @@
 #[test]
 fn five_processes_keep_their_promises_through_cuts_and_a_kill() {
     let fleet = Fleet::start(plan(5, 4, 0x5eed_0001)).expect("a fleet");
-    fleet.until("all hold the list", || fleet.held(1, 0).iter().all(Option::is_some));
+    fleet.until_held(&fleet.all(), 1, 0);
     let keys = Arc::new(|rng: &mut fastrand::Rng, number| match rng.u32(..4) {
         0 => Job::keyed(&format!("k{:x}-{number}", rng.u64(..))),
         _ => Job::plain(),
@@ -22,8 +22,8 @@
     let load = Load { to: fleet.all(), rate: 25.0, span: Duration::from_secs(60), job: keys };
     let load = fleet.load(&load);
     let served = |more: u64| {
-        let from = load.report().served();
-        fleet.until("jobs are served", || load.report().served() >= from + more);
+        let from = load.served();
+        fleet.until("jobs are served", || load.served() >= from + more);
     };
     served(60);
     fleet.datagrams.partition(&[&[0, 1], &[2, 3, 4]]);
@@ -36,7 +36,7 @@
     served(60);
     fleet.cut_worker(1, false);
     let generation = fleet.lists.set_life(2, Life::Draining);
-    fleet.until("all are told", || fleet.held(generation, 0).iter().all(Option::is_some));
+    fleet.until_held(&fleet.all(), generation, 0);
     served(120);
     let report = load.stop();
     let found = fleet.audit(&Rules::default());
@@ -46,3 +46,17 @@
     assert!(totals.iter().all(|t| t.sent > 0 && t.given > 0), "{totals:?}");
     assert!(totals.iter().any(|t| t.dropped > 0), "the partition dropped nothing: {totals:?}");
 }
+
+/// The harness itself at its full size: thirty processes come up, hold the list and serve.
+#[test]
+fn thirty_processes_serve() {
+    let fleet = Fleet::start(plan(30, 6, 0x5eed_0030)).expect("a fleet");
+    fleet.until_held(&fleet.all(), 1, 0);
+    let load = fleet.plain_load(&fleet.all(), 5.0, Duration::from_secs(60));
+    fleet.until("jobs are served", || load.served() >= 150);
+    let report = load.stop();
+    let found = fleet.audit(&Rules::default());
+    assert!(found.is_empty() && report.nothing == 0, "{found:#?} {report:?}");
+    let calls = fleet.lists.figures().calls;
+    assert!(calls.iter().all(|calls| *calls > 0), "{calls:?}");
+}
