--- a/crates/stand-ins/src/fleet/mod.rs
+++ b/crates/stand-ins/src/fleet/mod.rs
@@ -121,6 +121,16 @@
     }
 }
 
+/// The seed that the environment variable `FLEET_SEED` names, to replay a run, or this one.
+pub fn seed_or(seed: u64) -> u64 {
+    let named = std::env::var("FLEET_SEED").ok();
+    let read = |text: &str| match text.strip_prefix("0x") {
+        Some(hex) => u64::from_str_radix(hex, 16).ok(),
+        None => text.parse().ok(),
+    };
+    named.and_then(|text| read(&text)).unwrap_or(seed)
+}
+
 /// Some members on one side of a partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Part {
--- a/crates/stand-ins/tests/auditor.rs
+++ b/crates/stand-ins/tests/auditor.rs
@@ -79,6 +79,9 @@
     found.iter().map(name).collect()
 }
 
+/// What the change is, the times whose events are left out, those that come instead, and what is found.
+type Case<'a> = (&'a str, &'a [u64], Vec<(u64, Event)>, &'a [&'a str]);
+
 #[test]
 fn each_break_is_found_and_named() {
     assert_eq!(with(&[], vec![]), []);
@@ -97,7 +100,7 @@
     let unanswered = || Event::Unanswered { dispatcher: 0, id: "a".into() };
     let dead = |at| (at, Event::Killed { dispatcher: 0 });
     let pause = |at, on| (at, Event::Paused { dispatcher: 0, on });
-    let table: Vec<(&str, &[u64], Vec<(u64, Event)>, &[&str])> = vec![
+    let table: Vec<Case> = vec![
         ("sent 460 ms after it was told", &[], vec![(1_460, reached(1, "e"))], &["LateSend"]),
         (
             "up again meanwhile",
--- a/crates/stand-ins/tests/harness.rs
+++ b/crates/stand-ins/tests/harness.rs
@@ -91,7 +91,8 @@
     fleet.datagrams.set_all(Faults::NONE);
     // One way, sides, and all at once.
     fleet.datagrams.cut_one_way(&[0], &[1]);
-    (peers[0].tell(1, b"x"), peers[1].tell(0, b"y"));
+    peers[0].tell(1, b"x");
+    peers[1].tell(0, b"y");
     assert_eq!((peers[1].hear(), peers[0].hear()), (vec![], vec![(1, b"y".to_vec())]));
     fleet.datagrams.partition(&[&[0, 1], &[2]]);
     peers[0].socket.send_to(b"all", peers[0].all).expect("it is sent");
--- a/tests/fleet_processes.rs
+++ b/tests/fleet_processes.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 fn plan(size: usize, workers: usize, seed: u64) -> Plan {
-    Plan::new(env!("CARGO_BIN_EXE_mothproxy"), size, workers, seed)
+    Plan::new(env!("CARGO_BIN_EXE_mothproxy"), size, workers, seed_or(seed))
 }
 
 /// Cut apart, killed, started again, a worker gone silent, another drained: every job has its one answer, no key runs twice,
