--- a/crates/stand-ins/src/fleet/links.rs
+++ b/crates/stand-ins/src/fleet/links.rs
@@ -124,7 +124,13 @@
     /// Whether nothing gets through in either direction, such as a worker's call-back.
     pub fn is_silent(&self) -> bool {
         let state = *self.state.borrow();
-        state.cut || state.faults.stall_out || state.opening() == Opening::Vanished
+        state.stalled(Way::Out) || state.opening() == Opening::Vanished
+    }
+
+    /// Waits until something gets through again.
+    pub(super) async fn heard(&self) {
+        let is_silent = |s: &State| s.stalled(Way::Out) || s.opening() == Opening::Vanished;
+        let _ = self.state.subscribe().wait_for(|state| !is_silent(state)).await;
     }
 
     /// Connections accepted so far.
--- a/crates/stand-ins/src/fleet/workers.rs
+++ b/crates/stand-ins/src/fleet/workers.rs
@@ -498,10 +498,12 @@
         self.tell(link, news).await;
     }
 
-    /// Calls back until it is answered, ten times at most, and not while its link is cut.
+    /// Calls back until it is answered, ten times at most. While its link is cut a try takes as long as a connect that
+    /// does not come up.
     async fn tell(&self, link: &Link, news: Value) {
         for _ in 0..TRIES {
-            if !link.is_silent() && self.call_back(link.dispatcher, &news).await.is_ok() {
+            let through = tokio::time::timeout(HEARD, link.heard()).await.is_ok();
+            if through && self.call_back(link.dispatcher, &news).await.is_ok() {
                 return;
             }
             tokio::time::sleep(TRY_AGAIN).await;
