--- a/tests/fleet_processes.rs
+++ b/tests/fleet_processes.rs
@@ -58,10 +58,10 @@
     ] {
         is_seen(&entries, expected, |e| e.push(e[first(e, such)].clone()));
     }
-    // As if the worker that drained had been told of two seconds earlier.
+    // As if the worker that drained had been told of a second earlier.
     is_seen(&entries, "LateSend", |e| {
         let told = |e: &Event| matches!(e, Event::Told { generation: g, .. } if *g == generation);
-        e.iter_mut().filter(|e| told(&e.event)).for_each(|e| e.at -= 2_000_000);
+        e.iter_mut().filter(|e| told(&e.event)).for_each(|e| e.at -= 1_000_000);
     });
     let totals = fleet.datagrams.totals();
     assert!(totals.iter().all(|t| t.sent > 0 && t.given > 0), "{totals:?}");
