Stand-ins: HTTP heads and chunk sizes read by httparse instead of the parser under test

Need: the stand-ins read the program's answers with the program's own parser, so a fault of it would have hidden itself.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod fleet;
 pub mod site;
 
-use mothproxy::http::{self, Body};
 use serde_json::{Value, json};
 use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -42,35 +41,87 @@
     }
 }
 
+/// How a body ends.
+enum Body {
+    Length(usize),
+    Chunks,
+    Connection,
+}
+
+/// How the body of a message with these fields ends; `bare` is how one without a length does.
+fn framing(headers: &[httparse::Header<'_>], bare: Body) -> Body {
+    let value = |name: &str| headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+    match (value("transfer-encoding"), value("content-length")) {
+        (Some(_), _) => Body::Chunks,
+        (None, Some(length)) => {
+            let text = std::str::from_utf8(length).expect("a number");
+            Body::Length(text.trim().parse().expect("a number"))
+        }
+        (None, None) => bare,
+    }
+}
+
+/// Adds what comes next; false once nothing more does.
+fn more(stream: &mut TcpStream, seen: &mut Vec<u8>) -> bool {
+    let mut buf = [0; 4096];
+    let read = stream.read(&mut buf).unwrap_or(0);
+    seen.extend(&buf[..read]);
+    read > 0
+}
+
+/// Takes a body off a connection; `None` if that ends before it.
+fn read_body(stream: &mut TcpStream, seen: &mut Vec<u8>, body: Body) -> Option<Vec<u8>> {
+    let mut read = Vec::new();
+    loop {
+        match body {
+            Body::Length(length) if seen.len() >= length => return Some(seen.drain(..length).collect()),
+            Body::Connection if !more(stream, seen) => return Some(std::mem::take(seen)),
+            Body::Chunks => {
+                if let httparse::Status::Complete((head, size)) =
+                    httparse::parse_chunk_size(seen).expect("a sound chunk")
+                {
+                    let end = head + usize::try_from(size).expect("a small chunk");
+                    if seen.len() >= end + 2 {
+                        read.extend_from_slice(&seen[head..end]);
+                        seen.drain(..end + 2);
+                        if size == 0 {
+                            return Some(read);
+                        }
+                        continue;
+                    }
+                }
+                if !more(stream, seen) {
+                    return None;
+                }
+            }
+            Body::Connection => {}
+            Body::Length(_) if !more(stream, seen) => return None,
+            Body::Length(_) => {}
+        }
+    }
+}
+
 /// Reads one answer off a connection; `None` if it ends before that.
 pub fn read_reply(stream: &mut TcpStream) -> Option<Reply> {
     stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
-    let (mut seen, mut buf) = (Vec::new(), [0; 4096]);
-    let head = loop {
-        match http::read_response(&seen).expect("an HTTP answer") {
-            Some(head) if head.status == 100 => drop(seen.drain(..head.len)),
-            Some(head) => break head,
-            None => match stream.read(&mut buf) {
-                Ok(0) | Err(_) => return None,
-                Ok(read) => seen.extend(&buf[..read]),
-            },
+    let mut seen = Vec::new();
+    let (length, status, body) = loop {
+        let mut headers = [httparse::EMPTY_HEADER; 64];
+        let mut head = httparse::Response::new(&mut headers);
+        if let httparse::Status::Complete(length) = head.parse(&seen).expect("an HTTP answer") {
+            match head.code.unwrap_or(0) {
+                100 => drop(seen.drain(..length)),
+                status @ (204 | 304) => break (length, status, Body::Length(0)),
+                status => break (length, status, framing(head.headers, Body::Connection)),
+            }
+        } else if !more(stream, &mut seen) {
+            return None;
         }
     };
-    let text = String::from_utf8_lossy(&seen[..head.len]).into_owned();
-    seen.drain(..head.len);
-    let (mut body, mut read) = (Body::new(head.framing), Vec::new());
-    loop {
-        body.feed(&mut seen, &mut read).expect("a sound body");
-        if body.is_done() {
-            break;
-        }
-        match stream.read(&mut buf) {
-            Ok(0) if body.ends_with_connection() => break,
-            Ok(0) | Err(_) => return None,
-            Ok(got) => seen.extend(&buf[..got]),
-        }
-    }
-    Some(Reply { status: head.status, head: text, body: String::from_utf8_lossy(&read).into_owned() })
+    let head = String::from_utf8_lossy(&seen[..length]).into_owned();
+    seen.drain(..length);
+    let body = read_body(stream, &mut seen, body)?;
+    Some(Reply { status, head, body: String::from_utf8_lossy(&body).into_owned() })
 }
 
 pub fn connect(to: SocketAddr) -> TcpStream {
@@ -155,33 +206,25 @@
     }
 
     fn serve(self: Arc<Node>, mut stream: TcpStream) {
-        let (mut seen, mut buf, mut reused) = (Vec::new(), [0; 4096], false);
+        let (mut seen, mut reused) = (Vec::new(), false);
         loop {
-            let head = match http::read_request(&seen).expect("an HTTP request") {
-                Some(head) => head,
-                None => match stream.read(&mut buf) {
-                    Ok(0) | Err(_) => return,
-                    Ok(read) => {
-                        seen.extend(&buf[..read]);
-                        continue;
-                    }
-                },
-            };
-            let text = |range: std::ops::Range<usize>| String::from_utf8_lossy(&seen[range]).into_owned();
-            let (method, target) = (text(head.method.clone()), text(head.target.clone()));
-            let id = head.fields.text(&seen, "X-Correlation-Id").unwrap_or("").to_owned();
-            let key = head.fields.text(&seen, "Idempotency-Key").unwrap_or("").to_owned();
-            let (mut body, mut read) = (Body::new(head.framing), Vec::new());
-            seen.drain(..head.len);
-            while method == "POST" && !body.is_done() {
-                body.feed(&mut seen, &mut read).expect("a sound body");
-                if !body.is_done() {
-                    match stream.read(&mut buf) {
-                        Ok(0) | Err(_) => return,
-                        Ok(got) => seen.extend(&buf[..got]),
-                    }
+            let mut headers = [httparse::EMPTY_HEADER; 64];
+            let mut head = httparse::Request::new(&mut headers);
+            let httparse::Status::Complete(length) = head.parse(&seen).expect("an HTTP request") else {
+                if more(&mut stream, &mut seen) {
+                    continue;
                 }
-            }
+                return;
+            };
+            let field = |name: &str| {
+                let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+                found.map_or(String::new(), |h| String::from_utf8_lossy(h.value).into_owned())
+            };
+            let (method, target) = (head.method.unwrap_or("").to_owned(), head.path.unwrap_or("").to_owned());
+            let (id, key) = (field("X-Correlation-Id"), field("Idempotency-Key"));
+            let body = framing(head.headers, Body::Length(0));
+            seen.drain(..length);
+            let Some(read) = read_body(&mut stream, &mut seen, body) else { return };
             self.seen.lock().expect("a lock").push(format!("{method} {target} {id} {key}"));
             if method == "DELETE" {
                 let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
