--- a/crates/stand-ins/src/fleet/workers.rs
+++ b/crates/stand-ins/src/fleet/workers.rs
@@ -373,7 +373,8 @@
         let held = Arc::new(Held::default());
         let full = {
             let mut all = self.held.lock().expect("a lock");
-            let full = script.act == Act::Refuse || all.len() >= script.slots + script.queue;
+            let no_room = all.len() >= script.slots + script.queue && script.act != Act::Forget;
+            let full = script.act == Act::Refuse || no_room;
             if !full && script.act != Act::Forget {
                 all.insert(id.clone(), held.clone());
                 let count = all.len();
@@ -497,10 +498,12 @@
         self.tell(link, news).await;
     }
 
-    /// Calls back until it is answered, ten times at most, and not while its link is cut.
+    /// Calls back until it is answered, ten times at most. While its link is cut a try takes as long as a connect that
+    /// does not come up.
     async fn tell(&self, link: &Link, news: Value) {
         for _ in 0..TRIES {
-            if !link.is_silent() && self.call_back(link.dispatcher, &news).await.is_ok() {
+            let through = tokio::time::timeout(HEARD, link.heard()).await.is_ok();
+            if through && self.call_back(link.dispatcher, &news).await.is_ok() {
                 return;
             }
             tokio::time::sleep(TRY_AGAIN).await;
