--- a/crates/coldstart/src/findings.rs
+++ b/crates/coldstart/src/findings.rs
@@ -139,8 +139,8 @@
 
     fn worst(&self) -> Option<(Trouble, u64)> {
         let kinds = [Trouble::Refuses, Trouble::Hangs, Trouble::Resets];
-        let found = kinds.into_iter().map(|kind| (kind, self.trouble[kind as usize]));
-        found.filter(|(_, at)| *at > self.alive).next()
+        let mut found = kinds.into_iter().map(|kind| (kind, self.trouble[kind as usize]));
+        found.find(|(_, at)| *at > self.alive)
     }
 }
 
--- a/crates/coldstart/src/model.rs
+++ b/crates/coldstart/src/model.rs
@@ -560,7 +560,7 @@
             if one.pauses && pacer.next_wake().is_some_and(|at| at <= now) {
                 one.pauses = false;
                 one.paused_until = now + first_pause.unwrap_or(0);
-                return self.later(one_after(now, first_pause), Ev::Wake(place, life));
+                return self.later(now + first_pause.unwrap_or(0), Ev::Wake(place, life));
             }
             let ask = pacer.tick(now);
             self.share(place);
@@ -670,7 +670,7 @@
         }
         let span = match self.how {
             Behaviour::Landed => (within / 8) << failures.min(3),
-            _ => (100 * MS << failures.min(10)).min(10 * SECOND),
+            _ => ((100 * MS) << failures.min(10)).min(10 * SECOND),
         };
         let at = now + self.rng.u64(0..=span);
         self.later(at, Ev::Wake(place, life));
@@ -935,7 +935,7 @@
             tie.idle.push(now);
         } else {
             tie.strikes = (tie.strikes + 1).min(6);
-            tie.until = now + (150 * MS << tie.strikes);
+            tie.until = now + ((150 * MS) << tie.strikes);
         }
         if let Some(confirm) = &mut one.confirm {
             confirm.ended(id as u64, alive, now);
@@ -984,10 +984,6 @@
     }
 }
 
-fn one_after(now: u64, pause: Option<u64>) -> u64 {
-    now + pause.unwrap_or(0)
-}
-
 fn now_of(id: usize, worker: &Worker) -> WorkerNow {
     WorkerNow { tag: id as u64, started: worker.started, per_second: PER_SECOND }
 }
--- a/crates/coldstart/tests/machines.rs
+++ b/crates/coldstart/tests/machines.rs
@@ -229,7 +229,7 @@
                 at += 3 * MS + (at / MS * 31) % (40 * MS);
             }
         }
-        spent.sort_by(|a, b| a.0.cmp(&b.0));
+        spent.sort_by_key(|(at, _)| *at);
         let bounds = Ration::new(set(0, UNIX), 0).expect("sound");
         for (n, (from, _)) in spent.iter().enumerate() {
             let window = spent[n..].iter().take_while(|(at, _)| at - from <= 1_500 * MS);
@@ -307,6 +307,9 @@
     assert!(most_within(&asks(&starts, 10 * S, true), 100 * MS) > 10, "the mutation is not seen");
 }
 
+/// A slot, the bytes of a fact, and whether this is why it is refused.
+type Row = (u32, Vec<u8>, fn(&AbsorbError) -> bool);
+
 #[test]
 fn a_finding_is_refuted_decays_and_what_cannot_be_read_is_refused() {
     let (mut here, mut there) = (Findings::new(0, UNIX, 0), Findings::new(1, UNIX, 0));
@@ -323,7 +326,7 @@
     assert!(there.publish(5 * S).is_some(), "and that is told");
     let weight = |at| there.finding(8, at).map(|f: Finding| f.weight);
     assert!(weight(5 * S) > weight(9 * S) && weight(60 * S).is_none() && there.finding(9, S).is_none());
-    let table: [(u32, Vec<u8>, fn(&AbsorbError) -> bool); 6] = [
+    let table: [Row; 6] = [
         (slot, vec![], |e| *e == AbsorbError::Malformed),
         (slot, vec![9, 0, 0], |e| *e == AbsorbError::Version(9)),
         (slot, vec![1; 161], |e| *e == AbsorbError::TooLong(161)),
--- a/tests/coldstart.rs
+++ b/tests/coldstart.rs
@@ -13,6 +13,8 @@
 const OWN: u64 = 20_000 * SIZE as u64;
 
 type Holds = fn(&Outcome) -> bool;
+/// A case: how its day differs, what has to hold of the pacer alone, and where it hears the others.
+type Row = (&'static str, fn(&mut Scenario), Holds, Holds);
 
 fn spares_the_service(o: &Outcome) -> bool {
     o.peak_after <= 2 * CAN && o.most_out == 1 && o.without == 0 && o.falls == 0
@@ -23,7 +25,7 @@
 fn hard_cases() {
     let soon: Holds = |o| o.calls_each <= 1.5 && o.held_p99 <= 2 * OWN && o.lost == 0;
     let holds: Holds = |o| o.lost == 0;
-    let rows: [(&str, fn(&mut Scenario), Holds, Holds); 11] = [
+    let rows: [Row; 11] = [
         ("all start within 1 s", |_| {}, soon, soon),
         ("7 in 10 killed and restarted at once", |s| s.killed = Some((6 * S, 0.7)), soon, soon),
         (
