fairshare: a pace a second at full worth, so that a tenant at its share does not swing

Under lag all dispatchers opened and closed to a tenant together: served within 30 % of its due over 5 s.

--- a/crates/fairshare/src/ledger.rs
+++ b/crates/fairshare/src/ledger.rs
@@ -17,6 +17,8 @@
 const EPOCHS: usize = 8;
 /// The band widens up to this many times the reckoned use.
 const WIDEST: u64 = 3;
+/// Seconds of its pace that a tenant may be ahead.
+const PACE: f64 = 1.0;
 /// Below the worth of a job that may be within the share.
 const LENT_BELOW: f64 = 0.1;
 
@@ -36,8 +38,8 @@
     class: u8,
     /// Worth and work of all members.
     all: [i128; 2],
-    /// The own use in the measure, over the long and over the short memory.
-    own: [i128; 2],
+    /// The own use in the measure.
+    own: i128,
     /// Members that used it of late, and how much in the measure.
     recent: Vec<(u32, u64)>,
 }
@@ -48,6 +50,9 @@
     key: u32,
     leaf: Option<u32>,
     accounts: Vec<Sums>,
+    /// What this member may still call worth 1, and as of when: it fills at its part of the share. Local, in no report.
+    pace: f64,
+    pace_at: u64,
     /// Lines of members, and own accounts by bucket, that are summed here.
     lines: u32,
 }
@@ -94,7 +99,6 @@
 struct Tally {
     used: Interval,
     own: u64,
-    own_short: u64,
 }
 
 /// The ledger of one member.
@@ -102,12 +106,9 @@
 pub struct Ledger {
     set: Config,
     long: Decay,
-    short: Decay,
     tree: Tree,
     /// What the federation's rate comes to in the account.
     whole: u64,
-    /// Parts of the account that a share has in the short memory.
-    short_part: f64,
     books: Vec<Book>,
     free_books: Vec<u32>,
     by_key: FxHashMap<u32, u32>,
@@ -130,17 +131,16 @@
 impl Ledger {
     /// An empty ledger at time `now`. What was told before, by this place too, comes back as facts.
     pub fn new(set: Config, shares: &Shares, now: u64) -> Result<Ledger, ConfigError> {
-        let halves = [set.half_life, set.short_half_life];
         let spans = [set.bucket, set.publish_every, set.widen];
         let parts = [set.over_share_worth, set.doubt, set.floor];
         if set.me >= set.peers {
             return Err(ConfigError::Place);
         } else if spans.contains(&0) {
             return Err(ConfigError::NoTime);
-        } else if halves.iter().any(|h| !h.is_power_of_two() || *h > 32) {
+        } else if !set.half_life.is_power_of_two() || set.half_life > 32 {
             return Err(ConfigError::HalfLife);
         } else if set.horizon == 0
-            || set.horizon > (30 * set.short_half_life.min(set.half_life)).min(wire::HEAD_BUCKETS as u32)
+            || set.horizon > (30 * set.half_life).min(wire::HEAD_BUCKETS as u32)
             || set.future.max(set.reckon) > wire::HEAD_BUCKETS as u32
         {
             return Err(ConfigError::Horizon);
@@ -152,20 +152,16 @@
         let step = step_of(&set, now);
         let landmark = (step / STEPS).saturating_sub(u64::from(set.horizon));
         let long = Decay::new(set.half_life, set.horizon, landmark);
-        let short = Decay::new(set.short_half_life, set.horizon, landmark);
         let whole =
             u128::from(set.rate) * u128::from(set.bucket) * u128::from(long.memory()) / (1_000_000 << SPAN);
-        if set.rate.max(set.grain) > 1 << 36 || whole > 1 << 56 {
+        if set.rate > 1 << 36 || whole > 1 << 56 {
             return Err(ConfigError::Rate);
         }
-        let short_part = short.memory() as f64 / long.memory() as f64;
         let pace = Pace { every: set.publish_every, facts: set.facts_a_round, horizon: set.horizon.into() };
         let mut ledger = Ledger {
             long,
-            short,
             tree: Tree::default(),
             whole: whole as u64,
-            short_part,
             books: Vec::new(),
             free_books: Vec::new(),
             by_key: FxHashMap::default(),
@@ -251,14 +247,14 @@
 
     /// Adds an amount `sign` times to the sums.
     fn add(&mut self, account: Account, bucket: u64, amount: Amount, sign: i128, own: bool) {
-        let (long, short) = (self.long.weight(bucket) * sign, self.short.weight(bucket) * sign);
+        let weight = self.long.weight(bucket) * sign;
         let measured = i128::from(self.measured(amount));
         let sums = self.sums(account);
         for (sum, amount) in sums.all.iter_mut().zip(amount) {
-            *sum += long * i128::from(amount);
+            *sum += weight * i128::from(amount);
         }
         if own {
-            sums.own = [sums.own[0] + long * measured, sums.own[1] + short * measured];
+            sums.own += weight * measured;
         }
     }
 
@@ -310,14 +306,12 @@
             self.figures.carried += 1;
         }
         let shift = self.long.advance(oldest);
-        let short = self.short.advance(oldest);
-        if shift > 0 || short > 0 {
+        if shift > 0 {
             for sums in self.books.iter_mut().flat_map(|b| &mut b.accounts) {
-                let lost = sums.all.iter().chain(&sums.own[..1]).any(|s| s & ((1 << shift) - 1) != 0)
-                    || sums.own[1] & ((1 << short) - 1) != 0;
+                let lost = [sums.all[0], sums.all[1], sums.own].iter().any(|s| s & ((1 << shift) - 1) != 0);
                 invariant!(self.figures, !lost, "a moved landmark lost a part of a sum");
-                sums.all.iter_mut().for_each(|s| *s >>= shift);
-                sums.own = [sums.own[0] >> shift, sums.own[1] >> short];
+                sums.all = sums.all.map(|sum| sum >> shift);
+                sums.own >>= shift;
             }
         }
         let mut places: Vec<u16> =
@@ -663,11 +657,11 @@
 
     fn tally(&mut self, book: u32, class: Option<u8>) -> Tally {
         let measure = usize::from(self.set.measure == Measure::Work);
-        let (mut sums, mut own, mut extra) = (0, [0; 2], [0u64; 2]);
+        let (mut sums, mut own, mut extra) = (0, 0, [0u64; 2]);
         let accounts = std::mem::take(&mut self.books[book as usize].accounts);
         for account in accounts.iter().filter(|a| class.is_none_or(|class| a.class == class)) {
             sums += account.all[measure];
-            own = [own[0] + account.own[0], own[1] + account.own[1]];
+            own += account.own;
             for (member, recent) in &account.recent {
                 let untold = self.untold(*member);
                 for (extra, untold) in extra.iter_mut().zip(untold) {
@@ -678,11 +672,7 @@
         self.books[book as usize].accounts = accounts;
         let low = self.long.settle(sums, self.step);
         let used = Interval { low, likely: low + extra[0], high: low + extra[1] };
-        Tally {
-            used,
-            own: self.long.settle(own[0], self.step),
-            own_short: self.short.settle(own[1], self.step),
-        }
+        Tally { used, own: self.long.settle(own, self.step) }
     }
 
     /// Once a bucket, what is not used is lent anew.
@@ -722,47 +712,61 @@
         Use { worth, work }
     }
 
-    /// What one more job of this tenant and class is worth, as a part of its class's worth.
+    /// What one more job of this tenant and class is worth, as a part of its class's worth; `amount` is what it would use, in
+    /// units of the measure. Asked once for each job that arrives: a job called worth 1 takes from what may be called so.
     ///
-    /// Within the share by the low end: never below `1 - doubt`. Beyond it: 1 up to the floor; then from below the doubt down
-    /// to `over_share_worth` where all that is lent is used up.
-    pub fn worth(&mut self, tenant: TenantKey, class: u8, now: u64) -> Worth {
+    /// At this member's part of the share a second: 1, and for a tenant that pays back at the part that is left to it, never
+    /// below the floor. Faster than that, within the share by the low end: never below `1 - doubt`. Beyond the share: from
+    /// below that down to `over_share_worth`, where all that is lent is used up.
+    pub fn worth(&mut self, tenant: TenantKey, class: u8, amount: u64, now: u64) -> Worth {
         self.advance(now);
         self.lend();
-        let over = self.set.over_share_worth;
+        let (over, doubt) = (self.set.over_share_worth, self.set.doubt);
         let found = self.tree.by_key.get(&tenant.0).copied().zip(self.by_key.get(&tenant.0).copied());
         let Some((leaf, book)) = found else {
             self.figures.unknown += 1;
             return Worth { part: over, tier: Tier::Over };
         };
-        let tally = self.tally(book, None);
+        let Tally { used, own } = self.tally(book, None);
+        let Interval { low, likely, .. } = used;
         let leaf = &self.tree.leaves[leaf as usize];
-        let (share, due, low) = (leaf.share, leaf.due, tally.used.low);
-        let class_share = leaf.class_share(class);
-        // The part of the share that is this member's to give without asking: as much as it gave of late.
-        let mine = to_part((tally.own as f64 / low.max(1) as f64).max(1.0 / self.voices as f64));
-        let short_share = share as f64 * self.short_part * mine;
-        if share > 0 && low <= share {
-            let likely = tally.used.likely;
-            let by_all = if likely > share { (likely - share) as f64 / (likely - low) as f64 } else { 0.0 };
-            let room = short_share + 2.0 * self.set.grain as f64;
-            let by_own = to_part((tally.own_short as f64 - room) / room.max(1.0));
-            return Worth { part: 1.0 - self.set.doubt * by_all.max(by_own), tier: Tier::Within };
-        }
-        if share > 0 && tally.own_short as f64 <= self.set.floor * short_share {
-            return Worth { part: 1.0, tier: Tier::Floor };
+        let (share, due, class_share) = (leaf.share, leaf.due, leaf.class_share(class));
+        if share > 0 {
+            // The part of the share that is this member's to give without asking: as much as it gave of late.
+            let mine = to_part((own as f64 / low.max(1) as f64).max(1.0 / self.voices as f64));
+            let pays_back = (2.0 - low as f64 / share as f64).clamp(self.set.floor, 1.0);
+            let tier = if low <= share { Tier::Within } else { Tier::Floor };
+            if self.pace(book, share as f64 * mine * pays_back, amount as f64) {
+                return Worth { part: 1.0, tier };
+            } else if tier == Tier::Within {
+                let doubted =
+                    if likely > share { (likely - share) as f64 / (likely - low) as f64 } else { 0.0 };
+                return Worth { part: 1.0 - doubt * (1.0 + doubted) / 2.0, tier };
+            }
         }
         if class_share > 0 && self.tally(book, Some(class)).used.low <= class_share {
-            return Worth { part: 1.0 - self.set.doubt, tier: Tier::Within };
+            return Worth { part: 1.0 - doubt, tier: Tier::Within };
         }
         if low < due {
             let left = (due - low) as f64 / (due - share) as f64;
-            let most = (1.0 - self.set.doubt - LENT_BELOW).max(over);
+            let most = (1.0 - doubt - LENT_BELOW).max(over);
             return Worth { part: over + (most - over) * left, tier: Tier::Lent };
         }
         Worth { part: over, tier: Tier::Over }
     }
 
+    /// Whether one more job of a tenant is within its pace here, and then takes it from that: a bucket of tokens that is
+    /// filled at so much in the account, up to [`PACE`] seconds' worth, and that a job may overdraw.
+    fn pace(&mut self, book: u32, mine: f64, amount: f64) -> bool {
+        let (now, a_second) = (self.now, mine * 1e6 / self.memory() as f64);
+        let book = &mut self.books[book as usize];
+        let since = (now - book.pace_at.min(now)) as f64 / 1e6;
+        (book.pace, book.pace_at) = ((book.pace + since * a_second).min((a_second * PACE).max(amount)), now);
+        let room = book.pace > 0.0;
+        book.pace -= if room { amount } else { 0.0 };
+        room
+    }
+
     /// The account's length in microseconds: a steady flow stands in the account as its rate times this.
     pub fn memory(&self) -> u64 {
         ((u128::from(self.long.memory()) * u128::from(self.set.bucket)) >> SPAN) as u64
--- a/crates/fairshare/src/lib.rs
+++ b/crates/fairshare/src/lib.rs
@@ -64,16 +64,12 @@
     pub horizon: u32,
     /// Use counts half after so many buckets: 1, 2, 4 .. 32.
     pub half_life: u32,
-    /// Own use of late counts half after so many buckets, where bursts are told from a steady flow: 1, 2, 4 .. 32.
-    pub short_half_life: u32,
     /// A report of a bucket that is farther than this in the future is refused: clocks are off by less.
     pub future: u32,
     /// What the whole federation can do, in units of the measure a second.
     pub rate: u64,
     /// What shares are counted in.
     pub measure: Measure,
-    /// A large job, in units of the measure: no tenant is put last for one or two of these.
-    pub grain: u64,
     /// The worth of a job beyond all that its tenant may have, as a part of its class's worth.
     pub over_share_worth: f64,
     /// How much less than its class's worth a job counts, at most, where its tenant may be within its share or not.
@@ -107,11 +103,9 @@
             bucket: 2_000_000,
             horizon: 60,
             half_life: 8,
-            short_half_life: 2,
             future: 3,
             rate: 0,
             measure: Measure::Worth,
-            grain: 0,
             over_share_worth: 0.1,
             doubt: 0.1,
             floor: 0.5,
@@ -141,7 +135,7 @@
     /// A half-life is no power of two from 1 to 32.
     #[error("a half-life is not 1, 2, 4, 8, 16 or 32 buckets")]
     HalfLife,
-    /// The horizon is 0, above 64, or more than 30 short half-lives; or `future` or `reckon` is above 64.
+    /// The horizon is 0, above 64, or more than 30 half-lives; or `future` or `reckon` is above 64.
     #[error("the horizon is out of range")]
     Horizon,
     /// A part is not from 0 to 1.
@@ -150,7 +144,7 @@
     /// `pages` is 0 or above [`MOST_PAGES`], or `facts_a_round` is 0.
     #[error("no or too many pages")]
     Pages,
-    /// `rate` or `grain` is above 2^36, or what the federation can do in a horizon is out of range.
+    /// `rate` is above 2^36, or what the federation can do in a horizon is out of range.
     #[error("the rate is out of range")]
     Rate,
 }
@@ -234,7 +228,7 @@
 pub enum Tier {
     /// Within the share, perhaps with doubt: never refused for what might be.
     Within,
-    /// Beyond it, but at or below the floor of one that pays back.
+    /// Beyond it: paying back, at the pace that is left to it.
     Floor,
     /// Beyond it, within what is lent.
     Lent,
