--- a/examples/proof_fairshare.rs
+++ b/examples/proof_fairshare.rs
@@ -276,7 +276,9 @@
         let joined = |a: usize, b: usize| !cut || west(a) == west(b);
         if tick % TICKS == 0 {
             let none = || vec![0; TENANTS.len()];
-            (out.served.push(none()), out.by_right.push(none()), out.due.push(vec![0.0; TENANTS.len()]));
+            out.served.push(none());
+            out.by_right.push(none());
+            out.due.push(vec![0.0; TENANTS.len()]);
             if let Some((who, killed, back)) = story.killed {
                 if second == killed {
                     all[who].up = false;
