--- a/src/share.rs
+++ b/src/share.rs
@@ -63,8 +63,12 @@
     pub mates: Vec<u32>,
     /// The group's part of the ready workers, by the short tags that messages name them by.
     workers: BTreeMap<u16, WorkerId>,
-    /// The same workers in a list, to draw from by place.
+    /// The same workers by number, those of the same short tag as another one too.
     part: Vec<WorkerId>,
+    /// Where in `part` the first dealt is, the second, and so on: places to draw by.
+    places: Vec<usize>,
+    /// Whether a worker, by its number, is in `workers`.
+    named: Vec<bool>,
     /// The group of each ready worker.
     owners: BTreeMap<WorkerId, u32>,
     /// All ready workers, by their short tags.
@@ -127,8 +131,8 @@
         let (mut sorted, groups) = (ready.to_vec(), u64::from(self.groups.max(1)));
         sorted.sort_unstable_by_key(|k| (k.zone, k.started_at, k.tag));
         self.workers.clear();
-        self.part.clear();
         self.owners.clear();
+        let mut dealt = Vec::new();
         self.news |= self.lends();
         self.listed = ready.iter().map(|k| (short(k.tag), k.worker)).collect();
         for zone in sorted.chunk_by(|a, b| a.zone == b.zone) {
@@ -141,26 +145,40 @@
                 self.owners.insert(known.worker, group as u32);
                 if group == u64::from(self.group) {
                     self.workers.insert(short(known.tag), known.worker);
-                    self.part.push(known.worker);
+                    dealt.push(known.worker);
                 }
             }
         }
+        self.part.clone_from(&dealt);
+        self.part.sort_unstable();
+        self.places = dealt.iter().filter_map(|worker| self.part.binary_search(worker).ok()).collect();
+        self.named = vec![false; self.part.last().map_or(0, |worker| worker.0 as usize + 1)];
+        self.workers.values().for_each(|worker| self.named[worker.0 as usize] = true);
     }
 
     /// `most` of the group's workers drawn at random, every set of that size as likely; all of them if there are no
-    /// more, with no number drawn. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9),
+    /// more, with no number drawn; in the order of their numbers. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9),
     /// 1987): `most` draws and no walk through the part, so the cost does not grow with the fleet.
     pub fn sample(&self, rng: &mut fastrand::Rng, most: usize) -> Vec<WorkerId> {
         let part: &[WorkerId] = if self.on() { &self.part } else { &[] };
         if part.len() <= most {
             return part.to_vec();
         }
-        let mut places: Vec<usize> = Vec::with_capacity(most);
+        let mut drawn = vec![0_u64; part.len().div_ceil(64)];
+        let bit = |place: usize| (self.places[place] / 64, 1_u64 << (self.places[place] % 64));
         for last in part.len() - most..part.len() {
-            let place = rng.usize(..=last);
-            places.push(if places.contains(&place) { last } else { place });
+            let (word, mask) = bit(rng.usize(..=last));
+            let (word, mask) = if drawn[word] & mask == 0 { (word, mask) } else { bit(last) };
+            drawn[word] |= mask;
         }
-        places.into_iter().map(|place| part[place]).collect()
+        let mut sample = Vec::with_capacity(most);
+        for (word, mut bits) in drawn.into_iter().enumerate() {
+            while bits != 0 {
+                sample.push(part[word * 64 + bits.trailing_zeros() as usize]);
+                bits &= bits - 1;
+            }
+        }
+        sample
     }
 
     /// The group's workers.
@@ -175,10 +193,11 @@
 
     /// What others have out, by what they have said, at a worker of the group, in slots; `None` for another worker.
     pub fn load(&self, known: &RosterEntry, now: Micros) -> Option<f64> {
-        let tag = short(known.tag);
-        if !self.on() || !self.has(tag, known.worker) {
+        // As `has` would say, in one step: this is asked for every worker that is ranked.
+        if !self.on() || !self.named.get(known.worker.0 as usize).is_some_and(|named| *named) {
             return None;
         }
+        let tag = short(known.tag);
         let offered = self.offered.iter().filter(|(_, at, until)| *at == tag && now < *until);
         let out = self.fresh(now).flat_map(|(_, said)| &said.out).filter(|t| **t == tag);
         Some((out.count() + offered.count()) as f64)
