--- a/tests/conformance/table.rs
+++ b/tests/conformance/table.rs
@@ -108,8 +108,8 @@
     for (n, step) in row.steps.iter().enumerate() {
         let seen = machine.step(step.act.clone())?;
         if step.then.as_ref().is_some_and(|then| !are(&seen, then)) {
-            let (act, then) = (step.act.to_string(), step.then.as_ref());
-            return Err(format!("step {n}, {}: {seen:?}, expected {then:?} (seed {seed})", act.trim()));
+            let (act, then) = (Value::Table(step.act.clone()), step.then.as_ref());
+            return Err(format!("step {n}, {act}: {seen:?}, expected {then:?} (seed {seed})"));
         }
     }
     Ok(())
