bench-decision stands on the tests' Node and measures the module's time alone

It had a rig of its own, since Node kept alarms in a list that it scanned and every action that it was given. Node keeps alarms in a heap, in the order set where due together, and no actions (no test read them).

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -5,121 +5,54 @@
 //! dispatcher is one of 30 in a fleet, so that the groups of `src/share.rs` are dealt and reviewed as on the mass
 //! days. The last line gives the ratio of the time a job at 10,000 workers to that at 10 (issue 21 asks 4 or less).
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{MS, Node, worker};
 use criterion::{BenchmarkId, Criterion, Throughput};
 use mothproxy::interface::*;
-use mothproxy::rules::Dispatcher;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
 const SIZES: [u32; 4] = [10, 100, 1_000, 10_000];
-const MS: Micros = 1_000;
-
-/// A hand-driven dispatcher whose workers answer at once.
-struct Rig {
-    dispatcher: Dispatcher,
-    now: Micros,
-    alarms: BinaryHeap<Reverse<(Micros, u64)>>,
-    attempts: HashMap<u64, u32>,
-    acts: Vec<Action>,
-    next: u64,
-}
+const WARM_UP: u64 = 2_000;
 
-fn report() -> Report {
-    Report { cpu: Some(0.3), free_slots: Some(4.0), active: Some(1.0), ..Report::default() }
+/// One of 30 dispatchers over workers that answer at once, past the cold start and the first probes.
+fn steady(workers: u32) -> Node {
+    let mut node = Node::new(Settings { nodes: 30, may_probe: true, may_tell: true, ..Settings::default() });
+    let entry = |w: u32| RosterEntry {
+        tag: u64::from(w).wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        zone: ZoneId((w % 3) as u16),
+        cell: CellId(w % 16),
+        ..worker(w)
+    };
+    let list = (0..workers).map(entry).collect();
+    let acts = node.feed(Event::Roster(RosterKind::Whole, list));
+    follow(&mut node, acts);
+    (0..WARM_UP).for_each(|n| cycle(&mut node, n));
+    node
 }
 
-impl Rig {
-    fn new(workers: u32) -> Rig {
-        let settings = Settings { me: 0, nodes: 30, may_probe: true, may_tell: true, ..Settings::default() };
-        let dispatcher = Dispatcher::new(settings, 7).expect("the default settings agree");
-        let mut rig = Rig {
-            dispatcher,
-            now: 1_000 * MS,
-            alarms: BinaryHeap::new(),
-            attempts: HashMap::new(),
-            acts: Vec::new(),
-            next: 0,
-        };
-        let entries = (0..workers)
-            .map(|w| RosterEntry {
-                worker: WorkerId(w),
-                tag: u64::from(w).wrapping_mul(0x9E37_79B9_7F4A_7C15),
-                zone: ZoneId((w % 3) as u16),
-                kind: KindId(0),
-                cell: CellId(w % 16),
-                status: Status::Ready,
-                weight: 1.0,
-                started_at: None,
-            })
-            .collect();
-        rig.feed(Event::Roster(RosterKind::Whole, entries));
-        // Past the cold start and the first probes, into the steady state.
-        (0..2_000).for_each(|_| rig.job());
-        rig
-    }
-
-    /// Feeds one event and everything that it leads to at once.
-    fn feed(&mut self, first: Event) {
-        let mut pending = vec![first];
-        while let Some(event) = pending.pop() {
-            self.dispatcher.handle(self.now, event, &mut self.acts);
-            for act in self.acts.drain(..) {
-                match act {
-                    Action::SetAlarm(id, after) => self.alarms.push(Reverse((self.now + after.max(1), id.0))),
-                    Action::Probe(worker) => pending.push(Event::Probed(Probed {
-                        worker,
-                        outcome: Outcome::Ok,
-                        elapsed: 300,
-                        report: Some(report()),
-                    })),
-                    Action::Send { job, worker, .. } => {
-                        let attempt = self.attempts.entry(job.0).or_insert(0);
-                        pending.push(Event::Ended(Ended {
-                            job,
-                            attempt: *attempt,
-                            worker,
-                            elapsed: 50 * MS,
-                            closed: true,
-                            outcome: Outcome::Ok,
-                            report: Some(report()),
-                        }));
-                        *attempt += 1;
-                    }
-                    Action::Refuse { job, .. } | Action::Fail(job) => {
-                        self.attempts.remove(&job.0);
-                    }
-                    _ => {}
-                }
+/// Does what was asked, and what that leads to: probes and jobs are answered, with a report.
+fn follow(node: &mut Node, mut acts: Vec<Action>) {
+    let report = Report { cpu: Some(0.3), free_slots: Some(4.0), active: Some(1.0), ..Report::default() };
+    while let Some(act) = acts.pop() {
+        acts.extend(match act {
+            Action::Probe(worker) => node.echo(worker.0, Outcome::Ok, Some(report)),
+            // Each attempt is served, so it is its job's first.
+            Action::Send { job, worker, .. } => {
+                node.end_told(job.0, 0, worker, Outcome::Ok, 50 * MS, Some(report))
             }
-        }
+            _ => Vec::new(),
+        });
     }
+}
 
-    /// One job's whole cycle, and a millisecond of the clock.
-    fn job(&mut self) {
-        let job = JobId(self.next);
-        self.next += 1;
-        self.feed(Event::Arrived(NewJob {
-            job,
-            class: ClassId(0),
-            tenant: None,
-            key: None,
-            deadline: self.now + 5_000 * MS,
-            hint: Some(50 * MS),
-            slots: 1.0,
-            memory: None,
-            repeat: false,
-        }));
-        self.attempts.remove(&job.0);
-        self.now += MS;
-        while let Some(&Reverse((at, id))) = self.alarms.peek() {
-            if at > self.now {
-                break;
-            }
-            self.alarms.pop();
-            self.feed(Event::Alarm(AlarmId(id)));
-        }
-    }
+/// One job's whole cycle, and a millisecond of the clock.
+fn cycle(node: &mut Node, job: u64) {
+    let acts = node.arrive_sized(job, 0, 5_000 * MS, 50 * MS);
+    follow(node, acts);
+    let acts = node.pass(MS);
+    follow(node, acts);
 }
 
 fn mean_ns(workers: u32) -> Option<f64> {
@@ -137,8 +70,17 @@
     let mut group = criterion.benchmark_group("decision");
     group.throughput(Throughput::Elements(1));
     for workers in SIZES {
-        let mut rig = Rig::new(workers);
-        group.bench_with_input(BenchmarkId::from_parameter(workers), &workers, |b, _| b.iter(|| rig.job()));
+        let (mut node, mut job) = (steady(workers), WARM_UP);
+        group.bench_with_input(BenchmarkId::from_parameter(workers), &workers, |b, _| {
+            b.iter_custom(|jobs| {
+                node.spent = Duration::ZERO;
+                for _ in 0..jobs {
+                    cycle(&mut node, job);
+                    job += 1;
+                }
+                node.spent
+            })
+        });
     }
     group.finish();
     criterion.final_summary();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,14 +2,17 @@
 #![allow(dead_code)]
 
 use mothproxy::*;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 pub const MS: Micros = 1_000;
 
 pub struct Node {
     pub dispatcher: Dispatcher,
     pub now: Micros,
-    pub actions: Vec<Action>,
-    pub alarms: Vec<(Micros, AlarmId)>,
+    /// When they are due, the first set first, and how many were set.
+    pub alarms: BinaryHeap<Reverse<(Micros, u64, AlarmId)>>,
+    pub alarms_set: u64,
     /// The time that the module has taken.
     pub spent: std::time::Duration,
 }
@@ -22,7 +25,7 @@
     pub fn seeded(settings: Settings, seed: u64) -> Node {
         let dispatcher = Dispatcher::new(settings, seed).expect("settings agree");
         let spent = std::time::Duration::ZERO;
-        Node { dispatcher, now: 1_000 * MS, actions: Vec::new(), alarms: Vec::new(), spent }
+        Node { dispatcher, now: 1_000 * MS, alarms: BinaryHeap::new(), alarms_set: 0, spent }
     }
 
     /// Feeds one event and returns what it led to; alarms are kept for `pass`.
@@ -33,10 +36,10 @@
         self.spent += begun.elapsed();
         for action in &actions {
             if let Action::SetAlarm(id, after) = action {
-                self.alarms.push((self.now + after, *id));
+                self.alarms.push(Reverse((self.now + after, self.alarms_set, *id)));
+                self.alarms_set += 1;
             }
         }
-        self.actions.extend(actions.iter().cloned());
         actions
     }
 
@@ -44,11 +47,8 @@
     pub fn pass(&mut self, span: Micros) -> Vec<Action> {
         let until = self.now + span;
         let mut all = Vec::new();
-        while let Some(next) = (0..self.alarms.len()).min_by_key(|i| self.alarms[*i].0) {
-            if self.alarms[next].0 > until {
-                break;
-            }
-            let (at, id) = self.alarms.remove(next);
+        while let Some(Reverse((at, _, id))) = self.alarms.peek().copied().filter(|next| next.0.0 <= until) {
+            self.alarms.pop();
             self.now = self.now.max(at);
             all.extend(self.feed(Event::Alarm(id)));
         }
@@ -94,16 +94,21 @@
     }
 
     pub fn end(&mut self, job: u64, attempt: u32, worker: WorkerId, outcome: Outcome) -> Vec<Action> {
+        self.end_told(job, attempt, worker, outcome, 5 * MS, None)
+    }
+
+    /// An attempt ends after this long, with a report of its worker perhaps.
+    pub fn end_told(
+        &mut self,
+        job: u64,
+        attempt: u32,
+        worker: WorkerId,
+        outcome: Outcome,
+        elapsed: Micros,
+        report: Option<Report>,
+    ) -> Vec<Action> {
         let (job, closed) = (JobId(job), outcome == Outcome::Ok);
-        self.feed(Event::Ended(Ended {
-            job,
-            attempt,
-            worker,
-            elapsed: 5 * MS,
-            closed,
-            outcome,
-            report: None,
-        }))
+        self.feed(Event::Ended(Ended { job, attempt, worker, elapsed, closed, outcome, report }))
     }
 }
 
