--- a/tests/conformance/decision.rs
+++ b/tests/conformance/decision.rs
@@ -1,7 +1,7 @@
 //! The decision module, driven by a table: settings and workers, then reports, jobs, ends and the passing of time.
 
 use crate::common::{MS, Node, worker};
-use crate::table::{Machine, Row, beyond, read, run};
+use crate::table::{Machine, Row, beyond, judge, play, read};
 use mothproxy::*;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -265,7 +265,7 @@
             let fails = |row: &Row| {
                 let mut machine = Decision::new(row.given.clone(), 1).expect("a situation");
                 machine.rival = Some(decide);
-                run(&mut machine, row, 1).is_err()
+                judge(row, &play(machine, row)).is_err()
             };
             let caught = sheet.row.iter().filter(|row| row.of == clause).any(fails);
             assert!(caught, "{name}.toml: a balancer that takes {rival} meets every row of {clause}");
--- a/tests/conformance/main.rs
+++ b/tests/conformance/main.rs
@@ -7,15 +7,18 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod decision;
+mod membership;
 mod silence;
 mod table;
 
 use decision::Decision;
+use membership::Members;
 use silence::Silence;
 use table::{hold, report, turn_round};
 
 const DESIGN: &str = include_str!("design.toml");
 const RULES: &str = include_str!("rules.toml");
+const MEMBERSHIP: &str = include_str!("membership.toml");
 const SILENCE: &str = include_str!("silence.toml");
 
 #[test]
@@ -33,11 +36,17 @@
     hold::<Silence>("silence", SILENCE);
 }
 
+#[test]
+fn the_states_of_membership_hold() {
+    hold::<Members>("membership", MEMBERSHIP);
+}
+
 #[test]
 fn an_expectation_turned_round_fails() {
     turn_round::<Decision>("design", DESIGN);
     turn_round::<Decision>("rules", RULES);
     turn_round::<Silence>("silence", SILENCE);
+    turn_round::<Members>("membership", MEMBERSHIP);
 }
 
 /// No clause of the page is one that a balancer which never heard of it would meet.
--- a/tests/conformance/table.rs
+++ b/tests/conformance/table.rs
@@ -106,20 +106,41 @@
     found && left.is_empty()
 }
 
-/// Plays a row with one seed.
-pub fn play<M: Machine>(row: &Row, seed: u64) -> Result<(), String> {
-    run(&mut M::new(row.given.clone(), seed)?, row, seed)
+/// What came of each step of a row, up to one that could not be taken, and why not.
+pub struct Played {
+    seen: Vec<Vec<String>>,
+    fault: Option<String>,
+}
+
+/// Takes all steps of a row; what they lead to does not depend on what is expected.
+pub fn play<M: Machine>(mut machine: M, row: &Row) -> Played {
+    let mut played = Played { seen: Vec::new(), fault: None };
+    for step in &row.steps {
+        match machine.step(step.act.clone()) {
+            Ok(seen) => played.seen.push(seen),
+            Err(fault) => {
+                played.fault = Some(fault);
+                break;
+            }
+        }
+    }
+    played
 }
 
-pub fn run<M: Machine>(machine: &mut M, row: &Row, seed: u64) -> Result<(), String> {
-    for (n, step) in row.steps.iter().enumerate() {
-        let seen = machine.step(step.act.clone())?;
-        if step.then.as_ref().is_some_and(|then| !are(&seen, then)) {
+/// Whether that is what the row expects.
+pub fn judge(row: &Row, played: &Played) -> Result<(), String> {
+    for (n, (step, seen)) in row.steps.iter().zip(&played.seen).enumerate() {
+        if step.then.as_ref().is_some_and(|then| !are(seen, then)) {
             let (act, then) = (Value::Table(step.act.clone()), step.then.as_ref());
-            return Err(format!("step {n}, {act}: {seen:?}, expected {then:?} (seed {seed})"));
+            return Err(format!("step {n}, {act}: {seen:?}, expected {then:?}"));
         }
     }
-    Ok(())
+    played.fault.clone().map_or(Ok(()), Err)
+}
+
+fn holds<M: Machine>(row: &Row, seed: u64) -> Result<(), String> {
+    let machine = M::new(row.given.clone(), seed)?;
+    judge(row, &play(machine, row)).map_err(|fault| format!("{fault} (seed {seed})"))
 }
 
 /// Everything that is wrong with a table.
@@ -147,7 +168,7 @@
         if row.steps.iter().all(|step| step.then.is_none()) {
             faults.push(format!("{of}: {says}: it expects nothing"));
         }
-        let fault = (1..=M::SEEDS).find_map(|seed| play::<M>(row, seed).err());
+        let fault = (1..=M::SEEDS).find_map(|seed| holds::<M>(row, seed).err());
         faults.extend(fault.map(|fault| format!("{of}: {says}: {fault}")));
     }
     faults
@@ -188,12 +209,17 @@
     let sheet = read(text).expect("a table");
     let mut turns = 0;
     for row in &sheet.row {
-        for other in turned::<M>(row) {
-            turns += 1;
-            for seed in 1..=M::SEEDS {
-                let held = play::<M>(&other, seed).is_ok();
-                assert!(!held, "{name}.toml, {}: {}: passes turned round (seed {seed})", row.of, row.says);
-            }
+        let all = turned::<M>(row);
+        turns += all.len();
+        for seed in 1..=M::SEEDS {
+            let played = play(M::new(row.given.clone(), seed).expect("a situation"), row);
+            let held = all.iter().find(|other| judge(other, &played).is_ok());
+            assert!(
+                held.is_none(),
+                "{name}.toml, {}: {}: passes turned round (seed {seed})",
+                row.of,
+                row.says
+            );
         }
     }
     println!("{name}.toml: {} clauses, {} rows, {turns} turned round", sheet.clause.len(), sheet.row.len());
