--- a/tests/conformance/main.rs
+++ b/tests/conformance/main.rs
@@ -7,18 +7,24 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod decision;
+mod fairshare;
 mod membership;
+mod runtimes;
 mod silence;
 mod table;
 
 use decision::Decision;
+use fairshare::Fair;
 use membership::Members;
+use runtimes::Estimates;
 use silence::Silence;
 use table::{hold, report, turn_round};
 
 const DESIGN: &str = include_str!("design.toml");
 const RULES: &str = include_str!("rules.toml");
+const FAIRSHARE: &str = include_str!("fairshare.toml");
 const MEMBERSHIP: &str = include_str!("membership.toml");
+const RUNTIMES: &str = include_str!("runtimes.toml");
 const SILENCE: &str = include_str!("silence.toml");
 
 #[test]
@@ -41,12 +47,24 @@
     hold::<Members>("membership", MEMBERSHIP);
 }
 
+#[test]
+fn the_rules_of_run_times_hold() {
+    hold::<Estimates>("runtimes", RUNTIMES);
+}
+
+#[test]
+fn the_rules_of_fair_shares_hold() {
+    hold::<Fair>("fairshare", FAIRSHARE);
+}
+
 #[test]
 fn an_expectation_turned_round_fails() {
     turn_round::<Decision>("design", DESIGN);
     turn_round::<Decision>("rules", RULES);
     turn_round::<Silence>("silence", SILENCE);
     turn_round::<Members>("membership", MEMBERSHIP);
+    turn_round::<Estimates>("runtimes", RUNTIMES);
+    turn_round::<Fair>("fairshare", FAIRSHARE);
 }
 
 /// No clause of the page is one that a balancer which never heard of it would meet.
