--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,11 @@
 
 proof-runtimes: build-proof
 	target/release/examples/proof_runtimes
+
+# A stand-in fleet, the dispatcher and a small load on loopback, with a page that follows a job.
+demo: build
+	cargo run --locked --release -q -p mothproxy-stand-ins --bin demo
+
+# The module's time for one job at 10 to 10,000 workers; the last line gives the ratio of 10,000 to 10.
+bench-decision:
+	cargo bench --locked --bench decision
