--- a/crates/runtimes/src/estimator.rs
+++ b/crates/runtimes/src/estimator.rs
@@ -17,7 +17,7 @@
 /// A fit after this long where anything changed, and so much more for each register, µs: a fit's cost grows with them.
 /// Where an eighth of what it rests on is new, it may come five times as soon.
 const FIT_EVERY: u64 = 1_000_000;
-const FIT_MORE: u64 = 500;
+const FIT_MORE: u64 = 1_000;
 /// A cell of all that a request carries is summed up once it was seen so often of late; most such never come again.
 const ADMIT: u8 = 4;
 const DOOR: usize = 4_096;
--- a/examples/proof_runtimes.rs
+++ b/examples/proof_runtimes.rs
@@ -210,6 +210,7 @@
     under_way: BinaryHeap<Reverse<(u64, u64, u16)>>,
     letters: BTreeMap<u64, (Origin, u32, u64, Vec<u8>)>,
     number: u64,
+    posted: u64,
 }
 
 impl Carrier {
@@ -220,11 +221,13 @@
             under_way: BinaryHeap::new(),
             letters: BTreeMap::new(),
             number: 0,
+            posted: 0,
         }
     }
 
     fn post(&mut self, now: u64, to: u16, letter: (Origin, u32, u64, Vec<u8>)) {
-        let id = self.letters.len() as u64;
+        let id = self.posted;
+        self.posted += 1;
         self.letters.insert(id, letter);
         self.under_way.push(Reverse((now + self.rng.u64(..2 * S), id, to)));
     }
@@ -241,13 +244,15 @@
 
     /// Once a second: each member hears some slots at random again.
     fn repair(&mut self, now: u64, members: u16, each: usize) {
-        let all: Vec<_> = self.slots.iter().map(|(k, v)| (v.0, k.1, v.1, v.2.clone())).collect();
+        let all: Vec<_> = self.slots.iter().collect();
+        let mut picked = Vec::new();
         for to in 0..members {
             for _ in 0..each.min(all.len()) {
-                let letter = all[self.rng.usize(..all.len())].clone();
-                self.post(now, to, letter);
+                let (key, told) = all[self.rng.usize(..all.len())];
+                picked.push((to, (told.0, key.1, told.1, told.2.clone())));
             }
         }
+        picked.into_iter().for_each(|(to, letter)| self.post(now, to, letter));
     }
 
     fn deliver(&mut self, now: u64, members: &mut [Runtimes]) {
@@ -256,7 +261,7 @@
                 break;
             }
             self.under_way.pop();
-            let letter = &self.letters[&id];
+            let Some(letter) = self.letters.remove(&id) else { continue };
             let refused = members[usize::from(to)].absorb(at, letter.0, letter.1, letter.2, &letter.3);
             assert_eq!(refused, Ok(()), "a fact told by a member must be readable");
         }
@@ -381,7 +386,7 @@
     day.bytes_a_second = first.told_bytes as f64 / PARTS[4].1 as f64;
     day.memory = all.iter().map(|one| one.figures().bytes).max().unwrap_or(0);
     day.registers = first.registers;
-    day.facts = carrier.letters.len() as u64;
+    day.facts = carrier.posted;
     day.cut_off = first.censored as f64 / first.seen as f64;
     day.first = all.swap_remove(0);
     day
