--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -335,7 +335,9 @@
                 .and_then(|job| self.learners.estimate(&job)),
             worth: {
                 let tenant = new.tenant.and_then(|t| self.names.0.tenants.names().get(usize::from(t.0)));
-                self.learners.worth(now, tenant.map(String::as_str), new.class.0)
+                let points =
+                    self.dispatcher.set.classes.get(usize::from(new.class.0)).map_or(0.0, |c| c.points);
+                self.learners.worth(now, tenant.map(String::as_str), new.class.0, points)
             },
         };
         let session = Session {
--- a/src/fleet/learners.rs
+++ b/src/fleet/learners.rs
@@ -99,10 +99,11 @@
         self.runtimes.is_some() || self.shares.is_some()
     }
 
-    /// What one more job of this tenant and class is worth, as a part of its class's worth, where shares are kept.
-    pub fn worth(&mut self, now: Micros, tenant: Option<&str>, class: u16) -> Option<f64> {
+    /// What one more job of this tenant and class, of so many points, is worth as a part of them, where shares are kept.
+    pub fn worth(&mut self, now: Micros, tenant: Option<&str>, class: u16, points: f64) -> Option<f64> {
         let class = u8::try_from(class).unwrap_or(u8::MAX);
-        let worth = self.shares.as_mut()?.worth(TenantKey::of(tenant?), class, now);
+        let amount = (points * POINT).max(0.0) as u64; // the measure is worth: see `Config::new` of the crate
+        let worth = self.shares.as_mut()?.worth(TenantKey::of(tenant?), class, amount, now);
         Some(worth.part)
     }
 
--- a/src/share.rs
+++ b/src/share.rs
@@ -245,8 +245,8 @@
     }
 
     /// `most` of the group's workers drawn at random, every set of that size as likely; all of them if there are no
-    /// more, with no number drawn; in the order of their numbers. Floyd's algorithm (Bentley and Floyd, "A sample of brilliance", CACM 30(9),
-    /// 1987): `most` draws and no walk through the part, so the cost does not grow with the fleet.
+    /// more, with no number drawn; in the order of their numbers. Floyd's algorithm (Bentley and Floyd, "A sample of
+    /// brilliance", CACM 30(9), 1987): `most` draws and no walk through the part, so the cost does not grow with the fleet.
     pub fn sample(&self, rng: &mut fastrand::Rng, most: usize) -> Vec<WorkerId> {
         let part: &[WorkerId] = if self.on() { &self.part } else { &[] };
         if part.len() <= most {
--- a/tests/conformance/decision.rs
+++ b/tests/conformance/decision.rs
@@ -364,6 +364,8 @@
                     slots: new.slots,
                     memory: new.memory,
                     repeat: false,
+                    estimate: None,
+                    worth: None,
                 }))
             }
             Verb::End { job, outcome, attempt, took, report } => {
--- a/tests/conformance/fairshare.rs
+++ b/tests/conformance/fairshare.rs
@@ -167,7 +167,7 @@
                 return Ok(words.map(|(name, n)| format!("{name} {:.0}", n as f64 / memory)).to_vec());
             }
             Verb::Worth { at, tenant } => {
-                let worth = self.members[at].ledger.worth(key(&tenant), 0, now);
+                let worth = self.members[at].ledger.worth(key(&tenant), 0, 1, now);
                 let tier = match worth.tier {
                     Tier::Within => "within",
                     Tier::Floor => "floor",
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -170,12 +170,13 @@
     let settings = Settings { tells_start: true, classes: vec![class(Effect::Pure)], ..Settings::default() };
     let mut node = Node::new(settings);
     node.roster(vec![worker(0)]);
+    let mut actions = Vec::new();
     for job in 1..=6 {
-        node.arrive(job, 0, 5_000 * MS);
-        node.feed(Event::Started { job: JobId(job), attempt: 0 });
-        node.pass(MS);
+        actions.extend(node.arrive(job, 0, 5_000 * MS));
+        actions.extend(node.feed(Event::Started { job: JobId(job), attempt: 0 }));
+        actions.extend(node.pass(MS));
     }
-    assert_eq!(sends(&node.actions), [(1, WorkerId(0)), (2, WorkerId(0))], "as many as it may have room for");
+    assert_eq!(sends(&actions), [(1, WorkerId(0)), (2, WorkerId(0))], "as many as it may have room for");
     node.pass(400 * MS); // the rest had to start within 300 ms
     node.arrive(7, 0, 5_000 * MS);
     assert_eq!(sends(&node.end(1, 0, WorkerId(0), Outcome::Ok)), [(7, WorkerId(0))]);
