--- a/src/state.rs
+++ b/src/state.rs
@@ -92,6 +92,11 @@
         self.out.iter().map(|o| o.slots).sum()
     }
 
+    /// It has work of ours that it has not started.
+    pub fn keeps_waiting(&self) -> bool {
+        self.out.iter().any(|o| !o.started)
+    }
+
     pub fn cold_sent(&self, epoch: u64) -> f64 {
         if self.cold.0 == epoch { self.cold.1 } else { 0.0 }
     }
@@ -105,12 +110,12 @@
     /// It has no fresh entry.
     Unknown,
     Full,
-    /// It is not trusted for now.
-    Shunned,
     /// Full, with a queue longer than the job can wait.
     TooLong,
     /// It has no fresh entry where a probe would tell, and the job could not be moved away again.
     Unprobed,
+    /// It is not trusted for now: the last resort, where there is no other.
+    Shunned,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -209,8 +214,6 @@
     pub last_grant: Option<WorkerId>,
     pub zones: BTreeMap<ZoneId, Trust>,
     pub roster_failures: u32,
-    /// Until when a service of the roster counts as new.
-    pub moved_until: Micros,
     /// Answer time for each unit of expected work: by kind, and of all.
     pub kind_slow: BTreeMap<KindId, Mean>,
     pub slow: Mean,
