--- a/tests/conformance/silence.rs
+++ b/tests/conformance/silence.rs
@@ -86,7 +86,7 @@
                 vec![if self.clock.retune(pushed) { "open" } else { "as it is" }.to_owned()]
             }
             Verb::Moved {} => {
-                self.clock.moved();
+                self.clock.moved(now);
                 Vec::new()
             }
             Verb::Bytes(text) => {
