fairshare: slots of 72 buckets in turn, within the 4,096 that a member may have

A ring of 140 buckets of 32 pages came to 4,481 slots, and membership refuses facts beyond 4,096: a member with thousands of tenants would have gone silent. 2,305 now.

--- a/crates/fairshare/src/own.rs
+++ b/crates/fairshare/src/own.rs
@@ -231,8 +231,9 @@
     pub horizon: u64,
 }
 
-/// Buckets of pages that slots are dealt to in turn: more than any horizon and future, so that what a slot held before has run out.
-const RING: u64 = 140;
+/// Buckets of pages that slots are dealt to in turn: more than any horizon, so that what a slot held before has run out, and
+/// few enough for the slots that a member may have.
+const RING: u64 = 72;
 /// Pages of a bucket in the slots.
 const SLOTS: u32 = MOST_PAGES as u32;
 
