--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -111,7 +111,7 @@
     /// Since when what it tells now counts as told: after a silence, at the latest from [`TOLD_AFTER`] on. Whoever is told
     /// is no longer behind.
     pub fn told(&mut self, now: Micros) -> Micros {
-        self.behind.take().filter(|_| !self.moved).map_or(now, |since| now.min(since + TOLD_AFTER))
+        self.behind.take().map_or(now, |since| now.min(since + TOLD_AFTER))
     }
 
     /// The watch is over. Returns when it is to be opened anew; None leaves that to the module, whose waits grow.
--- a/tests/conformance/fairshare.rs
+++ b/tests/conformance/fairshare.rs
@@ -67,9 +67,12 @@
         at: usize,
         tenant: String,
     },
+    /// `beyond_pace`: asked when its jobs of this second have used up what it may have at full worth.
     Worth {
         at: usize,
         tenant: String,
+        #[serde(default)]
+        beyond_pace: bool,
     },
     /// Whether two hold the same of every tenant, in every bit.
     Same(usize, usize),
@@ -166,7 +169,10 @@
                 let words = [("low", used.low), ("likely", used.likely), ("high", used.high)];
                 return Ok(words.map(|(name, n)| format!("{name} {:.0}", n as f64 / memory)).to_vec());
             }
-            Verb::Worth { at, tenant } => {
+            Verb::Worth { at, tenant, beyond_pace } => {
+                if beyond_pace {
+                    self.members[at].ledger.worth(key(&tenant), 0, u64::MAX >> 16, now);
+                }
                 let worth = self.members[at].ledger.worth(key(&tenant), 0, 1, now);
                 let tier = match worth.tier {
                     Tier::Within => "within",
