Discovery's calls take the time for a connection from the clock of silence

Need: src/net/discovery.rs kept CONNECT_TIME, 500 ms, beside the same figure in src/core/silence.rs. Change: one constant, CONNECT.

--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -11,8 +11,8 @@
 /// What a silent watch missed counts as told so long after it fell silent, whether it arrived or not (STANDING, "The
 /// whole fleet").
 const TOLD_AFTER: Micros = 6_000_000;
-/// The connection for a call must be up by then.
-const CONNECT: Micros = 500_000;
+/// The connection for a call, of a watch or for the whole list, must be up by then.
+pub const CONNECT: Micros = 500_000;
 /// A call must be answered by then: discovery itself gives up one that has waited for a second.
 const ANSWER: Micros = 1_500_000;
 /// An agent of the own machine answers at once, or stays silent while discovery is down. What it has counts as told from
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,7 @@
 use super::conn::{Conn, ReadEnd};
 use super::{Role, Server, Token, WATCH_TIMER};
 use crate::config::ServerList;
-use crate::core::silence::{Broken, Objects, WatchClock};
+use crate::core::silence::{Broken, CONNECT, Objects, WatchClock};
 use crate::front::platform;
 use crate::http::{self, Body, MAX_HEAD};
 use crate::interface::Micros;
@@ -12,8 +12,6 @@
 
 /// A call for the whole list must be answered by then: discovery itself gives up one that has waited for a second.
 const ANSWER_TIME: Micros = 3_000_000;
-/// The connection for it must be up by then.
-const CONNECT_TIME: Micros = 500_000;
 /// The longest object of a watch, or whole list.
 const MOST: usize = 4 * 1024 * 1024;
 
@@ -86,7 +84,7 @@
             };
             self.add(conn, |_| Role::Call(call))
         });
-        let up_by = if watch { self.lists.clock.called(self.now) } else { self.now + CONNECT_TIME };
+        let up_by = if watch { self.lists.clock.called(self.now) } else { self.now + CONNECT };
         let Some(token) = token else { return self.watch_over(watch, CallEnd::Failed) };
         if watch {
             self.lists.watch = Some(token);
