A full group asks how much its workers can run where reports come with probes alone

Cause: the room at a group's worker is its size less what the group has out there. The size is the most free slots that a report has shown, one until then (state.rs, Memory::store). Where reports come with probes alone, a group that can borrow from others asked only workers that it doubts (rules.rs, probe_sample), so that it never learned the size of healthy ones: one job each, and the rest was held and refused.

Change: own workers of a kind whose size no report has told are asked as well. The first such echo that tells of room counts the work that is known to be there; it comes at once, unlike a report in an answer, to which nothing is added. Later echoes don't count it: work on its way would now and then make a worker larger than it is.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -332,9 +332,10 @@
             return false;
         }
         let mut pool = self.candidates(id, true);
-        // With other groups to ask for a slot, only those of its own that failed and have rested since.
+        // With other groups to ask for a slot, only own ones of unknown size, or that failed and have rested.
         let (on, lends) = (self.m.share.on(), self.m.share.lends() && !self.m.share.deaf(self.m.now));
-        let rested = |w: &Worker| self.m.now >= w.trust.until && (!lends || self.m.doubts(w));
+        let unclear = |w: &Worker| self.m.doubts(w) || !self.m.is_sized(w);
+        let rested = |w: &Worker| self.m.now >= w.trust.until && (!lends || unclear(w));
         pool.retain(|w| !on || rested(self.m.at(*w)));
         self.rng.shuffle(&mut pool);
         // Another zone is asked first once the job may go there: the own ones had no room.
--- a/src/state.rs
+++ b/src/state.rs
@@ -219,6 +219,8 @@
     pub slow: Mean,
     /// The most free slots that a worker of the kind has reported.
     pub kind_slots: BTreeMap<KindId, f64>,
+    /// Reports come with probes alone, so that they are as new as their echo.
+    pub probed: bool,
     /// For each class the mean run time, and how much work has arrived in how many jobs.
     pub class_work: Vec<Mean>,
     pub class_sum: Vec<(f64, f64)>,
@@ -239,6 +241,7 @@
 
     /// Makes room for these settings' classes, and for their group of nodes if it is another.
     pub fn refit(&mut self, set: &Settings) {
+        self.probed = set.reports == Reports::Probes;
         self.class_work.resize(set.classes.len(), Mean::default());
         self.class_sum.resize(set.classes.len(), (0.0, 0.0));
         self.share.regroup(set);
@@ -401,9 +404,15 @@
             let step = (at - last.at) as f64 - self.report_interval;
             self.report_interval += step * if step < 0.0 { 0.1 } else { 0.01 };
         }
-        if let Some((known, free)) = self.worker(id).known.zip(free) {
+        let Some(known) = self.worker(id).known else { return };
+        // Where reports come with probes alone, the first that tells of room says that work known to be there takes the
+        // rest. Not later ones: what is on its way would count now and then, and the most is kept.
+        let first = !self.kind_slots.contains_key(&known.kind);
+        let known_out = self.share.load(&known, self.now).unwrap_or(0.0) + self.at(id).held();
+        let taken = if first && self.probed { known_out } else { 0.0 };
+        if free.is_none_or(|free| free >= 1.0 || !first) {
             let most = self.kind_slots.entry(known.kind).or_insert(1.0);
-            *most = most.max(free);
+            *most = most.max(free.map_or(1.0, |free| free + taken));
         }
     }
 
@@ -418,6 +427,11 @@
         known.started_at.is_none_or(|s| self.now >= s.saturating_add(cold_time))
     }
 
+    /// Whether a report has told how much workers of its kind can run, or that none tells it.
+    pub fn is_sized(&self, worker: &Worker) -> bool {
+        worker.known.is_none_or(|known| self.kind_slots.contains_key(&known.kind))
+    }
+
     /// The most free slots that a worker of the kind has reported.
     pub fn slots(&self, kind: KindId) -> f64 {
         self.kind_slots.get(&kind).copied().unwrap_or(1.0)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -222,6 +222,34 @@
 
 /// A third of the workers is replaced, and many of the others go to another group: on such a day 161 of 1,041 jobs queued, up
 /// to seventeen at a worker with five slots, since its new group did not know what nodes of the one before had out there.
+#[test]
+fn where_reports_come_with_probes_alone_a_full_group_asks_how_much_its_workers_can_run() {
+    let base = Settings { nodes: 20, reports: Reports::Probes, ..settings(7, true) };
+    let mut node = Node::new(base);
+    node.roster((0..4).map(worker).collect());
+    let mut next = 0..;
+    let mut arrive = |node: &mut Node| node.arrive(next.next().unwrap_or(0), 0, 7_500 * MS);
+    // Of a size that nobody has told, a worker is good for one job at a time.
+    let mut busy = BTreeSet::new();
+    let asked = loop {
+        let actions = arrive(&mut node);
+        if sends(&actions).is_empty() {
+            break probes(&actions);
+        }
+        for (job, worker) in sends(&actions) {
+            assert!(busy.insert(worker), "a second job at {worker:?}");
+            node.feed(Event::Started { job: JobId(job), attempt: 0 });
+        }
+    };
+    assert!(!asked.is_empty(), "the group's workers may have room, and none is asked");
+    // One of its four slots is taken by what this node has there.
+    let sent: Vec<_> =
+        asked.iter().flat_map(|w| sends(&node.echo(w.0, Outcome::Ok, report(0.25, 3.0, 0.0)))).collect();
+    assert_eq!(sent.len(), 1, "the waiting job has room now");
+    let more: usize = (0..20).map(|_| arrive(&mut node)).map(|a| sends(&a).len()).sum();
+    assert_eq!(busy.len() + 1 + more, busy.len() * SLOTS as usize, "all slots are used, and no more");
+}
+
 #[test]
 fn work_at_a_worker_that_goes_to_another_group_is_known_there() {
     let mut fleet = Fleet::new(true);
