Small writes are held back on no connection: accepted ones are told so each

Cause: TCP_NODELAY was set on the listener alone (`listen` in src/net/mod.rs), in the belief that what is accepted inherits it. That is the habit of one system and no promise. Writes that such a socket holds back are lost with a reset when the connection is closed over unread bytes.

Change: `Conn::new` sets it on each connection: accepted, handed over, of the second address, to workers and discovery.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -35,7 +35,7 @@
             {
                 self.close_token(oldest);
             }
-            let conn = Conn::accepted(TcpStream::from(fd));
+            let conn = Conn::new(TcpStream::from(fd));
             let Some(token) = self.add(conn, |_| Role::Admin(Caller { answered: false })) else { continue };
             self.callers.push_back(token);
             if let Some((mut conn, Role::Admin(caller))) = self.take(token) {
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -88,14 +88,10 @@
 }
 
 impl Conn {
-    /// A connection to elsewhere, over a socket that does not block.
+    /// A connection over a socket that does not block. Each is told not to hold small writes back: an accepted one has that
+    /// from its listener on some systems only, and a close over unread bytes takes with it what is held back.
     pub fn new(stream: TcpStream) -> Conn {
         let _ = stream.set_nodelay(true); // a slower connection is no reason to lose it
-        Conn::accepted(stream)
-    }
-
-    /// A connection that was accepted; it has its options from the listener.
-    pub fn accepted(stream: TcpStream) -> Conn {
         let interest = EventFlags::empty();
         Conn { stream, inbox: Vec::new(), outbox: Outbox::default(), interest, timer: None }
     }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -185,7 +185,7 @@
                 // memory; without a bound it grows to megabytes. Where it cannot be set, only that is lost.
                 let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SLOW_READER);
             }
-            let (now, conn) = (self.now, Conn::accepted(stream));
+            let (now, conn) = (self.now, Conn::new(stream));
             let front = Front {
                 sse,
                 state: State::Reading,
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -317,7 +317,7 @@
             Note::Back { worker, left } => {
                 let worker = self.core.servers.find(&worker);
                 if let Some((fd, worker)) = fd.zip(worker) {
-                    self.take_back(worker, Conn::accepted(TcpStream::from(fd)), left);
+                    self.take_back(worker, Conn::new(TcpStream::from(fd)), left);
                 }
             }
             Note::News => match platform::read_news(self.core.names(), bytes, None) {
@@ -457,7 +457,7 @@
     }
 
     fn take_front(&mut self, handed: Handed, bytes: &[u8], stream: TcpStream) {
-        let mut conn = Conn::accepted(stream);
+        let mut conn = Conn::new(stream);
         let Some((raw, inbox)) = split(handed.session.as_ref(), bytes) else {
             self.counts.rejects += 1;
             return;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -245,8 +245,6 @@
     let failed = |error| NetError::Listen(at, error);
     let listener = TcpListener::bind(at).map_err(failed)?;
     listener.set_nonblocking(true).map_err(failed)?;
-    // What is accepted inherits it: one call less for each connection when hundreds come at once.
-    let _ = rustix::net::sockopt::set_tcp_nodelay(&listener, true);
     Ok(listener)
 }
 
