A planned stop follows from the longest deadline, and no close resets its client

SIGKILL comes no sooner than the longest deadline, counted as 3 s where longer, and 0.7 s after the signal: 1.5 s for a longest deadline of 0.8 s, long before both; and what came early and has 25 s was failed at 3.4 s, though it is not lost with a process that is killed before its answer. - `stop_step` did not count a connection as busy whose answer was written and whose client had not ended yet: the process ended, and what arrived then reset the connection. - `close_idle` looked and then closed: a request that came between the two, or crossed the end, reset the connection.

Ends of idle connections are half-closes (src/net/linger.rs): what comes then is read and dropped until the client ends or 1 s is over, never sent on. The process ends once all clients have, and nothing new came for 30 ms. Workers' call-back connections stay open while a job is.

Looked at and left: new connections are taken up to the end, so that none is closed unanswered.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod keys;
 pub mod ledger;
 pub mod moved;
+pub mod planned_stop;
 pub mod servers;
 pub mod silence;
 
@@ -880,7 +881,7 @@
         self.commands.push_back(Command::Send { session: id, dispatch, worker, left });
     }
 
-    /// Answers every open session as failed: the machine is about to go.
+    /// Answers every open session as failed: it is past its deadline, and the process ends.
     pub fn fail_all(&mut self, now: Micros) {
         for id in self.open_sessions() {
             self.answer(now, id, Answer::Failed, Entry::Failed);
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -30,9 +30,6 @@
 const IDLE: Micros = 120_000_000;
 /// A client that reads nothing of a finished answer for this long is given up.
 const STALL: Micros = 30_000_000;
-/// After an answer that ends the connection, what the client still sends is read away for this long: closing at
-/// once would reset the connection and could destroy the answer.
-const LINGER: Micros = 1_000_000;
 /// Progress is dropped for a client that has this much left to read; final events never are.
 const SLOW_READER: usize = 16 * 1024;
 /// Bytes read ahead of a request being answered.
@@ -55,9 +52,9 @@
     },
     /// It watches a job that was handed in.
     Watching(Watching),
-    /// The last answer is being written; then the connection lingers and closes.
+    /// The last answer is being written; then this side has ended `since` so long, and the client's end is awaited.
     Ending {
-        lingers: bool,
+        since: Option<Micros>,
     },
 }
 
@@ -150,10 +147,10 @@
         Front { sse, state: State::Reading, idle_since: None, unasked_since, heard: now, calls_back }
     }
 
-    /// Whether it holds a request that is not answered, or a part of one, or was idle later than `settled`.
+    /// Whether it holds a request that is not answered, or a part of one, or its client has not ended yet, or was idle
+    /// later than `settled`.
     pub(super) fn is_busy(&self, settled: Micros) -> bool {
         self.idle_since.is_none_or(|since| since > settled)
-            && !matches!(self.state, State::Ending { lingers: true })
     }
 }
 
@@ -162,8 +159,9 @@
         for _ in 0..ACCEPTS {
             // Idle connections give way before accepting fails; a client with nothing to say loses nothing. Those
             // that never asked for anything go first, or they would use up what usual clients need.
-            let full = self.fronts >= self.budget.fronts && !self.drop_front(FRESH);
-            if full && self.fronts >= self.budget.last_fronts || !self.make_room(FRESH) {
+            let full = self.served_fronts() >= self.budget.fronts && !self.drop_front(FRESH);
+            let last = full && self.fronts >= self.budget.last_fronts;
+            if last && !self.drop_lingering() || !self.make_room(FRESH) {
                 return self.pause_accepting();
             }
             let listener = match (sse, &self.sse) {
@@ -333,7 +331,7 @@
     fn reject(&mut self, conn: &mut Conn, front: &mut Front, why: Reject) {
         self.counts.rejects += u64::from(why != Reject::NotReady);
         conn.outbox.push(platform::reject(why, false));
-        front.state = State::Ending { lingers: false };
+        front.state = State::Ending { since: None };
     }
 
     fn requested(&mut self, token: Token, conn: &mut Conn, front: &mut Front, raw: Raw) {
@@ -356,7 +354,7 @@
             self.set_timer(token, conn, None);
         }
         let keep_alive = raw.head.keep_alive && self.keeps_clients();
-        front.state = if keep_alive { State::Reading } else { State::Ending { lingers: false } };
+        front.state = if keep_alive { State::Reading } else { State::Ending { since: None } };
         // A body longer than its stated length: what was cut off of it must not run as though it were whole.
         if raw.head.framing != Framing::Absent && !http::may_begin_request(&conn.inbox) {
             return self.reject(conn, front, Reject::Bad);
@@ -412,6 +410,9 @@
             }
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
+                if let Some(plan) = self.stopping {
+                    arrival.patience = plan.patience(self.now, arrival.patience);
+                }
                 if self.core.keys().is_some() {
                     arrival.token = platform::token(&self.classes, &raw, arrival.class);
                 }
@@ -445,17 +446,13 @@
             return self.front_gone(token, conn, front);
         }
         let written = conn.outbox.is_empty();
-        if let State::Ending { lingers } = &mut front.state
-            && written
-            && !std::mem::replace(lingers, true)
-        {
-            let _ = conn.stream.shutdown(std::net::Shutdown::Write); // it may be gone; the timer ends it
-            self.set_timer(token, &mut conn, Some(self.now + LINGER));
+        if matches!(front.state, State::Ending { since: None }) && written {
+            self.half_close(token, &mut conn, &mut front);
         }
         let heartbeat = self.sse.as_ref().map_or(0, |(_, every)| *every);
         let at = match &front.state {
-            State::Ending { lingers: true } => conn.timer,
-            State::Ending { .. } => Some(conn.timer.unwrap_or(self.now + STALL)),
+            State::Ending { since: Some(_) } => conn.timer,
+            State::Ending { since: None } => Some(conn.timer.unwrap_or(self.now + STALL)),
             State::Reading | State::Chunks { .. } if front.unasked_since.is_some() => {
                 Some(front.unasked_since.unwrap_or(self.now) + REQUEST_TIME)
             }
@@ -482,13 +479,14 @@
     }
 
     /// The connection is over; a session it waited for has lost its client.
-    fn front_gone(&mut self, token: Token, conn: Conn, front: Front) {
+    pub(super) fn front_gone(&mut self, token: Token, conn: Conn, front: Front) {
         match &front.state {
             State::Waiting { session, .. } => {
                 self.drop_request(*session);
                 self.core.hung_up(self.now, *session);
             }
             State::Watching(held) => self.watcher_gone(held.watcher),
+            State::Ending { since: Some(since) } => self.lingering.forget(*since, token),
             _ => {}
         }
         if front.unasked_since.is_some() {
@@ -498,33 +496,50 @@
     }
 
     /// Drops a connection that has gone over to another process.
-    pub(super) fn forget_front(&mut self, token: Token, conn: Conn, front: Front) {
-        if let Some(since) = front.idle_since {
+    pub(super) fn forget_front(&mut self, token: Token, conn: Conn, mut front: Front) {
+        self.settle_idle(token, &mut front);
+        self.close(token, conn, Role::Front(front));
+    }
+
+    /// It is neither idle nor without a request any more.
+    pub(super) fn settle_idle(&mut self, token: Token, front: &mut Front) {
+        if let Some(since) = front.idle_since.take() {
             self.idle_fronts.remove(&(since, token));
         }
-        if front.unasked_since.is_some() {
+        if front.unasked_since.take().is_some() {
             self.unasked_fronts.remove(&(front.heard, token));
         }
-        self.close(token, conn, Role::Front(front));
     }
 
-    /// Closes an idle connection, unless a request has arrived on it that was not read yet: that one is taken.
-    pub(super) fn close_idle(&mut self, token: Token, conn: Conn, mut front: Front) -> bool {
-        let arrived = matches!(conn.stream.peek(&mut [0]), Ok(read) if read > 0);
-        if arrived {
-            self.front_ready(token, conn, front, EventFlags::IN);
-        } else {
-            if let Some(since) = front.idle_since.take() {
-                self.idle_fronts.remove(&(since, token));
+    /// Ends an idle connection, unless a request has arrived on it that was not read yet: that one is taken.
+    pub(super) fn close_idle(&mut self, token: Token, mut conn: Conn, mut front: Front) -> bool {
+        match conn.stream.peek(&mut [0]) {
+            Ok(read) if read > 0 => {
+                self.front_ready(token, conn, front, EventFlags::IN);
+                return false;
+            }
+            // What comes from now on crosses the end.
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                self.half_close(token, &mut conn, &mut front);
+                self.put(token, conn, Role::Front(front));
+            }
+            // Its client has ended it.
+            _ => {
+                self.settle_idle(token, &mut front);
+                self.front_gone(token, conn, front);
             }
-            self.front_gone(token, conn, front);
         }
-        !arrived
+        true
+    }
+
+    /// Connections of frontends whose end has not begun.
+    fn served_fronts(&self) -> usize {
+        self.fronts - self.lingering.len()
     }
 
     /// Whether the connections of frontends keep within their budget, once those that wait for nothing are closed.
     fn front_fits(&mut self) -> bool {
-        while self.fronts > self.budget.fronts {
+        while self.served_fronts() > self.budget.fronts {
             // A whole request outranks a connection that may have one on its way.
             if !self.drop_front(0) {
                 return false;
@@ -578,7 +593,7 @@
             return;
         }
         match &mut front.state {
-            State::Ending { .. } => self.front_gone(token, conn, front),
+            State::Ending { .. } => self.linger_over(token, conn, front),
             State::Waiting { stream: Some(stream), .. } => {
                 stream.last = self.now;
                 if conn.outbox.is_empty() {
@@ -629,7 +644,7 @@
             }
             _ => conn.outbox.push(platform::answer(answer, keep_alive)),
         }
-        front.state = if keep_alive { State::Reading } else { State::Ending { lingers: false } };
+        front.state = if keep_alive { State::Reading } else { State::Ending { since: None } };
         self.set_timer(token, &mut conn, None);
         self.front_go_on(token, conn, front);
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod frontend;
 mod handover;
+mod linger;
 mod notes;
 mod peers;
 mod reload;
@@ -15,6 +16,7 @@
 mod watch;
 
 use crate::config::{Config, ConfigError, MachineLimits, SseSettings};
+use crate::core::planned_stop::PlannedStop;
 use crate::core::{Command, Core, SessionId};
 use crate::fleet::FleetSettings;
 use crate::interface::{Class, Micros, WorkerId};
@@ -213,6 +215,8 @@
     idle_fronts: std::collections::BTreeSet<(Micros, Token)>,
     /// Connections of frontends that have not sent a whole request yet, by the time at which they came.
     unasked_fronts: std::collections::BTreeSet<(Micros, Token)>,
+    /// Connections of frontends that this side has ended.
+    lingering: linger::Lingering,
     /// Requests of open sessions.
     requests: HashMap<SessionId, crate::front::platform::Raw>,
     /// Open sessions that have lost a dispatch with its connection.
@@ -223,7 +227,9 @@
     pool: HashMap<WorkerId, Vec<Token>>,
     probes: HashMap<Token, Probe>,
     lists: Lists,
-    stopping: Option<Micros>,
+    stopping: Option<PlannedStop>,
+    /// While stopping, since when nothing is left.
+    quiet_since: Option<Micros>,
     /// Since when clients are sent elsewhere while the program goes on.
     drained: Option<Micros>,
     /// Whether the next look at them is due by a timer.
@@ -368,6 +374,7 @@
             accepting: true,
             idle_fronts: Default::default(),
             unasked_fronts: Default::default(),
+            lingering: Default::default(),
             requests: HashMap::new(),
             broken: HashSet::new(),
             dispatching: HashMap::new(),
@@ -375,6 +382,7 @@
             probes: HashMap::new(),
             lists: Lists::new(!config.settings.roster_on_request, config.seed),
             stopping: None,
+            quiet_since: None,
             drained: None,
             drain_due: false,
             stopped_peers: Default::default(),
@@ -602,12 +610,18 @@
 
     /// Makes room for a new connection where the descriptors are used up, by closing one that has been idle for `least`.
     fn make_room(&mut self, least: Micros) -> bool {
-        let room = self.live + self.held_elsewhere() < self.budget.conns;
+        let full = |server: &Server| server.live + server.held_elsewhere() >= server.budget.conns;
+        if !full(self) {
+            return true;
+        }
         // Half requests that were heard of lately come last: usual clients may be writing them.
-        room || self.drop_unasked(frontend::HALF_GRACE)
+        let ended = self.drop_lingering()
+            || self.drop_unasked(frontend::HALF_GRACE)
             || self.drop_idle_backend()
             || self.drop_idle_front(least)
-            || self.drop_unasked(frontend::UNASKED_GRACE)
+            || self.drop_unasked(frontend::UNASKED_GRACE);
+        // Where its end has only begun, it gives its descriptor now.
+        ended && (!full(self) || self.drop_lingering() && !full(self))
     }
 
     /// One line of figures, if anything has changed since the last.
--- a/src/net/stop.rs
+++ b/src/net/stop.rs
@@ -1,17 +1,12 @@
 //! A planned stop. Connections keep arriving for a while after the signal, and what arrives is owed an answer.
 
+use super::conn::Conn;
 use super::{DRAIN_TIMER, Role, STOP_TIMER, Server, Token};
+use crate::core::planned_stop::PlannedStop;
 use crate::interface::Micros;
 
-/// New requests may arrive for this long after the signal.
-const ARRIVALS: Micros = 700_000;
-/// Idle connections of frontends are closed after this, so that their clients turn elsewhere.
+/// Out of service, clients' connections are closed from now on: the front has been told by then.
 const CLOSE_IDLE: Micros = 450_000;
-/// While every other dispatcher is stopping too or gone, clients have nowhere to turn: their connections are kept for
-/// this long at most. What comes later could hardly end in time.
-const HOLD: Micros = 2_000_000;
-/// The machine may be taken away this long after the signal: what is open by then is answered as failed.
-const LAST: Micros = 3_400_000;
 /// Out of service, a connection is closed once it has been idle for this long.
 const DRAIN_IDLE: Micros = 250_000;
 /// A connection that has been idle for less than this may have its request on the way.
@@ -21,7 +16,14 @@
 impl Server {
     pub(super) fn stop(&mut self) {
         if self.stopping.is_none() {
-            self.stopping = Some(self.now);
+            // A class that a reload took away has kept its number, but goes by no name.
+            let names = &self.core.names().0.classes;
+            let named =
+                |n: &usize| names.names().get(*n).and_then(|name| names.find(name)) == Some(*n as u32);
+            let deadlines = || self.classes.iter().map(|class| class.deadline).enumerate();
+            let longest = deadlines().filter(|(n, _)| named(n)).map(|(_, deadline)| deadline).max();
+            let ever = deadlines().map(|(_, deadline)| deadline).max();
+            self.stopping = Some(PlannedStop::new(self.now, longest.unwrap_or(0), ever.unwrap_or(0)));
             tracing::info!("stopping: asked to; open={}", self.core.ledger.open());
             self.core.remind(self.now + STEP, STOP_TIMER);
             self.tell_state();
@@ -56,22 +58,26 @@
         self.drain_due = false;
         let Some(since) = self.drained.filter(|_| self.stopping.is_none()) else { return };
         if self.now >= since + CLOSE_IDLE {
-            let quiet = self.idle_fronts.iter().take_while(|(idle, _)| idle + DRAIN_IDLE <= self.now);
-            for token in quiet.map(|(_, token)| *token).collect::<Vec<_>>() {
-                match self.take(token) {
-                    // Workers tell of their jobs until the last one is done.
-                    Some((conn, Role::Front(front))) if !front.calls_back => {
-                        self.close_idle(token, conn, front);
-                    }
-                    Some((conn, role)) => self.put(token, conn, role),
-                    None => {}
-                }
-            }
+            self.close_quiet(DRAIN_IDLE, false);
         }
         self.drain_due = true;
         self.core.remind(self.now + STEP, DRAIN_TIMER);
     }
 
+    /// Closes the connections of frontends that have been idle for so long, those on which workers call back if `all`.
+    fn close_quiet(&mut self, least: Micros, all: bool) {
+        let quiet = self.idle_fronts.iter().take_while(|(idle, _)| idle + least <= self.now);
+        for token in quiet.map(|(_, token)| *token).collect::<Vec<_>>() {
+            match self.take(token) {
+                Some((conn, Role::Front(front))) if all || !front.calls_back => {
+                    self.close_idle(token, conn, front);
+                }
+                Some((conn, role)) => self.put(token, conn, role),
+                None => {}
+            }
+        }
+    }
+
     /// Whether clients are to turn to other dispatchers.
     pub(super) fn takes_leave(&self) -> bool {
         self.stopping.is_some() || self.drained.is_some()
@@ -83,41 +89,49 @@
         // They go over to the younger process as they are.
         self.handed
             || self.drained.is_none()
-                && self.stopping.is_none_or(|since| self.now < since + HOLD && self.peers_stopped())
+                && self.stopping.is_none_or(|plan| self.now < plan.hold && self.peers_stopped())
     }
 
     pub(super) fn stop_step(&mut self) {
-        let Some(since) = self.stopping else { return };
-        let age = self.now.saturating_sub(since);
+        let Some(plan) = self.stopping else { return };
         let keeps = self.keeps_clients();
-        if age >= CLOSE_IDLE && !keeps {
-            while self.drop_idle_front(FRESH) {}
+        if self.now >= plan.close_idle && !keeps {
+            // Workers tell of their jobs until the last one is done.
+            self.close_quiet(FRESH, self.core.ledger.open() == 0);
         }
-        if age >= LAST {
+        if self.now >= plan.last {
             self.core.fail_all(self.now);
             self.run_commands();
         }
-        if self.handed || age >= ARRIVALS && !keeps {
-            // What the kernel has accepted is taken too.
-            if !self.handed {
-                self.accept(false);
-                self.accept(true);
-            }
-            let settled = self.now.saturating_sub(FRESH);
-            let busy = |role: &Role| matches!(role, Role::Front(front) if front.is_busy(settled));
-            let writing = self.slots.iter().filter_map(|s| s.held.as_ref());
-            let waits = |role: &Role| matches!(role, Role::Front(front) if self.handed && front.is_reading());
-            let busy = writing.filter(|(conn, role)| !conn.outbox.is_empty() || busy(role) || waits(role));
-            let busy = busy.count();
-            if (self.core.ledger.open() == 0 && busy == 0) || age >= LAST + STEP * 8 {
+        if (self.handed || self.now >= plan.quiet && !keeps) && self.is_quiet(plan) {
+            // A client whose last connection has just ended may be back with a new one.
+            if self.now >= *self.quiet_since.get_or_insert(self.now) + FRESH {
                 tracing::info!("stopped: open={}", self.core.ledger.open());
                 self.done = true;
                 return;
             }
+        } else {
+            self.quiet_since = None;
         }
         self.core.remind(self.now + STEP, STOP_TIMER);
     }
 
+    /// Whether nothing is left to answer or to be read: what the kernel has accepted by now is taken too.
+    fn is_quiet(&mut self, plan: PlannedStop) -> bool {
+        if !self.handed {
+            self.accept(false);
+            self.accept(true);
+        }
+        let settled = self.now.saturating_sub(FRESH);
+        let busy = |conn: &Conn, role: &Role| match role {
+            Role::Front(front) if front.is_busy(settled) || self.handed && front.is_reading() => true,
+            _ => !conn.outbox.is_empty(),
+        };
+        let mut held = self.slots.iter().filter_map(|slot| slot.held.as_ref());
+        let left = self.core.ledger.open() > 0 || held.any(|(conn, role)| busy(conn, role));
+        !left || self.now >= plan.last + STEP * 8
+    }
+
     /// Closes the connection of a frontend that has been idle for longest, and for at least so long.
     pub(super) fn drop_idle_front(&mut self, least: Micros) -> bool {
         while let Some((since, token)) = self.idle_fronts.first().copied() {
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -216,8 +216,7 @@
                         conn.outbox.push(held.frame.end());
                         watching.relay.leave(self.now, held.watcher);
                         watching.tokens.remove(&held.watcher);
-                        front.state =
-                            if held.keep { State::Reading } else { State::Ending { lingers: false } };
+                        front.state = if held.keep { State::Reading } else { State::Ending { since: None } };
                         return;
                     }
                     vec![piece]
@@ -359,7 +358,7 @@
                         conn.outbox.push(watch::retry(held.frame, RETRY));
                         conn.outbox.push(held.frame.end());
                     }
-                    front.state = State::Ending { lingers: false };
+                    front.state = State::Ending { since: None };
                     self.watcher_gone(watcher);
                     self.front_go_on(token, conn, front);
                 }
