--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::config::{Config, ConfigError, MachineLimits, SseSettings};
 use crate::core::planned_stop::PlannedStop;
+use crate::core::silence::Terms;
 use crate::core::{Command, Core, SessionId};
 use crate::fleet::FleetSettings;
 use crate::interface::{Class, Micros, WorkerId};
@@ -80,6 +81,7 @@
 const WATCH_TIMER: u64 = u64::MAX - 15;
 const FLEET_TIMER: u64 = u64::MAX - 16;
 const ASK_TIMER: u64 = u64::MAX - 17;
+const WHOLE_TIMER: u64 = u64::MAX - 21;
 
 /// What a connection is for.
 enum Role {
@@ -380,7 +382,7 @@
             dispatching: HashMap::new(),
             pool: HashMap::new(),
             probes: HashMap::new(),
-            lists: Lists::new(!config.settings.roster_on_request, config.seed),
+            lists: Lists::new(Terms::of(&config.settings), config.seed),
             stopping: None,
             quiet_since: None,
             drained: None,
@@ -396,7 +398,7 @@
             server.open_notes(dir)?;
         }
         server.settle_in(path, inherited);
-        server.watch_agent();
+        server.watch_begins();
         Ok(server)
     }
 
@@ -484,7 +486,9 @@
                 Command::Tell { frontend, share } => self.tell(Token(frontend), share),
                 Command::Probe(worker) => self.probe(worker),
                 Command::Peer(to, bytes) => self.tell_peer(to, &bytes),
-                Command::Watch | Command::Due(WATCH_TIMER) => self.watch_wanted(),
+                Command::Watch => self.watch_wanted(),
+                Command::Due(WATCH_TIMER) => self.watch_due(),
+                Command::Due(WHOLE_TIMER) => self.whole_due(),
                 Command::Fetch => self.call(false),
                 Command::Due(SUMMARY_TIMER) => {
                     self.summary();
