--- a/src/state.rs
+++ b/src/state.rs
@@ -408,8 +408,8 @@
         // Where reports come with probes alone, the first that tells of room says that work known to be there takes the
         // rest. Not later ones: what is on its way would count now and then, and the most is kept.
         let first = !self.kind_slots.contains_key(&known.kind);
-        let known_out = self.share.load(&known, self.now).unwrap_or(0.0) + self.at(id).held();
-        let taken = if first && self.probed { known_out } else { 0.0 };
+        let known_out = || self.share.load(&known, self.now).unwrap_or(0.0) + self.at(id).held();
+        let taken = if first && self.probed { known_out() } else { 0.0 };
         if free.is_none_or(|free| free >= 1.0 || !first) {
             let most = self.kind_slots.entry(known.kind).or_insert(1.0);
             *most = most.max(free.map_or(1.0, |free| free + taken));
