Half requests that give way are turned away, and call-backs are heard to the end

Causes: - `drop_unasked` (src/net/frontend.rs) closed over a half request to make room: its client saw no answer, and a reset where the rest of the request was on its way. It now gets 503 and a half-close; what comes of the rest is read and dropped. - After SIGTERM workers' connections for call-backs were closed as idle like any client's (`stop_step`), under a line that was on its way.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -363,7 +363,11 @@
             return;
         }
         let mut refused_news = false;
-        let refused = match platform::route(self.core.names(), &self.classes, &raw, !front.sse) {
+        let mut route = platform::route(self.core.names(), &self.classes, &raw, !front.sse);
+        if let (Ok(Route::Session(arrival)), Some(plan)) = (&mut route, self.stopping) {
+            arrival.patience = plan.patience(self.now, arrival.patience);
+        }
+        let refused = match route {
             Ok(Route::Ready) if self.takes_leave() => Some(Reject::NotReady),
             Ok(Route::Ready) => {
                 conn.outbox.push(platform::ready());
@@ -410,9 +414,6 @@
             }
             Ok(Route::Session(mut arrival)) => {
                 arrival.frontend = token.0;
-                if let Some(plan) = self.stopping {
-                    arrival.patience = plan.patience(self.now, arrival.patience);
-                }
                 if self.core.keys().is_some() {
                     arrival.token = platform::token(&self.classes, &raw, arrival.class);
                 }
@@ -570,6 +571,12 @@
                 Some((conn, Role::Front(front))) if heard + half > self.now => {
                     self.put(token, conn, Role::Front(front));
                 }
+                // What comes of the rest of its request is not taken, and its client is told that it may try again.
+                Some((mut conn, Role::Front(mut front))) if !matches!(front.state, State::Ending { .. }) => {
+                    self.reject(&mut conn, &mut front, Reject::NoRoom);
+                    self.front_settle(token, conn, front);
+                    return true;
+                }
                 Some((conn, Role::Front(front))) => {
                     self.front_gone(token, conn, front);
                     return true;
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -119,3 +119,66 @@
     drop((resting, early));
     assert!(program.wait().0);
 }
+
+/// A worker's connection for call-backs was closed as idle 0.45 s after the signal, under a line that was on its way; and what
+/// had come by halves is still heard.
+#[test]
+fn workers_tell_of_their_jobs_until_the_last_one_is_done() {
+    let node = Node::start("s-1");
+    let program = start(std::slice::from_ref(&node), None, false);
+    let news = |id: &str, state: &str| {
+        let text = format!(r#"{{"id":"{id}","from":"s-1","state":"{state}","result":"{id}"}}"#);
+        let head = format!("POST /_jobs/news HTTP/1.1\r\nHost: n0\r\nContent-Length: {}\r\n\r\n", text.len());
+        head + &text
+    };
+    let (mut idle, mut half) = (connect(program.platform), connect(program.platform));
+    let mut clients = ["d0", "d1"].map(|id| {
+        let mut client = connect(program.platform);
+        client.write_all(job(id, "redeem", "take hang", "").as_bytes()).expect("written");
+        client
+    });
+    until("the jobs arrive", || node.jobs.load(Ordering::SeqCst) == 2);
+    for (calls, id) in [(&mut idle, "d0"), (&mut half, "d1")] {
+        calls.write_all(news(id, "started").as_bytes()).expect("written");
+        assert_eq!(read_reply(calls).expect("an answer").status, 204);
+    }
+    let mut resting = connect(program.platform);
+    program.terminate();
+    let line = news("d1", "done");
+    let (first, rest) = line.split_at(line.len() / 2);
+    half.write_all(first.as_bytes()).expect("written");
+    assert_eq!(ended(&mut resting), Ok(Vec::new()), "idle connections are ended by now");
+    half.write_all(rest.as_bytes()).expect("written");
+    idle.write_all(news("d0", "done").as_bytes()).expect("written");
+    for (calls, client) in [&mut idle, &mut half].into_iter().zip(&mut clients) {
+        assert_eq!(read_reply(calls).expect("it is heard").status, 204);
+        assert_eq!(read_reply(client).expect("an answer").status, 200);
+    }
+    drop((idle, half, clients, resting));
+    assert!(program.wait().0);
+}
+
+/// A half request that had to give way to others was closed over: its client saw no answer, or a reset under the rest of it.
+#[test]
+fn a_half_request_that_gives_way_is_turned_away() {
+    let node = Node::start("s-1");
+    let few = |config: &mut serde_json::Value| config["limits"]["sockets"] = serde_json::json!(80);
+    let program = start_with(std::slice::from_ref(&node), None, false, few);
+    let mut half = connect(program.platform);
+    let request = job("e0", "balance", "take started done=x", "");
+    let (first, rest) = request.split_at(request.len() - 5);
+    half.write_all(first.as_bytes()).expect("written");
+    half.set_nonblocking(true).expect("a socket option");
+    let mut crowd = Vec::new();
+    until("it gives way", || {
+        crowd.push(connect(program.platform));
+        !matches!(half.peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    });
+    half.set_nonblocking(false).expect("a socket option");
+    let reply = read_reply(&mut half).expect("an answer");
+    assert_eq!((reply.status, reply.field("Connection")), (503, Some("close")));
+    let _ = half.write_all(rest.as_bytes());
+    assert!(!node.saw("e0"));
+    let figures = program.figures();
+    assert_eq!((figures["taken"], figures["broken_invariants"]), (0, 0));
+}
