A dispatch is settled at its first byte: worker, client, time and window of repeat

Cause: what was decided was written whenever its connection came up. Only a drain was looked at then (STOPPED_PART of the grace, by a clock that was read at the turn's begin), not a client that had left where cancels are not allowed, not the window of repeat, not a worker that is back under its name elsewhere; a dispatch that had waited for its note was looked at by nobody, and a list read later in the same turn came too late. A withheld one struck its worker and zone as a failed connection.

Change: Server::back_flush, the only place where bytes of a dispatch leave, asks each time, by a fresh clock. A worker known to have stopped gets no first byte at all: the whole grace is left for what was told before it was noticed. Core::may_write has the rest; the window counts with three times what the connection took, a connect and a handshake being up to three round trips. Withheld counts as Moot: never ran, nobody's fault; a sound connection is kept. The watch's news are read first in a turn. Kept connections to an address that its worker has left are closed.

The time for the first answer was 150 ms, a figure of one deployment. It is now Limits.ConnectTimeoutMs, or half of the class's deadline if that is less, and an unsafe job, which nobody else could have, is waited for until its deadline. At that time what lies unread is read first: an answer that a long turn left unread had the job given up by a close that no longer gives up, and sent again. Whoever did not answer is also told DELETE, where Cancel is allowed; where it is not, none is sent any more at all. An answer that never ends is bounded by 0.5 s whenever its connection has no other limit.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,6 +26,8 @@
 
 /// A session is answered by the core itself if it is still open this long after its deadline.
 const BACKSTOP: Micros = 15_000;
+/// A dispatch waits at most for this part of its class's time for a worker's first answer: the rest is for another worker.
+const TAKE_PART: Micros = 2;
 /// The module's clock at the start; a worker that started before it counts as started long ago.
 const CLOCK_START: Micros = 3_600_000_000;
 
@@ -510,6 +512,37 @@
         self.events.push(Event::Peers(peers));
     }
 
+    /// The request's id of a session, as workers know it.
+    pub fn name(&self, id: SessionId) -> Option<&str> {
+        self.sessions.get(&id).map(|s| s.name.as_str())
+    }
+
+    fn class(&self, id: SessionId) -> Option<&Class> {
+        self.dispatcher.set.classes.get(usize::from(self.sessions.get(&id)?.new.class.0))
+    }
+
+    /// How long a dispatch waits for its worker's first answer, where a connection may take `connect` to come up. `None`
+    /// where it could not be sent again: then it is waited for until its deadline.
+    pub fn take_time(&self, id: SessionId, connect: Micros) -> Option<Micros> {
+        let class = self.class(id).filter(|class| class.effect != Effect::SideEffect)?;
+        Some(connect.min(class.deadline / TAKE_PART))
+    }
+
+    /// Whether bytes of a dispatch may leave now, as things have come to stand since it was decided; the last of them may be on
+    /// its way for so long. A worker that has stopped is for the caller to know.
+    pub fn may_write(&self, now: Micros, id: SessionId, dispatch: u32, way: Micros) -> bool {
+        let Some(session) = self.sessions.get(&id).filter(|s| s.open) else { return false };
+        let Some(this) = session.dispatches.get(dispatch as usize).filter(|d| d.out) else { return false };
+        let others = (0..).zip(&session.dispatches).filter(|(n, _)| *n != dispatch);
+        let mut risky = others.map(|(_, d)| d).filter(|d| !d.never_ran);
+        now < this.limit.unwrap_or(session.deadline)
+            && match self.class(id).map(|class| class.effect) {
+                Some(Effect::Token { memory, .. }) => risky.all(|d| now + self.tick + way < d.at + memory),
+                Some(Effect::SideEffect) => risky.next().is_none(),
+                Some(Effect::Pure) | None => true,
+            }
+    }
+
     /// News of a job, by the names that the worker uses. Whether they told anything new.
     pub fn news(&mut self, now: Micros, name: &str, from: &str, news: News, report: Option<Report>) -> bool {
         let result = match &news {
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -7,16 +7,13 @@
 use crate::http::{self, Body, EventStream, Framing, MAX_BODY, MAX_HEAD, Piece, StreamEvent};
 use crate::interface::{Micros, Outcome, WorkerId};
 use rustix::event::epoll::EventFlags;
+use std::net::SocketAddr;
 
 /// A cancel or a probe must be answered by then.
 const SIDE_TIME: Micros = 500_000;
-/// A worker answers a dispatch as soon as it has read it, also while its jobs stand still: on all kinds of days none
-/// was answered later than after 20 ms, or never. One that has said nothing for this long has a connection that fell
-/// silent, and no reset comes. Most jobs can still be in time elsewhere by then.
-const TAKE_TIME: Micros = 150_000;
-/// A connection that comes up later than this part of the drain's grace after its worker was told to stop is not written to
-/// any more: the grace ends at the first byte, and a busy core may be late with it.
-const STOPPED_PART: f64 = 5.0 / 8.0;
+/// The last byte of a dispatch on a new connection may arrive so many times later as the connection took: that is one
+/// round trip, and a handshake is up to two more (PROTOCOL, "Dispatchers to workers").
+const HANDSHAKE_TRIPS: Micros = 3;
 /// An event stream of a node is read in pieces of this size.
 const STREAM_READ: usize = 64 * 1024;
 
@@ -27,20 +24,6 @@
     Probe,
 }
 
-impl Exchange {
-    fn is_dispatch(self) -> bool {
-        matches!(self, Exchange::Dispatch { .. })
-    }
-
-    /// How long its answer may take.
-    fn time(self) -> Micros {
-        match self {
-            Exchange::Dispatch { .. } => TAKE_TIME,
-            Exchange::Cancel | Exchange::Probe => SIDE_TIME,
-        }
-    }
-}
-
 enum State {
     Connecting(Exchange),
     /// The answer's head is awaited.
@@ -65,11 +48,18 @@
 
 pub(super) struct Back {
     worker: WorkerId,
+    /// Where it leads: its worker may have come back elsewhere since.
+    address: Option<SocketAddr>,
     state: State,
     /// It has carried an exchange before.
     reused: bool,
-    /// Its dispatch's last byte is not written yet.
-    unwritten: bool,
+    /// The length of its dispatch while the last byte is not written, else 0.
+    unwritten: usize,
+    /// How long its exchange's first answer may take; a dispatch's deadline ends it in any case.
+    time: Option<Micros>,
+    /// When it was begun, and how long the last byte of a dispatch may be on its way.
+    begun: Micros,
+    way: Micros,
 }
 
 /// When a probe was sent.
@@ -88,7 +78,16 @@
 impl Server {
     /// Takes an idle connection over from another process; it may stay idle for so long.
     pub(super) fn take_back(&mut self, worker: WorkerId, conn: Conn, left: Micros) {
-        let back = Back { worker, state: State::Idle, reused: true, unwritten: false };
+        let back = Back {
+            worker,
+            address: conn.stream.peer_addr().ok(),
+            state: State::Idle,
+            reused: true,
+            unwritten: 0,
+            time: None,
+            begun: self.now,
+            way: 0,
+        };
         let Some(token) = self.add(conn, |_| Role::Back(back)) else { return };
         let Some((conn, Role::Back(back))) = self.take(token) else { return };
         self.back_settle(token, conn, back);
@@ -102,7 +101,7 @@
     pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId, left: Micros) {
         let Some(raw) = self.requests.get(&session) else {
             // Its client left in the meantime: nothing goes out any more.
-            let fate = Fate::Without(Outcome::ConnectFailed);
+            let fate = Fate::Without(Outcome::Moot);
             self.core.ended(self.now, session, dispatch, fate, None);
             return;
         };
@@ -111,7 +110,10 @@
         let exchange = Exchange::Dispatch { session, dispatch };
         // A session has few attempts: once a kept connection has cost it one, the others go out on new ones.
         let fresh = self.broken.contains(&session);
-        if let Some(token) = self.exchange(worker, exchange, pieces, fresh) {
+        // A worker answers as soon as it has read: one that says nothing for as long as its machine may take to answer
+        // a connection has one that fell silent, and no reset comes. What could not be sent again is waited for.
+        let time = self.core.take_time(session, self.config.connect_timeout);
+        if let Some(token) = self.exchange(worker, exchange, time, pieces, fresh) {
             self.dispatching.insert((session, dispatch), token);
             self.back_start(token);
         }
@@ -121,17 +123,27 @@
         match self.dispatching.remove(&(session, dispatch)) {
             // Not taken yet, or streaming: closing the connection says it all.
             Some(token) => self.close_token(token),
-            None if self.core.servers.get(worker).is_none_or(|s| s.removed) => {}
-            None => {
-                if let Some(token) = self.exchange(worker, Exchange::Cancel, platform::give_up(name), false) {
+            None => self.call_off(worker, name),
+        }
+    }
+
+    /// Tells a worker to give a job up, where that is allowed.
+    fn call_off(&mut self, worker: WorkerId, name: &str) {
+        match self.core.servers.get(worker) {
+            Some(server) if !server.removed && self.config.settings.may_cancel => {
+                if let Some(token) =
+                    self.exchange(worker, Exchange::Cancel, Some(SIDE_TIME), platform::give_up(name), false)
+                {
                     self.back_start(token);
                 }
             }
+            _ => {}
         }
     }
 
     pub(super) fn probe(&mut self, worker: WorkerId) {
-        if let Some(token) = self.exchange(worker, Exchange::Probe, platform::probe(), false) {
+        if let Some(token) = self.exchange(worker, Exchange::Probe, Some(SIDE_TIME), platform::probe(), false)
+        {
             self.probes.insert(token, Probe { worker, at: self.now });
             self.back_start(token);
         }
@@ -142,25 +154,34 @@
         &mut self,
         worker: WorkerId,
         exchange: Exchange,
+        time: Option<Micros>,
         pieces: Vec<Piece>,
         fresh: bool,
     ) -> Option<Token> {
+        let is_dispatch = matches!(exchange, Exchange::Dispatch { .. });
+        let address = self.core.servers.get(worker).map(|s| s.address);
         while let Some(token) = self.pool.get_mut(&worker).filter(|_| !fresh).and_then(Vec::pop) {
             if let Some((mut conn, Role::Back(mut back))) = self.take(token) {
+                if back.address != address {
+                    self.close(token, conn, Role::Back(back)); // its worker has come back elsewhere
+                    continue;
+                }
                 conn.outbox.push(pieces);
                 (back.state, back.reused) = (State::Awaiting(exchange), true);
-                back.unwritten = exchange.is_dispatch();
+                (back.time, back.way) = (time, 0);
+                back.unwritten = if is_dispatch { conn.outbox.len() } else { 0 };
                 self.put(token, conn, Role::Back(back));
                 return Some(token);
             }
         }
-        let address = self.core.servers.get(worker).map(|s| s.address);
         let conn = address.filter(|_| self.make_room(0)).and_then(|address| Conn::connect(address).ok());
         self.counts.connects += 1;
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(pieces);
-            let (state, unwritten) = (State::Connecting(exchange), exchange.is_dispatch());
-            self.add(conn, |_| Role::Back(Back { worker, state, reused: false, unwritten }))
+            let (state, begun) = (State::Connecting(exchange), self.now);
+            let unwritten = if is_dispatch { conn.outbox.len() } else { 0 };
+            let back = Back { worker, address, state, reused: false, unwritten, time, begun, way: 0 };
+            self.add(conn, |_| Role::Back(back))
         });
         if token.is_none() {
             self.counts.connect_failures += 1;
@@ -174,7 +195,7 @@
         let Some((mut conn, Role::Back(back))) = self.take(token) else { return };
         let time = match back.state {
             State::Connecting(_) => Some(self.config.connect_timeout),
-            State::Awaiting(exchange) => Some(exchange.time()),
+            State::Awaiting(_) => back.time,
             _ => None,
         };
         self.set_timer(token, &mut conn, time.map(|t| self.now + t));
@@ -195,17 +216,11 @@
             if !flags.contains(EventFlags::OUT) {
                 return self.put(token, conn, Role::Back(back));
             }
-            // A connection that took long to come up must not carry work to a worker that has since been told
-            // to stop: the drain's grace counts from being told, not from the decision.
-            let told = self.core.servers.get(back.worker).and_then(|s| s.stopped);
-            let grace = (self.config.settings.drain_grace as f64 * STOPPED_PART) as Micros;
-            if exchange.is_dispatch() && told.is_some_and(|at| self.now > at + grace) {
-                return self.back_broken(token, conn, back);
-            }
             back.state = State::Awaiting(exchange);
-            self.set_timer(token, &mut conn, Some(self.now + exchange.time()));
+            back.way = HANDSHAKE_TRIPS * self.now.saturating_sub(back.begun);
+            self.set_timer(token, &mut conn, back.time.map(|t| self.now + t));
         }
-        if !self.back_flush(&mut conn, &mut back) {
+        if !self.back_flush(token, &mut conn, &mut back) {
             return self.back_broken(token, conn, back);
         }
         if !flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
@@ -324,10 +339,29 @@
         }
     }
 
-    /// Writes what it can, and counts a dispatch at its last byte.
-    fn back_flush(&mut self, conn: &mut Conn, back: &mut Back) -> bool {
+    /// Writes what it can, and counts a dispatch at its last byte. Here alone bytes of a dispatch leave, so here it is
+    /// settled whether they still may. False if the connection is of no more use.
+    fn back_flush(&mut self, token: Token, conn: &mut Conn, back: &mut Back) -> bool {
+        if back.unwritten > 0
+            && let State::Awaiting(exchange @ Exchange::Dispatch { session, dispatch }) = back.state
+        {
+            let begun = conn.outbox.len() < back.unwritten;
+            self.clock(); // a turn may be long, and the last bytes of it late
+            let server = self.core.servers.get(back.worker);
+            let usable = server.is_some_and(|s| s.stopped.is_none() && back.address == Some(s.address));
+            let may = self.core.may_write(self.now, session, dispatch, back.way);
+            if !may || !(usable || begun) {
+                // Its last byte has not left, so it never ran, and nobody is to blame. Nothing of it has: then the
+                // connection can carry another one.
+                conn.outbox.clear();
+                (back.state, back.unwritten) = (State::Idle, 0);
+                self.counts.withheld += 1;
+                self.exchange_failed(Some(token), back.worker, exchange, Outcome::Moot);
+                return usable && !begun;
+            }
+        }
         let whole = conn.flush();
-        if whole && conn.outbox.is_empty() && std::mem::take(&mut back.unwritten) {
+        if whole && conn.outbox.is_empty() && std::mem::take(&mut back.unwritten) > 0 {
             self.counts.dispatches_written += 1;
         }
         whole
@@ -335,12 +369,15 @@
 
     /// Writes what is there to write and settles what to wait for.
     fn back_settle(&mut self, token: Token, mut conn: Conn, mut back: Back) {
-        if !self.back_flush(&mut conn, &mut back) {
+        if !self.back_flush(token, &mut conn, &mut back) {
             return self.back_broken(token, conn, back);
         }
         if matches!(back.state, State::Stream { .. }) {
             self.set_timer(token, &mut conn, None); // its session's deadline ends it
         }
+        if matches!(back.state, State::Body { .. }) && conn.timer.is_none() {
+            self.set_timer(token, &mut conn, Some(self.now + SIDE_TIME)); // an answer may never end
+        }
         if matches!(back.state, State::Idle) {
             // Workers close connections idle for this long; a request written to one then ends as a reset.
             let until = self.now + self.config.conn_idle / 2;
@@ -423,19 +460,32 @@
         }
     }
 
-    pub(super) fn back_due(&mut self, token: Token, conn: Conn, back: Back) {
+    pub(super) fn back_due(&mut self, token: Token, mut conn: Conn, mut back: Back) {
+        if conn.outbox.is_empty()
+            && let State::Awaiting(Exchange::Dispatch { .. }) = back.state
+        {
+            // After a long turn its answer may be here, unread.
+            let end = conn.fill(MAX_HEAD);
+            let sound = self.back_read(token, &mut conn, &mut back);
+            match (&back.state, sound, end) {
+                (State::Awaiting(_), ..) => {}
+                (_, true, ReadEnd::Dry | ReadEnd::Enough) => return self.back_settle(token, conn, back),
+                _ => return self.back_ended(token, conn, back),
+            }
+        }
         match back.state {
             // The worker may have read it. Closing the connection gives it up, and the session goes on elsewhere
-            // instead of being waited for until its deadline.
-            State::Awaiting(exchange @ Exchange::Dispatch { .. }) if conn.outbox.is_empty() => {
+            // instead of being waited for until its deadline. Where an answer is lost or on its way, the worker has
+            // taken it: then only being told stops it.
+            State::Awaiting(exchange @ Exchange::Dispatch { session, .. }) if conn.outbox.is_empty() => {
                 // That is no fault of the worker, whose other connections serve: it is not held against it. If its
                 // machine is gone, new connections to it will not come up, which is.
                 self.counts.untaken += 1;
-                if let Exchange::Dispatch { session, .. } = exchange {
-                    self.note_broken(session);
-                }
-                self.exchange_failed(Some(token), back.worker, exchange, Outcome::Cancelled);
+                self.note_broken(session);
+                let (worker, name) = (back.worker, self.core.name(session).map(str::to_owned));
+                self.exchange_failed(Some(token), worker, exchange, Outcome::Cancelled);
                 self.close(token, conn, Role::Back(back));
+                name.iter().for_each(|name| self.call_off(worker, name));
             }
             _ => self.back_broken(token, conn, back),
         }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Drops what is still to be written.
+    pub fn clear(&mut self) {
+        *self = Outbox::default();
+    }
+
     /// Bytes still to be written.
     pub fn len(&self) -> usize {
         self.len
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -59,6 +59,11 @@
         let clock = WatchClock::new(terms, seed);
         Lists { watch: None, clock, again: None, whole: Whole::Known, quiet_until: 0 }
     }
+
+    /// The watch's connection.
+    pub fn watch(&self) -> Option<Token> {
+        self.watch
+    }
 }
 
 impl Server {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -166,6 +166,7 @@
 struct Counts {
     dispatches: u64,
     dispatches_written: u64,
+    withheld: u64,
     reloads: u64,
     bad_reloads: u64,
     connects: u64,
@@ -436,18 +437,22 @@
                 Err(error) => return Err(system("epoll")(error)),
             }
             self.clock();
-            // A call to the second address does not wait for what the clients of this turn ask.
+            // A call to the second address does not wait for what the clients of this turn ask. And what discovery has
+            // told counts before anything of this turn is sent.
+            let watch = self.lists.watch();
             for event in &events {
                 match (Token(event.data.u64()), event.flags) {
                     (ADMIN, _) => self.accept_admin(),
-                    (token, flags) if self.is_admin(token) => self.ready(token, flags),
+                    (token, flags) if self.is_admin(token) || watch == Some(token) => {
+                        self.ready(token, flags)
+                    }
                     _ => {}
                 }
             }
             for event in events.drain(..) {
                 let (data, flags) = (event.data, event.flags);
                 match Token(data.u64()) {
-                    token if self.is_admin(token) => {}
+                    token if self.is_admin(token) || watch == Some(token) => {}
                     PLATFORM => self.accept(false),
                     SSE => self.accept(true),
                     SIGNAL => self.signalled(),
@@ -637,7 +642,7 @@
         self.reported = state;
         let (c, l) = state;
         tracing::info!(
-            "figures taken={} served={} denied={} failed={} gone={} moved={} open={} dispatches={} written={} connects={} \
+            "figures taken={} served={} denied={} failed={} gone={} moved={} open={} dispatches={} written={} withheld={} connects={} \
              connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} \
              bad_datagrams={} accept_pauses={} reloads={} bad_reloads={} connections={} workers={} broken_invariants={}",
             l.taken,
@@ -649,6 +654,7 @@
             l.open(),
             c.dispatches,
             c.dispatches_written,
+            c.withheld,
             c.connects,
             c.connect_failures,
             c.resets,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -175,6 +175,24 @@
     assert!(matches!(all[..], [(_, Answer::Failed | Answer::TimedOut)]), "{all:?}");
 }
 
+/// What was decided may no longer hold when the bytes can leave.
+#[test]
+fn bytes_leave_only_in_time_for_who_waits_and_within_the_window_of_repeat() {
+    let mut bench = Bench::new(2);
+    let id = bench.arrive(1, 5_000 * MS).expect("new");
+    let (_, first, _) = sent(&bench.pass(5 * MS))[0];
+    let at = bench.now;
+    assert!(bench.core.may_write(at, id, first, 0));
+    assert!(!bench.core.may_write(at + 5_000 * MS, id, first, 0), "its time is over");
+    bench.core.ended(bench.now, id, first, Fate::Without(Outcome::Reset), None);
+    assert!(!bench.core.may_write(at, id, first, 0), "it has ended");
+    let (_, second, _) = (0..100).find_map(|_| sent(&bench.pass(20 * MS)).pop()).expect("in the same cell");
+    assert!(bench.core.may_write(bench.now, id, second, 0));
+    assert!(!bench.core.may_write(bench.now, id, second, 40_000 * MS), "it would come after the window");
+    bench.core.hung_up(bench.now, id);
+    assert!(!bench.core.may_write(bench.now, id, second, 0), "its client has left");
+}
+
 #[test]
 fn a_silent_worker_costs_the_session_no_more_than_its_deadline() {
     let mut bench = Bench::new(1);
--- /dev/null
+++ b/tests/first_byte.rs
@@ -0,0 +1,183 @@
+//! A dispatch leaves only if it still may at its first byte, whatever was true when it was decided. The worker `s-late` takes
+//! no connection until the test lets it: its accept queue is full, so a connection comes up only later, however long that is.
+
+use mothproxy_stand_ins::*;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// What is waited for here comes up by itself within this, and no limit of the settings is shorter unless a test says so.
+const LONG_MS: f64 = 15_000.0;
+
+struct Late {
+    listener: TcpListener,
+    filler: TcpStream,
+}
+
+impl Late {
+    fn start() -> Late {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        rustix::net::listen(&listener, 0).expect("a shorter queue");
+        let filler = connect(listener.local_addr().expect("an address"));
+        Late { listener, filler }
+    }
+
+    fn row(&self, lifecycle: &str) -> Value {
+        site::row("s-late", &self.listener.local_addr().expect("an address").to_string(), lifecycle)
+    }
+
+    /// Waits until the program's connection is on its way: its first packet was dropped.
+    fn is_tried(&self) {
+        let port = format!(":{:04X}", self.listener.local_addr().expect("an address").port());
+        until("a connection on its way", || {
+            let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the kernel lists connections");
+            let fields = sockets.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+            fields.into_iter().any(|f| f.len() > 3 && f[2].ends_with(&port) && f[3] == "02") // SYN_SENT
+        });
+    }
+
+    /// Lets the connection come up and returns what was written to it until the program ended or closed it.
+    fn written(self, program: Program) -> (String, std::collections::BTreeMap<String, u64>) {
+        let (first, _) = self.listener.accept().expect("the filler");
+        drop((first, self.filler));
+        let (mut stream, _) = self.listener.accept().expect("the program's");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        let mut seen = Vec::new();
+        let reader = std::thread::spawn(move || {
+            let _ = stream.read_to_end(&mut seen);
+            String::from_utf8_lossy(&seen).into_owned()
+        });
+        let figures = program.figures();
+        (reader.join().expect("a reader"), figures)
+    }
+}
+
+fn list(generation: u64, rows: &[Value]) -> Value {
+    json!({"generation": generation, "reset": true, "instances": rows})
+}
+
+/// A program that knows only the late worker, and the discovery that tells it of others.
+fn only_late(
+    late: &Late,
+    others: &[&Arc<Node>],
+    change: impl FnOnce(&mut Value),
+) -> (Program, Arc<Discovery>) {
+    let first = list(2, &[late.row("up")]);
+    let discovery = Discovery::start(first.clone());
+    let program = start_with(&[], Some(discovery.address), false, |config| {
+        config["known"] = first;
+        config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(LONG_MS);
+        config["settings"]["Limits"]["SecondCopies"] = json!(false);
+        config["settings"]["Obligations"]["StopSendingWithinMs"] = json!(LONG_MS);
+        change(config);
+    });
+    others.iter().for_each(|node| node.calls_back_to(program.platform));
+    until("a watch", || discovery.calls.load(Ordering::SeqCst) > 0);
+    (program, discovery)
+}
+
+fn hand_in(program: &Program, request: &str) -> TcpStream {
+    let mut client = connect(program.platform);
+    client.write_all(request.as_bytes()).expect("written");
+    client
+}
+
+/// Announced as leaving, gone from the list, or back under its name elsewhere: the dispatch goes to who takes work now.
+#[test]
+fn a_connection_that_comes_up_after_its_worker_was_told_to_stop_carries_nothing() {
+    for case in ["draining", "unnamed", "elsewhere"] {
+        let (late, node, back) = (Late::start(), Node::start("s-1"), Node::start("s-late"));
+        let (program, discovery) = only_late(&late, &[&node, &back], |_| {});
+        let mut client = hand_in(&program, &job("a0", "redeem", "take started done=x", ""));
+        late.is_tried();
+        let (rows, server) = match case {
+            "draining" => (vec![node.row("up"), late.row("draining")], &node),
+            "unnamed" => (vec![node.row("up")], &node),
+            _ => (vec![back.row("up")], &back),
+        };
+        discovery.push(&list(3, &rows).to_string(), list(3, &rows));
+        let reader = std::thread::spawn(move || read_reply(&mut client).expect("an answer").status);
+        let listener = late.listener.try_clone().expect("a descriptor");
+        let (first, _) = listener.accept().expect("the filler");
+        drop(first);
+        assert_eq!(reader.join().expect("a reader"), 200, "{case}");
+        assert!(server.saw("a0"), "{case}: {} has served it", server.name);
+        let (mut stream, _) = listener.accept().expect("the program's");
+        let figures = program.figures();
+        let mut seen = String::new();
+        let _ = stream.read_to_string(&mut seen);
+        assert_eq!(seen, "", "{case}");
+        assert_eq!(figures["withheld"], 1, "{case}");
+    }
+}
+
+/// Its client has left, where an attempt cannot be called off.
+#[test]
+fn a_connection_that_comes_up_after_the_client_left_carries_nothing() {
+    let late = Late::start();
+    let (program, _discovery) =
+        only_late(&late, &[], |config| config["settings"]["Limits"]["Cancel"] = json!(false));
+    let client = hand_in(&program, &job("b0", "balance", "take started done=x", ""));
+    late.is_tried();
+    drop(client);
+    let (seen, figures) = late.written(program);
+    assert_eq!((seen.as_str(), figures["gone"]), ("", 1));
+    assert_eq!(figures["withheld"], 1);
+}
+
+/// An attempt may have run, and the window in which its repeat is dropped ends while the next one's connection is on its way.
+#[test]
+fn a_connection_that_comes_up_after_the_window_of_repeat_carries_nothing() {
+    let (late, node) = (Late::start(), Node::start("s-1"));
+    let (program, discovery) = only_late(&late, &[&node], |config| {
+        config["settings"]["Grades"][1]["MemorySpanMs"] = json!(2_000.0);
+    });
+    let rows = [node.row("up"), late.row("draining")];
+    discovery.push(&list(3, &rows).to_string(), list(3, &rows));
+    let mut client =
+        hand_in(&program, &job("c0", "redeem", "take wait=told lost", "X-Time-Left-Ms: 7000\r\n"));
+    until("a job arrives", || node.jobs.load(Ordering::SeqCst) == 1);
+    let sent = Instant::now();
+    let rows = [node.row("draining"), late.row("up")];
+    discovery.push(&list(4, &rows).to_string(), list(4, &rows));
+    node.open("told");
+    late.is_tried();
+    until("the window's end", || sent.elapsed() > Duration::from_millis(2_000));
+    let reader = std::thread::spawn(move || read_reply(&mut client).expect("an answer").status);
+    let (first, _) = late.listener.accept().expect("the filler");
+    drop(first);
+    let (mut stream, _) = late.listener.accept().expect("the program's");
+    let status = reader.join().expect("a reader");
+    let figures = program.figures();
+    let mut seen = String::new();
+    let _ = stream.read_to_string(&mut seen);
+    assert_eq!((seen.as_str(), status / 100), ("", 5), "{status}");
+    assert_eq!(figures["withheld"], 1);
+}
+
+/// An answer that came while the program was held up is read before its time is looked at: its worker has the job, so that
+/// closing the connection would not give it up, and another attempt would be a second one out.
+#[test]
+fn an_answer_that_waits_to_be_read_is_in_time() {
+    let nodes = [Node::start("s-1"), Node::start("s-2")];
+    let program = start_with(&nodes, None, false, |config| {
+        config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(2_000.0);
+        config["settings"]["Limits"]["SecondCopies"] = json!(false);
+    });
+    let mut client = hand_in(&program, &job("d0", "balance", "wait=held take wait=read started done=x", ""));
+    let jobs = || nodes.iter().map(|node| node.jobs.load(Ordering::SeqCst)).sum::<u64>();
+    until("a job arrives", || jobs() == 1);
+    program.signal("-STOP");
+    let stat = format!("/proc/{}/stat", program.pid());
+    until("it is held up", || std::fs::read_to_string(&stat).is_ok_and(|stat| stat.contains(") T ")));
+    let held = Instant::now();
+    nodes.iter().for_each(|node| node.open("held"));
+    until("its time is over", || held.elapsed() > Duration::from_millis(2_000));
+    program.signal("-CONT");
+    nodes.iter().for_each(|node| node.open("read"));
+    assert_eq!(read_reply(&mut client).expect("an answer").status, 200);
+    assert_eq!((jobs(), program.figures()["untaken"]), (1, 0));
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -156,6 +156,18 @@
     assert!(figures["untaken"] >= 1 && figures["broken_invariants"] == 0, "{figures:?}");
 }
 
+/// A job that is unsafe to repeat gained nothing by being given up after 150 ms: nobody else could have it.
+#[test]
+fn an_unsafe_dispatch_is_waited_for_as_long_as_its_client_waits() {
+    let node = Node::start("s-1");
+    let program = start_with(std::slice::from_ref(&node), None, false, |config| {
+        config["settings"]["Grades"][1]["Semantics"] = json!("side_effect");
+    });
+    let request = job("k0", "redeem", "pause=700 take started done=x", "X-Time-Left-Ms: 15000\r\n");
+    assert_eq!(send(program.platform, &request).expect("an answer").status, 200);
+    assert_eq!((node.jobs.load(Ordering::SeqCst), program.figures()["untaken"]), (1, 0));
+}
+
 /// Kept connections that break under the next request show nothing of their worker. Each one used to be a strike, so
 /// that on a day of many the workers that could have served were left alone.
 #[test]
