A client that left is looked for before an attempt begins for it

Seen in the sources: a short read showed no end behind it, so a request and the FIN or RST that came with it (read late, from the queue of connections, or with a connection that was handed over) were sent on in the same turn (`front_ready`, `accept`, `take_front`). One look shows 256 connections: news of a worker among them began a further attempt for a client whose end was not. What was sent ahead was read 4 KiB a turn, and no further than the system's buffer: behind more than that no end was ever seen. Where attempts may not be called off, a connection that came up late carried its request though the client had gone, and a dispatch without its request was held against the worker.

Ends now count with what was read, and before what other connections bring. Where the last look was partial or over 25 ms ago (a quarter of the 0.1 s), the client's connection is read before its attempt begins; always when a connection to a worker has come up, and once for a connection that was accepted or taken over. What is sent ahead is read up to a whole request, and beyond it the connection is closed. A client that shuts its sending down counts as gone, as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -469,6 +469,11 @@
         self.forget(id);
     }
 
+    /// Whom a session's answer goes to.
+    pub fn frontend(&self, id: SessionId) -> Option<u64> {
+        self.sessions.get(&id).map(|session| session.frontend)
+    }
+
     /// The client of a session left.
     pub fn hung_up(&mut self, now: Micros, id: SessionId) {
         if self.sessions.get(&id).is_some_and(|s| s.open) {
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -100,9 +100,12 @@
     }
 
     pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId, left: Micros) {
+        if self.looked.is_old(self.reading()) {
+            self.client_left(session);
+        }
         let Some(raw) = self.requests.get(&session) else {
-            // Its client left in the meantime: nothing goes out any more.
-            let fate = Fate::Without(Outcome::ConnectFailed);
+            // Its client left in the meantime: nothing goes out any more, which shows nothing of the worker.
+            let fate = Fate::Without(Outcome::Moot);
             self.core.ended(self.now, session, dispatch, fate, None);
             return;
         };
@@ -202,6 +205,14 @@
             if exchange.is_dispatch() && told.is_some_and(|at| self.now > at + grace) {
                 return self.back_broken(token, conn, back);
             }
+            if let Exchange::Dispatch { session, .. } = exchange
+                && self.client_left(session)
+            {
+                // Nothing of it was written: the connection is as good as new for the next.
+                self.exchange_failed(Some(token), back.worker, exchange, Outcome::Moot);
+                (conn.outbox, back.state, back.unwritten) = (Default::default(), State::Idle, false);
+                return self.back_settle(token, conn, back);
+            }
             back.state = State::Awaiting(exchange);
             self.set_timer(token, &mut conn, Some(self.now + exchange.time()));
         }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -132,6 +132,20 @@
         true
     }
 
+    /// Whether the other side has ended its sending, or the connection is broken: what is there is read for it, as long
+    /// as the inbox holds less than `most` bytes.
+    pub fn has_ended(&mut self, most: usize) -> bool {
+        loop {
+            let held = self.inbox.len();
+            match self.fill(most) {
+                ReadEnd::Eof | ReadEnd::Broken => return true,
+                ReadEnd::Enough => return false,
+                ReadEnd::Dry if self.inbox.len() == held => return false,
+                ReadEnd::Dry => {} // a short read leaves the end behind it unseen
+            }
+        }
+    }
+
     /// Reads until the inbox holds `most` bytes or nothing more is there.
     pub fn fill(&mut self, most: usize) -> ReadEnd {
         while self.inbox.len() < most {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -3,6 +3,7 @@
 use super::conn::{Conn, ReadEnd};
 use super::handover::HandedSession;
 use super::stop::FRESH;
+use super::watch::JOB;
 use super::{ACCEPT_TIMER, ACCEPTS, Role, Server, Token};
 use crate::core::{Answer, SessionId};
 use crate::front::platform::{self, Raw, Reject, Route};
@@ -32,11 +33,36 @@
 const STALL: Micros = 30_000_000;
 /// Progress is dropped for a client that has this much left to read; final events never are.
 const SLOW_READER: usize = 16 * 1024;
-/// Bytes read ahead of a request being answered.
-const AHEAD: usize = 4 * 1024;
+/// Bytes held of what a client sends: a whole request. Clients send one at a time; one that sends as much again before
+/// it has its answer is closed, since what comes behind could not be seen, the end of the connection among it.
+const MOST: usize = MAX_HEAD + MAX_BODY;
+/// No attempt may begin for a client that left longer ago than this.
+const LEFT: Micros = 100_000;
+/// What says that the other side of a connection has ended it.
+const ENDED: EventFlags = EventFlags::RDHUP.union(EventFlags::HUP).union(EventFlags::ERR);
 /// Accepting is tried again after this where there was no room.
 const ACCEPT_PAUSE: Micros = 20_000;
 
+/// When all connections were last looked at for what has come on them.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Look {
+    at: Micros,
+    /// More may have come than was shown.
+    partial: bool,
+}
+
+impl Look {
+    pub fn new(at: Micros, partial: bool) -> Look {
+        Look { at, partial }
+    }
+
+    /// Whether a client may have left since, or unseen, for so long that it must be looked at before an attempt begins.
+    /// The attempt has the other part of the time to get under way.
+    pub fn is_old(&self, now: Micros) -> bool {
+        self.partial || now > self.at + LEFT / 4
+    }
+}
+
 pub(super) enum State {
     Reading,
     Chunks {
@@ -132,6 +158,11 @@
         self.state = State::Waiting { session, keep_alive, stream };
     }
 
+    /// Whether an answer, or a job's events, are awaited on it.
+    fn waits(&self) -> bool {
+        matches!(self.state, State::Waiting { .. } | State::Watching(_))
+    }
+
     pub(super) fn is_unasked(&self) -> bool {
         self.unasked_since.is_some()
     }
@@ -197,6 +228,7 @@
             // Often the request is there already.
             if let Some((conn, Role::Front(front))) = self.take(token) {
                 self.front_ready(token, conn, front, EventFlags::IN);
+                self.has_left(token); // so may its end be
             }
         }
     }
@@ -234,25 +266,67 @@
         if flags.contains(EventFlags::OUT) && !conn.flush() {
             return self.front_gone(token, conn, front);
         }
-        if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
-            let most = match &front.state {
-                State::Waiting { .. } | State::Watching(_) => conn.inbox.len() + AHEAD,
-                _ => MAX_HEAD + MAX_BODY,
-            };
+        let mut ended = false;
+        if flags.intersects(EventFlags::IN | ENDED) {
             let before = conn.inbox.len();
-            let end = conn.fill(most);
+            let end = conn.fill(MOST);
             if front.unasked_since.is_some() && conn.inbox.len() > before {
                 self.unasked_fronts.remove(&(front.heard, token));
                 front.heard = self.now;
                 self.unasked_fronts.insert((self.now, token));
             }
             match end {
-                ReadEnd::Dry | ReadEnd::Enough => {}
+                ReadEnd::Dry => ended = flags.intersects(ENDED),
+                ReadEnd::Enough if front.waits() => {
+                    self.counts.rejects += 1;
+                    return self.front_gone(token, conn, front);
+                }
+                ReadEnd::Enough => {}
                 // What it had asked for is asked for no more.
                 ReadEnd::Eof | ReadEnd::Broken => return self.front_gone(token, conn, front),
             }
         }
         self.front_go_on(token, conn, front);
+        // A short read shows no end behind it. What came before the end is used; no attempt may begin for it.
+        if ended && let Some((conn, role)) = self.take(token) {
+            match role {
+                Role::Front(front) => self.front_gone(token, conn, front),
+                role => self.put(token, conn, role),
+            }
+        }
+    }
+
+    /// Where a client has left, as these flags say, that counts before what other connections bring.
+    pub(super) fn front_left(&mut self, token: Token, flags: EventFlags) {
+        let held = self.slots.get(token.slot()).and_then(|slot| slot.held.as_ref());
+        if flags.intersects(ENDED) && matches!(held, Some((_, Role::Front(_)))) {
+            self.ready(token, flags);
+        }
+    }
+
+    /// Looks whether the client has gone that awaits an answer on this connection; then its session has lost it.
+    pub(super) fn has_left(&mut self, token: Token) -> bool {
+        let Some((mut conn, role)) = self.take(token) else { return false };
+        match role {
+            Role::Front(front) if front.waits() => {
+                let left = conn.has_ended(MOST);
+                match left {
+                    true => self.front_gone(token, conn, front),
+                    false => self.put(token, conn, Role::Front(front)),
+                }
+                left
+            }
+            role => {
+                self.put(token, conn, role);
+                false
+            }
+        }
+    }
+
+    /// Whether the client of a session has gone, as a look at its connection shows; nothing more is sent for it then.
+    pub(super) fn client_left(&mut self, session: SessionId) -> bool {
+        let token = self.core.frontend(session).filter(|to| to & JOB == 0).map(Token);
+        token.is_some_and(|token| self.has_left(token)) || !self.requests.contains_key(&session)
     }
 
     /// Uses what was read, writes what is there to write, and settles what to wait for.
@@ -472,10 +546,7 @@
             front.idle_since = Some(self.now);
             self.idle_fronts.insert((self.now, token));
         }
-        // A client that sends on while its request is answered is read only so far.
-        let waits = matches!(front.state, State::Waiting { .. } | State::Watching(_));
-        let read = !waits || conn.inbox.len() < AHEAD;
-        self.watch_for(token, &mut conn, read);
+        self.watch_for(token, &mut conn, true);
         self.put(token, conn, Role::Front(front));
     }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -491,6 +491,7 @@
             }
         }
         self.front_go_on(token, conn, front);
+        self.has_left(token); // its end may have come before it was watched here
     }
 
     fn hand_back(&mut self, token: Token, conn: Conn, back: Back) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,7 +26,7 @@
 use backend::{Back, Probe};
 use conn::Conn;
 use discovery::{Call, Lists};
-use frontend::Front;
+use frontend::{Front, Look};
 use handover::{Asked, Home, Twin};
 use notes::Notes;
 use reload::Signals;
@@ -185,6 +185,8 @@
     core: Core,
     started: Instant,
     now: Micros,
+    /// When all connections were last looked at.
+    looked: Look,
     epoll: OwnedFd,
     platform: TcpListener,
     sse: Option<(TcpListener, Micros)>,
@@ -353,6 +355,7 @@
             core,
             started,
             now,
+            looked: Look::default(),
             epoll,
             platform,
             sse,
@@ -409,7 +412,12 @@
     }
 
     fn clock(&mut self) {
-        self.now = Core::clock_start() + self.started.elapsed().as_micros() as Micros;
+        self.now = self.reading();
+    }
+
+    /// What the clock shows in the midst of a turn; `now` is when its events were taken.
+    fn reading(&self) -> Micros {
+        Core::clock_start() + self.started.elapsed().as_micros() as Micros
     }
 
     /// Serves until a stop signal has been seen through.
@@ -436,6 +444,7 @@
                 Err(error) => return Err(system("epoll")(error)),
             }
             self.clock();
+            self.looked = Look::new(self.now, events.len() == EVENTS);
             // A call to the second address does not wait for what the clients of this turn ask.
             for event in &events {
                 match (Token(event.data.u64()), event.flags) {
@@ -444,6 +453,10 @@
                     _ => {}
                 }
             }
+            // Clients that leave come before those that bring work, which takes longer.
+            for event in &events {
+                self.front_left(Token(event.data.u64()), event.flags);
+            }
             for event in events.drain(..) {
                 let (data, flags) = (event.data, event.flags);
                 match Token(data.u64()) {
