A later request has as long as a first one, and an answer that nobody reads ends its connection

On a connection that had been served, half a request was waited for until the idle time of 120 s was over (the timer of the idle connection was kept, `front_settle`), and it gave way to nobody. Requests were read on while none of their answers were, and these piled up. An answer that nobody read was kept for 30 s; a stream that ended took over the timer of its heartbeat. `100 Continue` was written anew with each piece of a body.

A later request that has begun counts like a first one: 2.5 s, and it gives way after a second of silence. With 16 KiB of answers unread no more is read. A client that reads nothing of an answer for 2.5 s is closed; each write counts anew.

The table of bad clients on new and kept connections, on both fronts, fails before (kept half requests: neither an error nor a close) and passes now.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -85,6 +85,8 @@
     pub interest: EventFlags,
     /// Its deadline, if one is set.
     pub timer: Option<u64>,
+    /// Something was written on it since this was last looked at.
+    pub wrote: bool,
 }
 
 impl Conn {
@@ -93,7 +95,7 @@
     pub fn new(stream: TcpStream) -> Conn {
         let _ = stream.set_nodelay(true); // a slower connection is no reason to lose it
         let interest = EventFlags::empty();
-        Conn { stream, inbox: Vec::new(), outbox: Outbox::default(), interest, timer: None }
+        Conn { stream, inbox: Vec::new(), outbox: Outbox::default(), interest, timer: None, wrote: false }
     }
 
     /// Begins to connect; the socket turns writable once that is settled.
@@ -123,7 +125,10 @@
             }
             match rustix::io::writev(&self.stream, &slices[..count]) {
                 Ok(0) => return false,
-                Ok(written) => self.outbox.advance(written),
+                Ok(written) => {
+                    self.outbox.advance(written);
+                    self.wrote = true;
+                }
                 Err(Errno::AGAIN) => return true,
                 Err(Errno::INTR) => {}
                 Err(_) => return false,
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -29,13 +29,15 @@
 pub(super) const HALF_GRACE: Micros = 1_000_000;
 /// An idle connection is closed after this.
 const IDLE: Micros = 120_000_000;
-/// A client that reads nothing of a finished answer for this long is given up.
-const STALL: Micros = 30_000_000;
+/// A client that reads nothing of a finished answer for this long is given up: it is owed a close within 3 s as well.
+const STALL: Micros = 2_500_000;
 /// Progress is dropped for a client that has this much left to read; final events never are.
 const SLOW_READER: usize = 16 * 1024;
 /// Bytes held of what a client sends: a whole request. Clients send one at a time; one that sends as much again before
 /// it has its answer is closed, since what comes behind could not be seen, the end of the connection among it.
 const MOST: usize = MAX_HEAD + MAX_BODY;
+/// No more requests of a client are read while it has this much of its answers left to read.
+const UNREAD: usize = 16 * 1024;
 /// No attempt may begin for a client that left longer ago than this.
 const LEFT: Micros = 100_000;
 /// What says that the other side of a connection has ended it.
@@ -104,9 +106,9 @@
     sse: bool,
     pub(super) state: State,
     idle_since: Option<Micros>,
-    /// When it was accepted, until its first whole request.
+    /// When it was accepted, until its first whole request; and when a later one began, until that is whole.
     unasked_since: Option<Micros>,
-    /// When it was accepted, or its last bytes came, until then.
+    /// When that was, or its last bytes came.
     heard: Micros,
     /// A worker tells of its jobs on it.
     pub(super) calls_back: bool,
@@ -262,6 +264,7 @@
     pub(super) fn front_ready(&mut self, token: Token, mut conn: Conn, mut front: Front, flags: EventFlags) {
         if let Some(since) = front.idle_since.take() {
             self.idle_fronts.remove(&(since, token));
+            self.set_timer(token, &mut conn, None); // what comes now has a time of its own
         }
         if flags.contains(EventFlags::OUT) && !conn.flush() {
             return self.front_gone(token, conn, front);
@@ -277,7 +280,7 @@
             }
             match end {
                 ReadEnd::Dry => ended = flags.intersects(ENDED),
-                ReadEnd::Enough if front.waits() => {
+                ReadEnd::Enough if front.waits() || conn.outbox.len() >= UNREAD => {
                     self.counts.rejects += 1;
                     return self.front_gone(token, conn, front);
                 }
@@ -344,17 +347,30 @@
                     if !conn.flush() {
                         return self.front_gone(token, conn, front);
                     }
+                    if !matches!(front.state, State::Watching(_)) {
+                        self.set_timer(token, &mut conn, None); // it was the heartbeat's
+                    }
                     let more = conn.outbox.is_empty() && matches!(front.state, State::Watching(_));
                     if !more || !self.has_more(&front) {
                         break;
                     }
                 }
                 State::Reading if conn.inbox.is_empty() || self.handed => break,
+                State::Reading if conn.outbox.len() >= UNREAD => {
+                    if !conn.flush() {
+                        return self.front_gone(token, conn, front);
+                    }
+                    if conn.outbox.len() >= UNREAD {
+                        break;
+                    }
+                }
                 State::Reading => match http::read_request(&conn.inbox) {
                     Ok(None) => break,
                     Err(error) => self.reject(&mut conn, &mut front, error.into()),
                     Ok(Some(head)) => {
-                        if head.fields.lists(&conn.inbox, "expect", "100-continue") {
+                        // Once the body has begun, nobody waits for this.
+                        let waits = conn.inbox.len() == head.len;
+                        if waits && head.fields.lists(&conn.inbox, "expect", "100-continue") {
                             conn.outbox.push(vec!["HTTP/1.1 100 Continue\r\n\r\n".into()]);
                         }
                         let length = match head.framing {
@@ -524,15 +540,25 @@
         if matches!(front.state, State::Ending { since: None }) && written {
             self.half_close(token, &mut conn, &mut front);
         }
+        let reading = matches!(front.state, State::Reading);
+        let half = reading && !conn.inbox.is_empty() || matches!(front.state, State::Chunks { .. });
+        if half && written && front.unasked_since.is_none() {
+            // A later request has begun: it has as long as a first one, and gives way like it.
+            (front.unasked_since, front.heard) = (Some(self.now), self.now);
+            self.unasked_fronts.insert((self.now, token));
+        }
         let heartbeat = self.sse.as_ref().map_or(0, |(_, every)| *every);
+        let wrote = std::mem::take(&mut conn.wrote);
+        let stalled = conn.timer.filter(|_| !wrote);
         let at = match &front.state {
             State::Ending { since: Some(_) } => conn.timer,
-            State::Ending { since: None } => Some(conn.timer.unwrap_or(self.now + STALL)),
             State::Reading | State::Chunks { .. } if front.unasked_since.is_some() => {
                 Some(front.unasked_since.unwrap_or(self.now) + REQUEST_TIME)
             }
-            State::Reading if conn.inbox.is_empty() && written => Some(self.now + IDLE),
-            State::Reading | State::Chunks { .. } => Some(conn.timer.unwrap_or(self.now + REQUEST_TIME)),
+            State::Reading if written => Some(self.now + IDLE),
+            State::Ending { .. } | State::Reading | State::Chunks { .. } => {
+                Some(stalled.unwrap_or(self.now + STALL))
+            }
             State::Waiting { stream: Some(stream), .. } if stream.begun => Some(stream.last + heartbeat),
             // Set anew only once it is due: an event more does not move it.
             State::Watching(held) => Some(conn.timer.unwrap_or(held.last + heartbeat)),
@@ -546,7 +572,8 @@
             front.idle_since = Some(self.now);
             self.idle_fronts.insert((self.now, token));
         }
-        self.watch_for(token, &mut conn, true);
+        let read = !matches!(front.state, State::Reading) || conn.outbox.len() < UNREAD;
+        self.watch_for(token, &mut conn, read);
         self.put(token, conn, Role::Front(front));
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -217,7 +217,8 @@
     accepting: bool,
     /// Connections of frontends without a session, by the time since which they are idle.
     idle_fronts: std::collections::BTreeSet<(Micros, Token)>,
-    /// Connections of frontends that have not sent a whole request yet, by the time at which they came.
+    /// Connections of frontends that have not sent a whole first request, or have begun a later one, by when they were
+    /// last heard of.
     unasked_fronts: std::collections::BTreeSet<(Micros, Token)>,
     /// Connections of frontends that this side has ended.
     lingering: linger::Lingering,
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -168,3 +168,130 @@
     });
     assert!(answered);
 }
+
+/// Reads what is said until the other side closes, and no more than so much of it.
+fn said_by(stream: &mut TcpStream) -> String {
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    let mut seen = Vec::new();
+    let ended = stream.take(1 << 20).read_to_end(&mut seen);
+    let reset = ended.is_err_and(|error| error.kind() != std::io::ErrorKind::ConnectionReset);
+    assert!(!reset, "neither an error nor a close");
+    String::from_utf8_lossy(&seen).into_owned()
+}
+
+/// What is wrong with a client.
+enum Bad {
+    /// It sends this and no more; the answer.
+    Stops(&'static str, &'static str),
+    /// It sends this over and over and reads nothing.
+    Floods(String),
+    /// It sends this over and over and goes.
+    Goes(String),
+}
+
+/// A client of this kind, and usual ones before and after it.
+fn meets(to: SocketAddr, name: &str, bad: &Bad, kept: bool) {
+    let usual = |when: &str| {
+        let (mut tries, mut served) = (0, None);
+        // While the machine is busy with floods a worker may take nothing in time: then one is refused, and tries again.
+        until("a usual client is served", || {
+            tries += 1;
+            let mut stream = connect(to);
+            let id = format!("{name}, {when}, {tries}").replace([' ', ','], "-");
+            stream.write_all(job(&id, "balance", "take started done=x", "").as_bytes()).expect("written");
+            let status = read_reply(&mut stream).expect("an answer").status;
+            assert!(matches!(status, 200 | 503), "{name}: {status}");
+            served = Some(stream).filter(|_| status == 200);
+            status == 200
+        });
+        served.expect("it was served")
+    };
+    let mut stream = if kept { usual("before") } else { connect(to) };
+    stream.set_write_timeout(Some(PATIENCE)).expect("a socket option");
+    match bad {
+        Bad::Stops(sent, status) => {
+            stream.write_all(sent.as_bytes()).expect("written");
+            let said = said_by(&mut stream);
+            assert!(said.starts_with(&format!("HTTP/1.1 {status} ")), "{name}: {said}");
+        }
+        Bad::Floods(sent) => {
+            // It may be shut out at any point, but is not borne for ever.
+            let mut rounds = 0;
+            while stream.write_all(sent.as_bytes()).is_ok() {
+                rounds += 1;
+                assert!(rounds < 1_000_000, "{name}: it goes on and on");
+            }
+            until("it is closed", || is_closed(&stream) || stream.write(b"x").is_err());
+        }
+        Bad::Goes(sent) => {
+            let _ = stream.write_all(sent.as_bytes());
+            drop(stream);
+        }
+    }
+    usual("after");
+}
+
+/// A later request that stopped half way was waited for as long as an idle connection is kept, two minutes; requests were
+/// read on while none of their answers were, and those piled up.
+#[test]
+fn bad_clients_end_in_an_error_or_a_close_on_new_and_on_kept_connections() {
+    let node = Node::start("s-1");
+    let program = start(std::slice::from_ref(&node), None, true);
+    let chunked = "POST /balance HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let up = "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n".to_owned();
+    let cases = [
+        ("half a line", Bad::Stops("POST /bal", "408")),
+        ("half a head", Bad::Stops("POST /balance HTTP/1.1\r\nHost: h\r\n", "408")),
+        (
+            "half a body",
+            Bad::Stops("POST /balance HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab", "408"),
+        ),
+        (
+            "half a chunk",
+            Bad::Stops("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408"),
+        ),
+        (
+            "two bodies",
+            Bad::Stops("POST /balance HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nabab", "400"),
+        ),
+        (
+            "no number",
+            Bad::Stops("POST /balance HTTP/1.1\r\nHost: h\r\nContent-Length: 2,3\r\n\r\nab", "400"),
+        ),
+        (
+            "endless chunks",
+            Bad::Floods(format!("{chunked}{}", "400\r\n".to_owned() + &"x".repeat(1024) + "\r\n")),
+        ),
+        ("endless trailers", Bad::Floods(format!("{chunked}0\r\n{}", "X-Trailer: x\r\n".repeat(100)))),
+        ("endless blank lines", Bad::Floods("\r\n".repeat(1000))),
+        ("endless requests", Bad::Floods(up.repeat(100))),
+        (
+            "endless jobs",
+            Bad::Floods(job("q", "balance", "take started hang", "X-Time-Left-Ms: 7000\r\n").repeat(100)),
+        ),
+        ("much, and gone", Bad::Goes(up.repeat(1000))),
+        ("much of a head, and gone", Bad::Goes("X-Filler: 0123456789abcdef\r\n".repeat(3000))),
+        ("jobs, and gone", Bad::Goes(job("r", "balance", "take started hang", "").repeat(300))),
+    ];
+    std::thread::scope(|scope| {
+        for (side, to) in fronts(&program).into_iter().enumerate() {
+            for (name, bad) in &cases {
+                for kept in [false, true] {
+                    scope.spawn(move || meets(to, &format!("{name}, {kept}, {side}"), bad, kept));
+                }
+            }
+        }
+    });
+    // The program's memory was never more than some megabytes.
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.pid())).expect("Linux");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(peak < 64 * 1024, "{peak} kB");
+    let (clean, log) = {
+        program.terminate();
+        program.wait()
+    };
+    assert!(clean, "{log:?}");
+    assert!(log.len() < 40, "no line of the log is one client's: {}", log.len());
+    assert!(log.iter().any(|line| line.contains("broken_invariants=0")) && !node.saw("ab"));
+}
