Discovery has descriptors of its own, and the system's own limit counts

The budget of connections came from the configuration alone: under a lower limit of the system's, accepting failed while the budget still had room, nothing gave way, and neither the list could be read nor a worker reached. A call to discovery needed room like any connection (`make_room`). A connection that had just come was closed before one that had been served and idle for less long, though only the client of the former counts it as refused. That all descriptors were at work was held against the worker. Other errors of accept than EMFILE for want of memory were tried again at once.

The budget heeds both limits; calls to discovery are outside it; served idle connections give way before new ones; where the system has no descriptor left all the same, one connection is closed and accepting pauses.

tests/descriptors.rs (limits of the system and of the configuration; idle, half and kept half requests hold all, then discovery comes and jobs are served) fails before: no usual client is served in 20 s; it passes now.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -158,7 +158,8 @@
             }
         }
         let address = self.core.servers.get(worker).map(|s| s.address);
-        let conn = address.filter(|_| self.make_room(0)).and_then(|address| Conn::connect(address).ok());
+        let room = address.is_none() || self.make_room(0);
+        let conn = address.filter(|_| room).and_then(|address| Conn::connect(address).ok());
         self.counts.connects += 1;
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(pieces);
@@ -167,7 +168,9 @@
         });
         if token.is_none() {
             self.counts.connect_failures += 1;
-            self.exchange_failed(None, worker, exchange, Outcome::ConnectFailed);
+            // That all descriptors are at work here shows nothing of the worker.
+            let outcome = if room { Outcome::ConnectFailed } else { Outcome::Moot };
+            self.exchange_failed(None, worker, exchange, outcome);
         }
         token
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -118,7 +118,7 @@
             self.close_token(old);
         }
         let after = watch.then_some(self.core.servers.generation);
-        let conn = self.make_room(0).then(|| Conn::connect(self.config.discovery).ok()).flatten();
+        let conn = Conn::connect(self.config.discovery).ok(); // its descriptor is kept for it: see `SPARE_FDS`
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(platform::list(after));
             let call = Call {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -206,8 +206,10 @@
             let stream = match rustix::net::accept_with(listener, flags) {
                 Ok(fd) => TcpStream::from(fd),
                 Err(Errno::AGAIN) => return,
-                Err(Errno::MFILE | Errno::NFILE) => {
-                    return self.pause_accepting(); // no descriptors left, here or on the machine
+                Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
+                    // None left, here or on the machine, though the budget has some.
+                    let _ = self.drop_idle_backend() || self.drop_front(FRESH);
+                    return self.pause_accepting();
                 }
                 Err(_) => continue,
             };
@@ -636,6 +638,27 @@
         self.fronts - self.lingering.len()
     }
 
+    /// Closes the connection of a frontend that has been idle for longest, and for at least so long, of those that have
+    /// been served: a request that the close crosses is sent once more, while a new client would count it as refused.
+    pub(super) fn drop_kept_front(&mut self, least: Micros) -> bool {
+        loop {
+            let mut idle = self.idle_fronts.iter().take_while(|(since, _)| since + least <= self.now);
+            let kept = idle.find(|(_, token)| {
+                let held = &self.slots[token.slot()].held;
+                matches!(held, Some((_, Role::Front(front))) if !front.is_unasked())
+            });
+            match kept.copied().and_then(|(_, token)| Some((token, self.take(token)?))) {
+                Some((token, (conn, Role::Front(front)))) => {
+                    if self.close_idle(token, conn, front) {
+                        return true;
+                    }
+                }
+                Some((token, (conn, role))) => self.put(token, conn, role),
+                None => return false,
+            }
+        }
+    }
+
     /// Whether the connections of frontends keep within their budget, once those that wait for nothing are closed.
     fn front_fits(&mut self) -> bool {
         while self.served_fronts() > self.budget.fronts {
@@ -649,7 +672,10 @@
 
     /// Closes a connection of a frontend to make room: one that is silent, one that is idle, or a half request.
     fn drop_front(&mut self, least: Micros) -> bool {
-        self.drop_unasked(HALF_GRACE) || self.drop_idle_front(least) || self.drop_unasked(UNASKED_GRACE)
+        self.drop_unasked(HALF_GRACE)
+            || self.drop_kept_front(least)
+            || self.drop_idle_front(least)
+            || self.drop_unasked(UNASKED_GRACE)
     }
 
     /// Closes the connection that has been silent for longest of those that have had their time to ask: with a part of a
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -37,7 +37,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use watch::{Streams, Watch};
 
-/// Descriptors that are no connections: epoll, listeners, signals, log, datagrams, and some to spare.
+/// Descriptors that no client, worker or probe may use: standard streams (3), epoll, listeners (3), signals (2), datagrams,
+/// the places where processes of one dispatcher meet (2), those of a packet between them (4), callers of the second address
+/// (16), calls to discovery (a watch, the next one and a list), and files that are read (5).
 const SPARE_FDS: usize = 40;
 /// Events taken from epoll at a time.
 const EVENTS: usize = 256;
@@ -140,7 +142,8 @@
     }
 }
 
-/// How many connections there may be.
+/// How many connections there may be. Whatever clients hold, a sixth is left for workers and probes, and a sixth for
+/// call-backs and for telling clients that there is no room; discovery has descriptors of its own.
 #[derive(Clone, Copy, Debug)]
 struct Budget {
     /// In all.
@@ -155,8 +158,10 @@
     fn of(limits: MachineLimits, taken: usize) -> Budget {
         // A connection may buffer a whole request and a whole answer: memory bounds their number as well.
         let by_memory = (limits.memory_mb as usize * 1024 * 1024) / (2 * 96 * 1024);
-        let conns =
-            (limits.sockets as usize).saturating_sub(SPARE_FDS + taken).max(16).min(by_memory.max(16));
+        // The system's own limit may be lower than what the configuration allows.
+        let open = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let sockets = open.map_or(limits.sockets, |open| open.min(limits.sockets)) as usize;
+        let conns = sockets.saturating_sub(SPARE_FDS + taken).max(16).min(by_memory.max(16));
         Budget { conns, fronts: conns * 2 / 3, last_fronts: conns * 5 / 6 }
     }
 }
@@ -558,7 +563,7 @@
             return None;
         }
         let role = role(token);
-        self.live += usize::from(!matches!(role, Role::Admin(_)));
+        self.live += usize::from(!matches!(role, Role::Admin(_) | Role::Call(_)));
         self.fronts += usize::from(matches!(role, Role::Front(_)));
         self.slots[slot].held = Some((conn, role));
         Some(token)
@@ -574,7 +579,9 @@
         slot.used = slot.used.wrapping_add(1) & 0x7fff_ffff;
         self.free.push(token.slot());
         match role {
-            Role::Admin(_) => return self.callers.retain(|t| *t != token), // outside the budget of the others
+            // Outside the budget of the others.
+            Role::Admin(_) => return self.callers.retain(|t| *t != token),
+            Role::Call(_) => return,
             Role::Front(_) => self.fronts -= 1,
             _ => {}
         }
@@ -636,6 +643,7 @@
         let ended = self.drop_lingering()
             || self.drop_unasked(frontend::HALF_GRACE)
             || self.drop_idle_backend()
+            || self.drop_kept_front(least)
             || self.drop_idle_front(least)
             || self.drop_unasked(frontend::UNASKED_GRACE);
         // Where its end has only begun, it gives its descriptor now.
--- /dev/null
+++ b/tests/descriptors.rs
@@ -0,0 +1,117 @@
+//! Descriptors: whatever clients hold, discovery, workers and new clients find room. The limit is the system's or the
+//! configuration's, whichever is lower. These tests change the limit of their own process while they start the program.
+
+use mothproxy_stand_ins::*;
+use rustix::net::{AddressFamily, SocketType};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+
+/// Starts the program under a limit of the system's.
+fn start_under(limit: u64, start: impl FnOnce() -> Program) -> Program {
+    static ONE: std::sync::Mutex<()> = std::sync::Mutex::new(());
+    let one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let before = getrlimit(Resource::Nofile);
+    setrlimit(Resource::Nofile, Rlimit { current: Some(limit), ..before }).expect("a lower limit");
+    let program = start();
+    setrlimit(Resource::Nofile, before).expect("the limit as before");
+    drop(one);
+    program
+}
+
+/// A place where nobody listens yet, and nobody else can.
+fn reserved() -> (OwnedFd, SocketAddr) {
+    let fd = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    rustix::net::bind(&fd, &SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let address = rustix::net::getsockname(&fd).expect("an address").try_into().expect("an Internet address");
+    (fd, address)
+}
+
+/// What clients hold their connections with.
+const HOLDS: [&str; 3] = ["idle", "half", "kept-half"];
+
+/// With a low limit of the system's the program ran out of descriptors that its budget still had: nothing gave way, and the
+/// list could not be read. Half requests on connections that had been served before gave way to nobody for two minutes.
+#[test]
+fn clients_that_hold_all_descriptors_keep_nobody_else_out() {
+    for (limit, sockets) in [(110, 1024), (20_000, 110)] {
+        for hold in HOLDS {
+            let node = Node::start("s-1");
+            let (socket, discovery) = reserved();
+            let program = start_under(limit, || {
+                start_with(std::slice::from_ref(&node), Some(discovery), true, |config| {
+                    config["limits"]["sockets"] = json!(sockets);
+                    if hold != "kept-half" {
+                        config["known"]["instances"] = json!([]); // nothing can be served before the list is read
+                    }
+                })
+            });
+            let platform = program.platform;
+            let held: Vec<TcpStream> = (0..90).map(|n| holder(platform, hold, n)).collect();
+            let list = json!({"generation": 2, "reset": true, "instances": [node.row("up")]});
+            rustix::net::listen(&socket, 16).expect("it listens");
+            let discovery = Discovery::start_on(TcpListener::from(socket), list);
+            until("the list is read", || discovery.calls.load(std::sync::atomic::Ordering::SeqCst) > 0);
+            let mut usual = Vec::new();
+            for n in 0..20 {
+                // While those that hold them may still go on, one is told that there is no room.
+                until("a usual client is served", || {
+                    let mut stream = connect(platform);
+                    let request = job(&format!("u{n}"), "balance", "take started done=x", "");
+                    stream.write_all(request.as_bytes()).expect("written");
+                    let status = read_reply(&mut stream).map(|reply| reply.status);
+                    assert!(matches!(status, Some(200 | 503)), "{limit} {sockets} {hold} {n}: {status:?}");
+                    usual.push(stream);
+                    status == Some(200)
+                });
+            }
+            drop(held);
+            let figures = program.figures();
+            assert_eq!((figures["open"], figures["broken_invariants"]), (0, 0));
+        }
+    }
+}
+
+fn holder(to: SocketAddr, hold: &str, n: usize) -> TcpStream {
+    let mut stream = connect(to);
+    if hold == "kept-half" && n < 55 {
+        let request = job(&format!("k{n}"), "balance", "take started done=x", "");
+        // Beyond the budget it is not let in before others have given way.
+        stream.write_all(request.as_bytes()).expect("written");
+        let _ = read_reply(&mut stream);
+    }
+    if hold != "idle" {
+        let _ = stream.write_all(b"POST /balance HTTP/1.1\r\nHost: or");
+    }
+    stream
+}
+
+/// A connection that has just come may have its request on the way, and its client counts a close as a refusal; one that
+/// has been served before sends again what a close has crossed. The one that was idle for longest went first, whichever
+/// it was.
+#[test]
+fn served_connections_give_way_before_new_ones() {
+    // New ones count as such for a while only; a machine that is kept from this for longer tries again.
+    let spared = (0..10).any(|_| {
+        let node = Node::start("s-1");
+        // Of 60 connections 40 may be those of clients before some are closed for new ones.
+        let few = |config: &mut Value| config["limits"]["sockets"] = json!(100);
+        let program = start_with(std::slice::from_ref(&node), None, false, few);
+        let up = |stream: &mut TcpStream| -> bool {
+            let sent = stream.write_all(b"GET /up HTTP/1.1\r\nHost: n0\r\n\r\n");
+            sent.is_ok() && read_reply(stream).is_some_and(|reply| reply.status == 200)
+        };
+        let mut kept: Vec<TcpStream> = (0..30).map(|_| connect(program.platform)).collect();
+        let mut answered = kept.iter_mut().all(up);
+        let new: Vec<TcpStream> = (0..10).map(|_| connect(program.platform)).collect();
+        answered &= kept.iter_mut().all(up); // the new ones have been idle for longest now
+        std::thread::sleep(std::time::Duration::from_millis(40)); // and all of them for long enough to give way
+        let mut more: Vec<TcpStream> = (0..10).map(|_| connect(program.platform)).collect();
+        answered &= more.iter_mut().all(up);
+        let closed = |streams: &[TcpStream]| streams.iter().filter(|stream| is_closed(stream)).count();
+        answered && closed(&kept) >= 10 && closed(&new) == 0
+    });
+    assert!(spared);
+}
