--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -99,8 +99,11 @@
     }
 
     pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId, left: Micros) {
+        if self.looked.is_old(self.reading()) {
+            self.client_left(session);
+        }
         let Some(raw) = self.requests.get(&session) else {
-            // Its client left in the meantime: nothing goes out any more.
+            // Its client left in the meantime: nothing goes out any more, which shows nothing of the worker.
             let fate = Fate::Without(Outcome::Moot);
             self.core.ended(self.now, session, dispatch, fate, None);
             return;
@@ -174,7 +177,8 @@
                 return Some(token);
             }
         }
-        let conn = address.filter(|_| self.make_room(0)).and_then(|address| Conn::connect(address).ok());
+        let room = address.is_none() || self.make_room(0);
+        let conn = address.filter(|_| room).and_then(|address| Conn::connect(address).ok());
         self.counts.connects += 1;
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(pieces);
@@ -185,7 +189,9 @@
         });
         if token.is_none() {
             self.counts.connect_failures += 1;
-            self.exchange_failed(None, worker, exchange, Outcome::ConnectFailed);
+            // That all descriptors are at work here shows nothing of the worker.
+            let outcome = if room { Outcome::ConnectFailed } else { Outcome::Moot };
+            self.exchange_failed(None, worker, exchange, outcome);
         }
         token
     }
@@ -216,6 +222,9 @@
             if !flags.contains(EventFlags::OUT) {
                 return self.put(token, conn, Role::Back(back));
             }
+            if let Exchange::Dispatch { session, .. } = exchange {
+                self.client_left(session); // then nothing of it is written below
+            }
             back.state = State::Awaiting(exchange);
             back.way = HANDSHAKE_TRIPS * self.now.saturating_sub(back.begun);
             self.set_timer(token, &mut conn, back.time.map(|t| self.now + t));
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -90,6 +90,8 @@
     pub interest: EventFlags,
     /// Its deadline, if one is set.
     pub timer: Option<u64>,
+    /// Something was written on it since this was last looked at.
+    pub wrote: bool,
 }
 
 impl Conn {
@@ -98,7 +100,7 @@
     pub fn new(stream: TcpStream) -> Conn {
         let _ = stream.set_nodelay(true); // a slower connection is no reason to lose it
         let interest = EventFlags::empty();
-        Conn { stream, inbox: Vec::new(), outbox: Outbox::default(), interest, timer: None }
+        Conn { stream, inbox: Vec::new(), outbox: Outbox::default(), interest, timer: None, wrote: false }
     }
 
     /// Begins to connect; the socket turns writable once that is settled.
@@ -128,7 +130,10 @@
             }
             match rustix::io::writev(&self.stream, &slices[..count]) {
                 Ok(0) => return false,
-                Ok(written) => self.outbox.advance(written),
+                Ok(written) => {
+                    self.outbox.advance(written);
+                    self.wrote = true;
+                }
                 Err(Errno::AGAIN) => return true,
                 Err(Errno::INTR) => {}
                 Err(_) => return false,
@@ -137,6 +142,20 @@
         true
     }
 
+    /// Whether the other side has ended its sending, or the connection is broken: what is there is read for it, as long
+    /// as the inbox holds less than `most` bytes.
+    pub fn has_ended(&mut self, most: usize) -> bool {
+        loop {
+            let held = self.inbox.len();
+            match self.fill(most) {
+                ReadEnd::Eof | ReadEnd::Broken => return true,
+                ReadEnd::Enough => return false,
+                ReadEnd::Dry if self.inbox.len() == held => return false,
+                ReadEnd::Dry => {} // a short read leaves the end behind it unseen
+            }
+        }
+    }
+
     /// Reads until the inbox holds `most` bytes or nothing more is there.
     pub fn fill(&mut self, most: usize) -> ReadEnd {
         while self.inbox.len() < most {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -3,6 +3,7 @@
 use super::conn::{Conn, ReadEnd};
 use super::handover::HandedSession;
 use super::stop::FRESH;
+use super::watch::JOB;
 use super::{ACCEPT_TIMER, ACCEPTS, Role, Server, Token};
 use crate::core::{Answer, SessionId};
 use crate::front::platform::{self, Raw, Reject, Route};
@@ -28,15 +29,42 @@
 pub(super) const HALF_GRACE: Micros = 1_000_000;
 /// An idle connection is closed after this.
 const IDLE: Micros = 120_000_000;
-/// A client that reads nothing of a finished answer for this long is given up.
-const STALL: Micros = 30_000_000;
+/// A client that reads nothing of a finished answer for this long is given up: it is owed a close within 3 s as well.
+const STALL: Micros = 2_500_000;
 /// Progress is dropped for a client that has this much left to read; final events never are.
 const SLOW_READER: usize = 16 * 1024;
-/// Bytes read ahead of a request being answered.
-const AHEAD: usize = 4 * 1024;
+/// Bytes held of what a client sends: a whole request. Clients send one at a time; one that sends as much again before
+/// it has its answer is closed, since what comes behind could not be seen, the end of the connection among it.
+const MOST: usize = MAX_HEAD + MAX_BODY;
+/// No more requests of a client are read while it has this much of its answers left to read.
+const UNREAD: usize = 16 * 1024;
+/// No attempt may begin for a client that left longer ago than this.
+const LEFT: Micros = 100_000;
+/// What says that the other side of a connection has ended it.
+const ENDED: EventFlags = EventFlags::RDHUP.union(EventFlags::HUP).union(EventFlags::ERR);
 /// Accepting is tried again after this where there was no room.
 const ACCEPT_PAUSE: Micros = 20_000;
 
+/// When all connections were last looked at for what has come on them.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Look {
+    at: Micros,
+    /// More may have come than was shown.
+    partial: bool,
+}
+
+impl Look {
+    pub fn new(at: Micros, partial: bool) -> Look {
+        Look { at, partial }
+    }
+
+    /// Whether a client may have left since, or unseen, for so long that it must be looked at before an attempt begins.
+    /// The attempt has the other part of the time to get under way.
+    pub fn is_old(&self, now: Micros) -> bool {
+        self.partial || now > self.at + LEFT / 4
+    }
+}
+
 pub(super) enum State {
     Reading,
     Chunks {
@@ -78,9 +106,9 @@
     sse: bool,
     pub(super) state: State,
     idle_since: Option<Micros>,
-    /// When it was accepted, until its first whole request.
+    /// When it was accepted, until its first whole request; and when a later one began, until that is whole.
     unasked_since: Option<Micros>,
-    /// When it was accepted, or its last bytes came, until then.
+    /// When that was, or its last bytes came.
     heard: Micros,
     /// A worker tells of its jobs on it.
     pub(super) calls_back: bool,
@@ -132,6 +160,11 @@
         self.state = State::Waiting { session, keep_alive, stream };
     }
 
+    /// Whether an answer, or a job's events, are awaited on it.
+    fn waits(&self) -> bool {
+        matches!(self.state, State::Waiting { .. } | State::Watching(_))
+    }
+
     pub(super) fn is_unasked(&self) -> bool {
         self.unasked_since.is_some()
     }
@@ -173,8 +206,10 @@
             let stream = match rustix::net::accept_with(listener, flags) {
                 Ok(fd) => TcpStream::from(fd),
                 Err(Errno::AGAIN) => return,
-                Err(Errno::MFILE | Errno::NFILE) => {
-                    return self.pause_accepting(); // no descriptors left, here or on the machine
+                Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
+                    // None left, here or on the machine, though the budget has some.
+                    let _ = self.drop_idle_backend() || self.drop_front(FRESH);
+                    return self.pause_accepting();
                 }
                 Err(_) => continue,
             };
@@ -197,6 +232,7 @@
             // Often the request is there already.
             if let Some((conn, Role::Front(front))) = self.take(token) {
                 self.front_ready(token, conn, front, EventFlags::IN);
+                self.has_left(token); // so may its end be
             }
         }
     }
@@ -230,29 +266,72 @@
     pub(super) fn front_ready(&mut self, token: Token, mut conn: Conn, mut front: Front, flags: EventFlags) {
         if let Some(since) = front.idle_since.take() {
             self.idle_fronts.remove(&(since, token));
+            self.set_timer(token, &mut conn, None); // what comes now has a time of its own
         }
         if flags.contains(EventFlags::OUT) && !conn.flush() {
             return self.front_gone(token, conn, front);
         }
-        if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
-            let most = match &front.state {
-                State::Waiting { .. } | State::Watching(_) => conn.inbox.len() + AHEAD,
-                _ => MAX_HEAD + MAX_BODY,
-            };
+        let mut ended = false;
+        if flags.intersects(EventFlags::IN | ENDED) {
             let before = conn.inbox.len();
-            let end = conn.fill(most);
+            let end = conn.fill(MOST);
             if front.unasked_since.is_some() && conn.inbox.len() > before {
                 self.unasked_fronts.remove(&(front.heard, token));
                 front.heard = self.now;
                 self.unasked_fronts.insert((self.now, token));
             }
             match end {
-                ReadEnd::Dry | ReadEnd::Enough => {}
+                ReadEnd::Dry => ended = flags.intersects(ENDED),
+                ReadEnd::Enough if front.waits() || conn.outbox.len() >= UNREAD => {
+                    self.counts.rejects += 1;
+                    return self.front_gone(token, conn, front);
+                }
+                ReadEnd::Enough => {}
                 // What it had asked for is asked for no more.
                 ReadEnd::Eof | ReadEnd::Broken => return self.front_gone(token, conn, front),
             }
         }
         self.front_go_on(token, conn, front);
+        // A short read shows no end behind it. What came before the end is used; no attempt may begin for it.
+        if ended && let Some((conn, role)) = self.take(token) {
+            match role {
+                Role::Front(front) => self.front_gone(token, conn, front),
+                role => self.put(token, conn, role),
+            }
+        }
+    }
+
+    /// Where a client has left, as these flags say, that counts before what other connections bring.
+    pub(super) fn front_left(&mut self, token: Token, flags: EventFlags) {
+        let held = self.slots.get(token.slot()).and_then(|slot| slot.held.as_ref());
+        if flags.intersects(ENDED) && matches!(held, Some((_, Role::Front(_)))) {
+            self.ready(token, flags);
+        }
+    }
+
+    /// Looks whether the client has gone that awaits an answer on this connection; then its session has lost it.
+    pub(super) fn has_left(&mut self, token: Token) -> bool {
+        let Some((mut conn, role)) = self.take(token) else { return false };
+        match role {
+            Role::Front(front) if front.waits() => {
+                let left = conn.has_ended(MOST);
+                match left {
+                    true => self.front_gone(token, conn, front),
+                    false => self.put(token, conn, Role::Front(front)),
+                }
+                left
+            }
+            role => {
+                self.put(token, conn, role);
+                false
+            }
+        }
+    }
+
+    /// Whether the client of a session has gone, as a look at its connection shows; nothing more is sent for it then.
+    pub(super) fn client_left(&mut self, session: SessionId) -> bool {
+        let token = self.core.frontend(session).filter(|to| to & JOB == 0).map(Token);
+        token.is_some_and(|token| self.has_left(token)) || !self.requests.contains_key(&session)
     }
 
     /// Uses what was read, writes what is there to write, and settles what to wait for.
@@ -270,17 +349,30 @@
                     if !conn.flush() {
                         return self.front_gone(token, conn, front);
                     }
+                    if !matches!(front.state, State::Watching(_)) {
+                        self.set_timer(token, &mut conn, None); // it was the heartbeat's
+                    }
                     let more = conn.outbox.is_empty() && matches!(front.state, State::Watching(_));
                     if !more || !self.has_more(&front) {
                         break;
                     }
                 }
                 State::Reading if conn.inbox.is_empty() || self.handed => break,
+                State::Reading if conn.outbox.len() >= UNREAD => {
+                    if !conn.flush() {
+                        return self.front_gone(token, conn, front);
+                    }
+                    if conn.outbox.len() >= UNREAD {
+                        break;
+                    }
+                }
                 State::Reading => match http::read_request(&conn.inbox) {
                     Ok(None) => break,
                     Err(error) => self.reject(&mut conn, &mut front, error.into()),
                     Ok(Some(head)) => {
-                        if head.fields.lists(&conn.inbox, "expect", "100-continue") {
+                        // Once the body has begun, nobody waits for this.
+                        let waits = conn.inbox.len() == head.len;
+                        if waits && head.fields.lists(&conn.inbox, "expect", "100-continue") {
                             conn.outbox.push(vec!["HTTP/1.1 100 Continue\r\n\r\n".into()]);
                         }
                         let length = match head.framing {
@@ -450,15 +542,25 @@
         if matches!(front.state, State::Ending { since: None }) && written {
             self.half_close(token, &mut conn, &mut front);
         }
+        let reading = matches!(front.state, State::Reading);
+        let half = reading && !conn.inbox.is_empty() || matches!(front.state, State::Chunks { .. });
+        if half && written && front.unasked_since.is_none() {
+            // A later request has begun: it has as long as a first one, and gives way like it.
+            (front.unasked_since, front.heard) = (Some(self.now), self.now);
+            self.unasked_fronts.insert((self.now, token));
+        }
         let heartbeat = self.sse.as_ref().map_or(0, |(_, every)| *every);
+        let wrote = std::mem::take(&mut conn.wrote);
+        let stalled = conn.timer.filter(|_| !wrote);
         let at = match &front.state {
             State::Ending { since: Some(_) } => conn.timer,
-            State::Ending { since: None } => Some(conn.timer.unwrap_or(self.now + STALL)),
             State::Reading | State::Chunks { .. } if front.unasked_since.is_some() => {
                 Some(front.unasked_since.unwrap_or(self.now) + REQUEST_TIME)
             }
-            State::Reading if conn.inbox.is_empty() && written => Some(self.now + IDLE),
-            State::Reading | State::Chunks { .. } => Some(conn.timer.unwrap_or(self.now + REQUEST_TIME)),
+            State::Reading if written => Some(self.now + IDLE),
+            State::Ending { .. } | State::Reading | State::Chunks { .. } => {
+                Some(stalled.unwrap_or(self.now + STALL))
+            }
             State::Waiting { stream: Some(stream), .. } if stream.begun => Some(stream.last + heartbeat),
             // Set anew only once it is due: an event more does not move it.
             State::Watching(held) => Some(conn.timer.unwrap_or(held.last + heartbeat)),
@@ -472,9 +574,7 @@
             front.idle_since = Some(self.now);
             self.idle_fronts.insert((self.now, token));
         }
-        // A client that sends on while its request is answered is read only so far.
-        let waits = matches!(front.state, State::Waiting { .. } | State::Watching(_));
-        let read = !waits || conn.inbox.len() < AHEAD;
+        let read = !matches!(front.state, State::Reading) || conn.outbox.len() < UNREAD;
         self.watch_for(token, &mut conn, read);
         self.put(token, conn, Role::Front(front));
     }
@@ -538,6 +638,27 @@
         self.fronts - self.lingering.len()
     }
 
+    /// Closes the connection of a frontend that has been idle for longest, and for at least so long, of those that have
+    /// been served: a request that the close crosses is sent once more, while a new client would count it as refused.
+    pub(super) fn drop_kept_front(&mut self, least: Micros) -> bool {
+        loop {
+            let mut idle = self.idle_fronts.iter().take_while(|(since, _)| since + least <= self.now);
+            let kept = idle.find(|(_, token)| {
+                let held = &self.slots[token.slot()].held;
+                matches!(held, Some((_, Role::Front(front))) if !front.is_unasked())
+            });
+            match kept.copied().and_then(|(_, token)| Some((token, self.take(token)?))) {
+                Some((token, (conn, Role::Front(front)))) => {
+                    if self.close_idle(token, conn, front) {
+                        return true;
+                    }
+                }
+                Some((token, (conn, role))) => self.put(token, conn, role),
+                None => return false,
+            }
+        }
+    }
+
     /// Whether the connections of frontends keep within their budget, once those that wait for nothing are closed.
     fn front_fits(&mut self) -> bool {
         while self.served_fronts() > self.budget.fronts {
@@ -551,7 +672,10 @@
 
     /// Closes a connection of a frontend to make room: one that is silent, one that is idle, or a half request.
     fn drop_front(&mut self, least: Micros) -> bool {
-        self.drop_unasked(HALF_GRACE) || self.drop_idle_front(least) || self.drop_unasked(UNASKED_GRACE)
+        self.drop_unasked(HALF_GRACE)
+            || self.drop_kept_front(least)
+            || self.drop_idle_front(least)
+            || self.drop_unasked(UNASKED_GRACE)
     }
 
     /// Closes the connection that has been silent for longest of those that have had their time to ask: with a part of a
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,7 +26,7 @@
 use backend::{Back, Probe};
 use conn::Conn;
 use discovery::{Call, Lists};
-use frontend::Front;
+use frontend::{Front, Look};
 use handover::{Asked, Home, Twin};
 use notes::Notes;
 use reload::Signals;
@@ -37,7 +37,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use watch::{Streams, Watch};
 
-/// Descriptors that are no connections: epoll, listeners, signals, log, datagrams, and some to spare.
+/// Descriptors that no client, worker or probe may use: standard streams (3), epoll, listeners (3), signals (2), datagrams,
+/// the places where processes of one dispatcher meet (2), those of a packet between them (4), callers of the second address
+/// (16), calls to discovery (a watch, the next one and a list), and files that are read (5).
 const SPARE_FDS: usize = 40;
 /// Events taken from epoll at a time.
 const EVENTS: usize = 256;
@@ -140,7 +142,8 @@
     }
 }
 
-/// How many connections there may be.
+/// How many connections there may be. Whatever clients hold, a sixth is left for workers and probes, and a sixth for
+/// call-backs and for telling clients that there is no room; discovery has descriptors of its own.
 #[derive(Clone, Copy, Debug)]
 struct Budget {
     /// In all.
@@ -155,8 +158,10 @@
     fn of(limits: MachineLimits, taken: usize) -> Budget {
         // A connection may buffer a whole request and a whole answer: memory bounds their number as well.
         let by_memory = (limits.memory_mb as usize * 1024 * 1024) / (2 * 96 * 1024);
-        let conns =
-            (limits.sockets as usize).saturating_sub(SPARE_FDS + taken).max(16).min(by_memory.max(16));
+        // The system's own limit may be lower than what the configuration allows.
+        let open = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let sockets = open.map_or(limits.sockets, |open| open.min(limits.sockets)) as usize;
+        let conns = sockets.saturating_sub(SPARE_FDS + taken).max(16).min(by_memory.max(16));
         Budget { conns, fronts: conns * 2 / 3, last_fronts: conns * 5 / 6 }
     }
 }
@@ -186,6 +191,8 @@
     core: Core,
     started: Instant,
     now: Micros,
+    /// When all connections were last looked at.
+    looked: Look,
     epoll: OwnedFd,
     platform: TcpListener,
     sse: Option<(TcpListener, Micros)>,
@@ -216,7 +223,8 @@
     accepting: bool,
     /// Connections of frontends without a session, by the time since which they are idle.
     idle_fronts: std::collections::BTreeSet<(Micros, Token)>,
-    /// Connections of frontends that have not sent a whole request yet, by the time at which they came.
+    /// Connections of frontends that have not sent a whole first request, or have begun a later one, by when they were
+    /// last heard of.
     unasked_fronts: std::collections::BTreeSet<(Micros, Token)>,
     /// Connections of frontends that this side has ended.
     lingering: linger::Lingering,
@@ -354,6 +362,7 @@
             core,
             started,
             now,
+            looked: Look::default(),
             epoll,
             platform,
             sse,
@@ -410,7 +419,12 @@
     }
 
     fn clock(&mut self) {
-        self.now = Core::clock_start() + self.started.elapsed().as_micros() as Micros;
+        self.now = self.reading();
+    }
+
+    /// What the clock shows in the midst of a turn; `now` is when its events were taken.
+    fn reading(&self) -> Micros {
+        Core::clock_start() + self.started.elapsed().as_micros() as Micros
     }
 
     /// Serves until a stop signal has been seen through.
@@ -437,6 +451,7 @@
                 Err(error) => return Err(system("epoll")(error)),
             }
             self.clock();
+            self.looked = Look::new(self.now, events.len() == EVENTS);
             // A call to the second address does not wait for what the clients of this turn ask. And what discovery has
             // told counts before anything of this turn is sent.
             let watch = self.lists.watch();
@@ -449,6 +464,10 @@
                     _ => {}
                 }
             }
+            // Clients that leave come before those that bring work, which takes longer.
+            for event in &events {
+                self.front_left(Token(event.data.u64()), event.flags);
+            }
             for event in events.drain(..) {
                 let (data, flags) = (event.data, event.flags);
                 match Token(data.u64()) {
@@ -549,7 +568,7 @@
             return None;
         }
         let role = role(token);
-        self.live += usize::from(!matches!(role, Role::Admin(_)));
+        self.live += usize::from(!matches!(role, Role::Admin(_) | Role::Call(_)));
         self.fronts += usize::from(matches!(role, Role::Front(_)));
         self.slots[slot].held = Some((conn, role));
         Some(token)
@@ -565,7 +584,9 @@
         slot.used = slot.used.wrapping_add(1) & 0x7fff_ffff;
         self.free.push(token.slot());
         match role {
-            Role::Admin(_) => return self.callers.retain(|t| *t != token), // outside the budget of the others
+            // Outside the budget of the others.
+            Role::Admin(_) => return self.callers.retain(|t| *t != token),
+            Role::Call(_) => return,
             Role::Front(_) => self.fronts -= 1,
             _ => {}
         }
@@ -627,6 +648,7 @@
         let ended = self.drop_lingering()
             || self.drop_unasked(frontend::HALF_GRACE)
             || self.drop_idle_backend()
+            || self.drop_kept_front(least)
             || self.drop_idle_front(least)
             || self.drop_unasked(frontend::UNASKED_GRACE);
         // Where its end has only begun, it gives its descriptor now.
