The ramp of a cold worker is dealt out call by call, whatever dispatchers know

Cause: in a group a cold worker's budget was not counted at all: each of ten dispatchers might have one job out there, again and again, and loans came on top (`lend`, `warm_enough` in src/rules.rs; the count by stretches was for fleets without groups). There two stretches that touch, or two lives of a process, held a whole budget, and a process that had just started took a job's aim for what it takes (`admit`): twelve times its part where the aim is a twelfth of it. A cold worker's group followed from the rest of each one's list, so that several groups took it for theirs.

Change: half of N calls in any stretch of the fall window are dealt to the dispatchers of the worker's group, or to all, by their rank for it; each keeps to its part by a log of one window, over which loans count too. Rank and group of a cold worker follow from the settings and its tag alone. What may be taken for a call's work is no less than what its class has taken, and the deadline where nothing is known. A log by time instead of stretches; what was sent between a start and its telling counts.

Ruled out: sends that pass by the check (all go through `candidates`; copies too), probes and handshakes (1 to 2 ms of a core each, N in jobs of 100 ms and more).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,10 +36,8 @@
 /// A job is held for this part of its slack, looking again this many times (in a group), before it queues.
 const HOLD_PART: f64 = 0.7;
 const HOLD_LOOKS: [u64; 2] = [16, 10];
-/// Part of the cold budget that all nodes together plan to use: a window may touch two turns.
+/// Part of the cold budget that all nodes together plan to use: a window may touch two lives of each of them.
 const COLD_SAFETY: f64 = 0.5;
-/// A turn on a cold worker is as large as this many mean jobs.
-const COLD_GRANT: f64 = 2.0;
 /// A kind keeps at least this part of its fair load for jobs that other kinds can run too.
 const LEAST_SPARE: f64 = 0.1;
 /// A worker that reports more errors a second than this, and more than it can have served, is failing.
@@ -129,10 +127,12 @@
             let (worker, known) = (self.m.at(id), self.m.at(id).known?);
             let (cpu, _, free) = self.inputs(worker, &known)?;
             let trusted = !self.m.doubts(worker) && self.m.now >= worker.trust.until;
-            (trusted && free >= 1.0).then_some((known.zone != zone, cpu, known))
+            let may = trusted && free >= 1.0 && self.in_part(worker, &known, 0.0);
+            may.then_some((known.zone != zone, cpu, known))
         };
         let rooms = self.m.share.workers().filter_map(room);
         if let Some((.., best)) = rooms.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
+            self.m.count(best.worker, 0.0, self.set.fall_window);
             self.m.share.offer(self.m.now, to, &best, acts);
         }
     }
@@ -173,9 +173,9 @@
         let seen = self.m.class_work[usize::from(new.class.0)];
         let guess = if seen.count > 0.0 { seen.value } else { class.aim as f64 };
         let work = new.hint.map_or(guess, |h| h as f64).max(1.0);
-        // On a cold worker a small job counts as its class's mean: many small ones push it over as well.
-        let mean = self.m.note_arrival(usize::from(new.class.0), work);
-        self.m.jobs.insert(new.job, Job::new(new, since, work, work.max(mean)));
+        let longest = if new.hint.is_some() { 0.0 } else { class.deadline as f64 };
+        self.m.note_arrival(usize::from(new.class.0), work, longest);
+        self.m.jobs.insert(new.job, Job::new(new, since, work));
         self.alarm(new.job, new.deadline.saturating_sub(self.set.tick), acts);
     }
 
@@ -384,7 +384,7 @@
                 && (crosses || known.zone == self.set.zone)
                 && !job.attempts.iter().any(|a| a.worker == *id && a.state != State::NeverRan)
                 && self.may_send(job, &known)
-                && self.warm_enough(self.m.at(*id), &known, job.cold_work)
+                && self.warm_enough(self.m.at(*id), &known, job.work)
         });
         pool
     }
@@ -504,37 +504,39 @@
         self.set.cold_from + (1.0 - self.set.cold_from) * (age as f64 / self.set.cold_time as f64).min(1.0)
     }
 
-    /// Cold starts: all nodes keep within the fleet's budget without a message. Each stretch of the fall
-    /// window belongs to as many nodes, in turn by number, as the budget a window ago held jobs; or to none.
-    /// In a group each of its nodes has one job at most there, and all together what it can run.
+    /// Whether a worker is warm, or may get this too while it is cold. In a group each of its nodes has
+    /// one job at most there, and all together what it can run.
     fn warm_enough(&self, worker: &Worker, known: &RosterEntry, work: f64) -> bool {
-        if self.m.is_warm(known, self.set.cold_time) {
-            return true;
-        } else if self.m.share.on() {
-            let room = self.inputs(worker, known).is_some_and(|(_, _, free)| free >= 1.0);
-            return self.m.share.on_offer(known.worker, self.m.now)
-                || room && worker.out.is_empty() && self.m.share.load(known, self.m.now).is_some();
-        }
-        let (age, window) = (self.m.now.saturating_sub(known.started_at.unwrap_or(0)), self.set.fall_window);
+        let warm =
+            self.m.is_warm(known, self.set.cold_time) || self.m.share.on_offer(known.worker, self.m.now);
+        let room = || self.inputs(worker, known).is_some_and(|(_, _, free)| free >= 1.0);
+        let fits = || !self.m.share.on() || worker.out.is_empty() && room();
+        warm || fits() && self.in_part(worker, known, work)
+    }
+
+    /// Cold starts: all nodes keep within the fleet's budget without a message. What they plan of it in any
+    /// stretch of the fall window is dealt out call by call, by their ranks for it, which nothing that they
+    /// hear or are told changes. The first has one job at least, or nobody would send a large one.
+    fn in_part(&self, worker: &Worker, known: &RosterEntry, work: f64) -> bool {
+        let (now, window, warm) =
+            (self.m.now, self.set.fall_window, self.m.is_warm(known, self.set.cold_time));
+        let Some((rank, nodes)) = self.m.share.rank(known.tag) else { return warm };
+        let age = now.saturating_sub(known.started_at.unwrap_or(0));
         let grown = self.grown(age.saturating_sub(window)) * self.set.fall_multiple * COLD_SAFETY;
         let capacity = self.m.slots(known.kind) / self.m.slowness(worker, known).max(1.0);
-        let (budget, window) = (grown * capacity * window as f64, window.max(1));
-        let nodes = u64::from(self.set.nodes);
-        // One order for all jobs and windows: with an order for each size, every size had a turn of its own.
-        let turns = ((budget / (COLD_GRANT * self.m.mean_work())) as u64).clamp(1, nodes);
-        let (epoch, me) = (age / window, u64::from(self.set.me));
-        let place = (me + known.tag % nodes + epoch % nodes * (nodes / 2 + 1)) % nodes;
-        let sent = worker.cold_sent(epoch);
-        // A turn is for one job at least: where a share is smaller than a job, nobody would send any.
-        place < turns && (sent == 0.0 || sent + work <= budget / turns as f64)
+        let sent = worker.sent_since(now.saturating_sub(window));
+        let (planned, mean) = (grown * capacity * window as f64, self.m.mean_call());
+        let part = f64::from(nodes) * sent + f64::from(rank + 1) * work.max(mean);
+        warm || rank == 0 && sent == 0.0 || part <= planned
     }
 
     fn send(&mut self, id: JobId, to: WorkerId, rank: Rank, acts: &mut Vec<Action>) {
-        let (now, window) = (self.m.now, self.set.fall_window.max(1));
+        let (now, window) = (self.m.now, self.set.fall_window);
         let Some(job) = self.m.jobs.get_mut(&id) else { return };
-        let (attempt, slots, work, cold) = (job.sent(), job.new.slots, job.work, job.cold_work);
+        let (attempt, slots, work) = (job.sent(), job.new.slots, job.work);
         job.attempts.push(Attempt::new(to, now, rank));
-        self.m.grant(to, Out { job: id, attempt, at: now, slots, started: false }, cold, window);
+        self.m.count(to, work, window);
+        self.m.grant(to, Out { job: id, attempt, at: now, slots, started: false });
         self.m.held.retain(|h| *h != id);
         acts.push(Action::Send { job: id, worker: to, limit: None });
         self.alarm(id, now + self.sign_due(work), acts);
--- a/src/share.rs
+++ b/src/share.rs
@@ -203,8 +203,9 @@
     }
 
     /// Deals the ready workers out to the groups, zone by zone, the oldest first: each goes to the group that ranks highest
-    /// for it among those that have not had their part yet, so that one more or less moves few others.
-    pub fn deal(&mut self, ready: &[RosterEntry]) {
+    /// for it among those that have not had their part yet, so that one more or less moves few others. But a cold one goes to
+    /// the group that ranks highest of all: whoever is told of whichever others, and whoever is gone, it has the same group.
+    pub fn deal(&mut self, ready: &[RosterEntry], cold: &[WorkerId]) {
         let (mut sorted, groups) = (ready.to_vec(), u64::from(self.groups.max(1)));
         sorted.sort_unstable_by_key(|k| (k.zone, k.started_at, k.tag));
         self.workers.clear();
@@ -217,10 +218,12 @@
             let part = zone.len().div_ceil(groups as usize);
             let mut had = vec![0; groups as usize];
             for known in zone {
-                let open = (0..groups).filter(|g| had[*g as usize] < part);
+                let is_cold = cold.binary_search(&known.worker).is_ok();
+                let open = (0..groups).filter(|g| is_cold || had[*g as usize] < part);
                 let Some(group) = open.max_by_key(|g| mix(known.tag ^ mix(g + 1))) else { continue };
                 had[group as usize] += 1;
-                let group = u64::from(self.group_of(known.tag, group as u32));
+                let moved = || u64::from(self.group_of(known.tag, group as u32));
+                let group = if is_cold { group } else { moved() };
                 self.owners.insert(known.worker, group as u32);
                 if group == u64::from(self.group) {
                     self.workers.insert(short(known.tag), known.worker);
@@ -244,6 +247,21 @@
         self.workers.values().for_each(|worker| self.named[worker.0 as usize] = true);
     }
 
+    /// This node's rank for a cold worker, of so many that may send to it: those of its group, or where there are no groups
+    /// all of them; `None` for one of another group. It follows from the settings and the worker's tag alone.
+    pub fn rank(&self, tag: u64) -> Option<(u32, u32)> {
+        let top = || (0..u64::from(self.groups)).max_by_key(|g| mix(tag ^ mix(g + 1)));
+        let (nodes, place) = match self.on() {
+            true if top() == Some(u64::from(self.group)) => {
+                (self.mates.len() as u32 + 1, self.me / self.groups)
+            }
+            true => return None,
+            false => (self.nodes.max(1), self.me),
+        };
+        let first = (mix(tag ^ RANK) % u64::from(nodes)) as u32;
+        Some(((place + first) % nodes, nodes))
+    }
+
     /// `most` of the group's workers drawn at random, every set of that size as likely; all of them if there are no
     /// more, with no number drawn; in the order of their numbers. Floyd's algorithm (Bentley and Floyd, "A sample of
     /// brilliance", CACM 30(9), 1987): `most` draws and no walk through the part, so the cost does not grow with the fleet.
@@ -497,7 +515,7 @@
         let mut owner = BTreeMap::new();
         for me in 0..10 {
             let mut share = Share::of(&settings(me));
-            share.deal(workers);
+            share.deal(workers, &[]);
             let part: Vec<WorkerId> = share.workers().collect();
             assert!((3..=8).contains(&part.len()), "group {me} has {part:?}");
             part.into_iter().for_each(|w| assert_eq!(owner.insert(w, me), None, "{w:?} has two groups"));
@@ -523,7 +541,7 @@
     #[test]
     fn a_sample_of_the_part_costs_what_it_draws_and_favours_no_worker() {
         let mut share = Share::of(&settings(0));
-        share.deal(&(0..3_000).map(listed).collect::<Vec<_>>());
+        share.deal(&(0..3_000).map(listed).collect::<Vec<_>>(), &[]);
         let size = share.part.len();
         assert!(size > 100, "{size} in the part");
         let (mut rng, mut counted) = (fastrand::Rng::with_seed(5), fastrand::Rng::with_seed(5));
@@ -553,7 +571,7 @@
         for me in (0..nodes).filter(|n| holders[*n as usize]) {
             let mut share = Share::of(&Settings { nodes, ..settings(me) });
             share.hold_by(1, &peers);
-            share.deal(workers);
+            share.deal(workers, &[]);
             for worker in share.part.iter().copied() {
                 let group = *owner.entry(worker).or_insert(share.group);
                 assert_eq!(group, share.group, "{worker:?} has two groups by the word of {me}");
@@ -624,9 +642,9 @@
                 for me in (0..nodes).filter(|n| peers[*n as usize] == Presence::Here) {
                     let mut share = Share::of(&Settings { nodes, ..settings(me) });
                     if share.on() && groups.insert(share.group) {
-                        share.deal(&all);
+                        share.deal(&all, &[]);
                         share.hold_by(1, &peers);
-                        share.deal(&all);
+                        share.deal(&all, &[]);
                         let later = 1 + SAID_FOR;
                         for worker in &share.part {
                             *taken.entry(*worker).or_default() += slots - share.kept(*worker, slots, later);
@@ -686,7 +704,7 @@
     fn a_node_by_itself_or_without_messages_has_no_group() {
         for set in [Settings { nodes: 1, ..settings(0) }, Settings { may_tell: false, ..settings(0) }] {
             let mut share = Share::of(&set);
-            share.deal(&[listed(1)]);
+            share.deal(&[listed(1)], &[]);
             assert!(!share.on() && share.workers().next().is_none() && share.load(&listed(1), 0).is_none());
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::rules::Dispatcher;
 use crate::share::{Seen, Share};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A running mean; the newest observation weighs at least `1 / MEMORY`.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
@@ -77,8 +77,9 @@
     pub heard: Micros,
     /// Jobs that wait for its echo.
     pub askers: Vec<JobId>,
-    /// The stretch of the fall window in which it was last sent work while cold, and how much.
-    pub cold: (u64, f64),
+    /// What it was sent or offered within the fall window: when, and how much each counts for while it is cold. Kept of warm
+    /// ones too: that it has started anew may be told late.
+    pub sent: VecDeque<(Micros, f64)>,
 }
 
 impl Worker {
@@ -97,8 +98,9 @@
         self.out.iter().any(|o| !o.started)
     }
 
-    pub fn cold_sent(&self, epoch: u64) -> f64 {
-        if self.cold.0 == epoch { self.cold.1 } else { 0.0 }
+    /// How much it was sent later than this.
+    pub fn sent_since(&self, since: Micros) -> f64 {
+        self.sent.iter().filter(|(at, _)| *at > since).map(|(_, work)| work).sum()
     }
 }
 
@@ -152,8 +154,6 @@
     pub arrived: Micros,
     /// Expected work.
     pub work: f64,
-    /// What it counts for on a cold worker.
-    pub cold_work: f64,
     pub attempts: Vec<Attempt>,
     /// Workers probed for it, and how many of them have not answered yet.
     pub sample: Vec<WorkerId>,
@@ -164,9 +164,9 @@
 }
 
 impl Job {
-    pub fn new(new: NewJob, arrived: Micros, work: f64, cold_work: f64) -> Self {
+    pub fn new(new: NewJob, arrived: Micros, work: f64) -> Self {
         let (attempts, sample) = (Vec::new(), Vec::new());
-        Job { new, arrived, work, cold_work, attempts, sample, echoes_due: 0, wait_until: 0, closed: false }
+        Job { new, arrived, work, attempts, sample, echoes_due: 0, wait_until: 0, closed: false }
     }
 
     pub fn sent(&self) -> u32 {
@@ -224,6 +224,8 @@
     /// For each class the mean run time, and how much work has arrived in how many jobs.
     pub class_work: Vec<Mean>,
     pub class_sum: Vec<(f64, f64)>,
+    /// What a job of each class may take, where they come without a hint; else 0.
+    pub class_longest: Vec<f64>,
     /// Time between reports of one worker; time until a job shows that it runs; time until an echo.
     pub report_interval: f64,
     pub sign_after: f64,
@@ -244,6 +246,7 @@
         self.probed = set.reports == Reports::Probes;
         self.class_work.resize(set.classes.len(), Mean::default());
         self.class_sum.resize(set.classes.len(), (0.0, 0.0));
+        self.class_longest.resize(set.classes.len(), 0.0);
         self.share.regroup(set);
     }
 
@@ -276,14 +279,14 @@
         self.home = ids(&|k| k.zone == zone);
         self.cold = ids(&|k| k.started_at.is_some_and(|s| now < s.saturating_add(cold_time)));
         self.ready = ids(&|_| true);
-        self.share.deal(&ready.collect::<Vec<_>>());
+        self.share.deal(&ready.collect::<Vec<_>>(), &self.cold);
     }
 
-    /// Counts a job in and returns its class's mean work.
-    pub fn note_arrival(&mut self, class: usize, work: f64) -> f64 {
+    /// Counts a job in; `longest` is what it may take where nothing is told of it.
+    pub fn note_arrival(&mut self, class: usize, work: f64, longest: f64) {
         let (sum, count) = &mut self.class_sum[class];
         (*sum, *count) = (*sum + work, *count + 1.0);
-        *sum / *count
+        self.class_longest[class] = longest;
     }
 
     pub fn mean_work(&self) -> f64 {
@@ -291,6 +294,19 @@
         (sum / f64::max(count, 1.0)).max(1.0)
     }
 
+    /// The mean work of a call, for what a cold worker bears of them: of each class no less than its jobs have taken; where
+    /// none has ended yet and nothing is told of them, as long as they may take. (A guess at their work is the class's aim:
+    /// a small part of it perhaps, and a process that has just started would send so many times its part.)
+    pub fn mean_call(&self) -> f64 {
+        let (mut sum, mut all) = (0.0, 0.0);
+        for (n, (work, count)) in self.class_sum.iter().enumerate().filter(|(_, (_, count))| *count > 0.0) {
+            let (took, longest) = (self.class_work[n], self.class_longest[n]);
+            sum += work.max(count * if took.count > 0.0 { took.value } else { longest });
+            all += count;
+        }
+        (sum / f64::max(all, 1.0)).max(1.0)
+    }
+
     pub fn hold(&mut self, id: JobId) {
         if !self.held.contains(&id) {
             self.held.push(id);
@@ -327,14 +343,21 @@
         self.returned(worker, id, attempt);
     }
 
-    /// A worker is granted an attempt, which counts for so much on a cold one; by stretches of this length.
-    pub fn grant(&mut self, to: WorkerId, out: Out, cold: f64, stretch: Micros) {
-        let (now, worker) = (self.now, self.worker(to));
-        worker.granted_cpu = worker.entry.as_ref().map(|e| e.cpu);
-        if let Some(started) = worker.known.and_then(|k| k.started_at) {
-            let epoch = now.saturating_sub(started) / stretch;
-            worker.cold = (epoch, worker.cold_sent(epoch) + cold);
+    /// A worker is sent or offered so much work, remembered for a window. There a small call counts as a mean one: many small
+    /// ones push a cold worker over as well.
+    pub fn count(&mut self, to: WorkerId, work: f64, window: Micros) {
+        let (now, work) = (self.now, work.max(self.mean_call()));
+        let worker = self.worker(to);
+        while worker.sent.front().is_some_and(|(at, _)| *at + window <= now) {
+            worker.sent.pop_front();
         }
+        worker.sent.push_back((now, work));
+    }
+
+    /// A worker is granted an attempt.
+    pub fn grant(&mut self, to: WorkerId, out: Out) {
+        let worker = self.worker(to);
+        worker.granted_cpu = worker.entry.as_ref().map(|e| e.cpu);
         worker.out.push(out);
         self.share.use_offer(to);
         (self.last_grant, self.share.news) = (Some(to), true);
@@ -350,6 +373,8 @@
             if worker.known.is_some_and(|k| k.started_at != entry.started_at) {
                 (worker.entry, worker.trust) = (None, Trust::default());
             }
+            // What went to it before it started did not reach what is there now; what came after counts, however late it is told.
+            worker.sent.retain(|(at, _)| entry.started_at.is_none_or(|start| *at > start));
             worker.known = (entry.status != Status::Gone).then_some(*entry);
         }
     }
@@ -481,7 +506,10 @@
     slow: Mean,
     trust: Trust,
     heard: Micros,
+    /// Earlier versions' stretches, which theirs have to find here.
     cold: (u64, f64),
+    #[serde(default)]
+    sent: VecDeque<(Micros, f64)>,
 }
 
 /// What an instance has learned, for another one that goes on in its place. Numbers and times are those of the first.
@@ -534,7 +562,8 @@
             slow: w.slow,
             trust: w.trust,
             heard: w.heard,
-            cold: w.cold,
+            cold: (0, 0.0),
+            sent: w.sent.clone(),
         };
         let m = &self.m;
         Learned {
@@ -556,13 +585,14 @@
         let m = &mut self.m;
         for (worker, place) in learned.workers.into_iter().zip(&places.workers) {
             let Some(id) = place else { continue };
-            let LearnedWorker { entry, granted_cpu, slow, trust, heard, cold } = worker;
+            let LearnedWorker { entry, granted_cpu, slow, trust, heard, sent, .. } = worker;
             let own = m.worker(*id);
             own.entry = entry.map(|e| Entry { at: here(e.at), ..e });
             let here = |at: Micros| if at > 0 { here(at) } else { 0 };
             own.trust = Trust { until: here(trust.until), since: here(trust.since), ..trust };
             own.heard = here(heard);
-            (own.granted_cpu, own.slow, own.cold) = (granted_cpu, slow, cold);
+            (own.granted_cpu, own.slow) = (granted_cpu, slow);
+            own.sent = sent.into_iter().map(|(at, work)| (at.saturating_add_signed(shift), work)).collect();
         }
         let kind = |n: u16| places.kinds.get(usize::from(n)).copied().flatten();
         m.kind_slow.extend(learned.kind_slow.into_iter().filter_map(|(n, mean)| Some((kind(n)?, mean))));
