--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -120,7 +120,8 @@
     /// The most that a stretch of the fall window held of what it may hold, and in calls.
     fn most(&self) -> (f64, usize) {
         let Some(start) = self.entry.started_at else { return (0.0, 0) };
-        let cold: Vec<Micros> = self.got.iter().copied().filter(|at| *at < start + COLD).collect();
+        let cold: Vec<Micros> =
+            self.got.iter().copied().filter(|at| (start..start + COLD).contains(at)).collect();
         let stretch = |from: &Micros| {
             let calls = cold.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count();
             let room = |n: f64| n + 2.0 * n.sqrt() + 2.0;
@@ -398,8 +399,10 @@
         let cold = self.machines.iter().filter(|m| m.entry.started_at.is_some());
         let mut most: Vec<(f64, usize)> = cold.clone().map(Machine::most).collect();
         most.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let within =
-            |m: &&Machine| m.got.iter().filter(|at| **at < m.entry.started_at.unwrap_or(0) + COLD).count();
+        let within = |m: &&Machine| {
+            let start = m.entry.started_at.unwrap_or(0);
+            m.got.iter().filter(|at| (start..start + COLD).contains(at)).count()
+        };
         let got: usize = cold.clone().map(|m| within(&m)).sum();
         let could = |m: &Machine| {
             let age = END.saturating_sub(m.entry.started_at.unwrap_or(0)).min(COLD) as f64;
