While mates are heard a cold worker's ramp follows what they tell, not the deal

Cause: rules.rs in_part, whose call it is decides who may send also where the group knows what is out, and whoever has a job seldom has the call. Change: where at least half of the mates have spoken within a quarter of the fall window, what they have out is known and its room kept; only ranks below N may send, so that what leaves at once stays within N. Else dealt as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -513,20 +513,20 @@
         warm || fits() && self.in_part(worker, known, work)
     }
 
-    /// Cold starts: all nodes keep within the fleet's budget without a message. What they plan of it in any
-    /// stretch of the fall window is dealt out call by call, by their ranks for it, which nothing that they
-    /// hear or are told changes. The first has one job at least, or nobody would send a large one.
+    /// Cold starts: all nodes keep within the fleet's budget. What they plan of it in any stretch of the fall
+    /// window is dealt out call by call, by ranks that nothing they hear or are told changes; where mates are
+    /// heard, their work there is known, and only what several send at once has to fit. The first has one job.
     fn in_part(&self, worker: &Worker, known: &RosterEntry, work: f64) -> bool {
-        let (now, window, warm) =
-            (self.m.now, self.set.fall_window, self.m.is_warm(known, self.set.cold_time));
-        let Some((rank, nodes)) = self.m.share.rank(known.tag) else { return warm };
+        let (now, window, share) = (self.m.now, self.set.fall_window, &self.m.share);
+        let warm = self.m.is_warm(known, self.set.cold_time);
+        let Some((rank, nodes)) = share.rank(known.tag) else { return warm };
         let age = now.saturating_sub(known.started_at.unwrap_or(0));
-        let grown = self.grown(age.saturating_sub(window)) * self.set.fall_multiple * COLD_SAFETY;
-        let capacity = self.m.slots(known.kind) / self.m.slowness(worker, known).max(1.0);
-        let sent = worker.sent_since(now.saturating_sub(window));
-        let (planned, mean) = (grown * capacity * window as f64, self.m.mean_call());
-        let part = f64::from(nodes) * sent + f64::from(rank + 1) * work.max(mean);
-        warm || rank == 0 && sent == 0.0 || part <= planned
+        let grown = self.grown(age.saturating_sub(window)) * self.set.fall_multiple * window as f64;
+        let budget = grown * self.m.slots(known.kind) / self.m.slowness(worker, known).max(1.0);
+        let unheard = || (worker.sent_since(now.saturating_sub(window)), COLD_SAFETY);
+        let (sent, safe) = if share.hears(now, window) { (0.0, 1.0) } else { unheard() };
+        let part = f64::from(nodes) * sent + f64::from(rank + 1) * work.max(self.m.mean_call());
+        warm || rank == 0 && sent == 0.0 || part <= budget * safe
     }
 
     fn send(&mut self, id: JobId, to: WorkerId, rank: Rank, acts: &mut Vec<Action>) {
--- a/src/share.rs
+++ b/src/share.rs
@@ -16,6 +16,8 @@
 /// by when a dead one's work has ended and one that is back has spoken.
 const MISSED_AFTER: Micros = SAID_FOR / 4 * 3;
 const MISSED_FOR: Micros = 5 * SAID_FOR / 2;
+/// Mates are heard that have spoken within this part of the fall window.
+const HEARD_PART: Micros = 4;
 /// News is told this late, so that what happens at once is told at once.
 const NEWS_WITHIN: Micros = 2_000;
 /// The alarm at which a node tells its group what there is to tell.
@@ -327,6 +329,14 @@
             .any(|said| !said.out.is_empty() && missed(said))
     }
 
+    /// Whether at least half of the mates have spoken so lately that what they have sent since is a small part of what a
+    /// cold worker bears in its fall window.
+    pub fn hears(&self, now: Micros, window: Micros) -> bool {
+        let late = |said: &&Said| now < said.at + window / HEARD_PART;
+        let heard = self.mates.iter().filter_map(|mate| self.said.get(mate)).filter(late);
+        self.on() && 2 * heard.count() >= self.mates.len()
+    }
+
     /// Whether another has said that it doubts this worker, later than this.
     pub fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
         let tag = short(known.tag);
