--- a/src/rules.rs
+++ b/src/rules.rs
@@ -515,7 +515,7 @@
 
     /// Cold starts: all nodes keep within the fleet's budget. What they plan of it in any stretch of the fall
     /// window is dealt out call by call, by ranks that nothing they hear or are told changes; where mates are
-    /// heard, their work there is known, and only what several send at once has to fit. The first has one job.
+    /// heard, their work there is known, and only what several send at once has to fit. The first has a job.
     fn in_part(&self, worker: &Worker, known: &RosterEntry, work: f64) -> bool {
         let (now, window, share) = (self.m.now, self.set.fall_window, &self.m.share);
         let warm = self.m.is_warm(known, self.set.cold_time);
