A restarted process sends nothing by its old list until discovery has told one

The program gave that list to the module at once (`Server::open`: `core.listed(now, &config.known, true)`), opened its first watch up to 2.5 s later (`Terms::first`) and answered `GET /up` with 200 meanwhile, so for that long it sent to workers that had been gone for 15 s and had just come up again.

Change: what is known before the start must be revalidated. `WatchClock` keeps whether it has been; until then the module knows nobody, jobs wait, and `GET /up` is answered 503. It is over once discovery tells a list, or cannot be reached (no connection; an agent that says nothing, which it does while discovery is down), or has said nothing for 4.5 s, three calls. What an elder process hands over is as new as its watch. Also: no connection is told apart from silence (`Broken::Unreachable`).

Tests: tests/restart.rs; two of its four fail without the change (/up 200, and no word of a list that is used unheard).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -484,17 +484,42 @@
         }
     }
 
-    /// A list of discovery's, which counts as told since `told`.
+    /// A list of discovery's, which counts as told since `told`; `cached` where a process that held a watch handed it over.
     pub fn listed(&mut self, told: Micros, list: &ServerList, cached: bool) {
-        let offset = self.unix_offset;
-        let since_unix = |ms: f64| Micros::try_from((ms * 1000.0) as i128 + offset).ok().filter(|t| *t > 0);
-        let entries = self.servers.take(told, list, &mut self.names.0, since_unix);
-        let kind = match (cached, list.reset) {
+        let mut named = self.servers.take(told, list);
+        let all = std::mem::take(&mut self.servers.stale);
+        let kind = match (cached, list.reset || all) {
             (true, _) => RosterKind::Cached,
             (_, true) => RosterKind::Whole,
             _ => RosterKind::Changes,
         };
-        self.events.push(Event::Roster(kind, entries));
+        if all {
+            named = self.servers.iter().map(|(worker, _)| worker).collect(); // so far the module knows none of them
+        }
+        self.tell_roster(kind, named);
+    }
+
+    /// What was known before the start, perhaps long before: its workers have their numbers, its version is what discovery is
+    /// asked with, and nothing is sent by it before discovery has told a list, or [`Core::use_stale`].
+    pub fn remembered(&mut self, now: Micros, list: &ServerList) {
+        self.servers.take(now, list);
+        self.servers.stale = true;
+    }
+
+    /// Discovery cannot be reached: what was known before the start is used as it is, if that is still to be revalidated.
+    pub fn use_stale(&mut self) {
+        if std::mem::take(&mut self.servers.stale) {
+            let all = self.servers.iter().map(|(worker, _)| worker).collect();
+            self.tell_roster(RosterKind::Cached, all);
+        }
+    }
+
+    fn tell_roster(&mut self, kind: RosterKind, workers: Vec<WorkerId>) {
+        let offset = self.unix_offset;
+        let since_unix = |ms: f64| Micros::try_from((ms * 1000.0) as i128 + offset).ok().filter(|t| *t > 0);
+        let (servers, names) = (&self.servers, &mut self.names.0);
+        let entries = workers.into_iter().filter_map(|worker| servers.entry(worker, names, since_unix));
+        self.events.push(Event::Roster(kind, entries.collect()));
     }
 
     /// A call to discovery failed, or the watch broke.
--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -28,6 +28,8 @@
     pub generation: u64,
     /// Rows dropped since the start.
     pub bad_rows: u64,
+    /// Its rows were known before the start and are still to be revalidated: the module knows none of them, so nothing is sent.
+    pub stale: bool,
 }
 
 impl ServerTable {
@@ -92,18 +94,11 @@
         list.reset && list.rows.is_empty() && self.listed() > 0
     }
 
-    /// Takes a list in that counts as told since `now`, and words it for the module. `since_unix` turns Unix time in milliseconds into the
-    /// module's time.
-    pub(crate) fn take(
-        &mut self,
-        now: Micros,
-        list: &ServerList,
-        names: &mut Names,
-        since_unix: impl Fn(f64) -> Option<Micros>,
-    ) -> Vec<RosterEntry> {
+    /// Takes a list in that counts as told since `now`. Returns the workers that it names, in its order.
+    pub(crate) fn take(&mut self, now: Micros, list: &ServerList) -> Vec<WorkerId> {
         self.generation = list.generation;
         self.bad_rows += list.bad_rows;
-        let mut entries = Vec::with_capacity(list.rows.len());
+        let mut named = Vec::with_capacity(list.rows.len());
         if list.reset {
             // Whoever a whole list does not name is gone.
             for server in &mut self.servers {
@@ -122,22 +117,34 @@
                 Lifecycle::Up => None,
                 _ => server.stopped.or(Some(now)),
             };
-            entries.push(RosterEntry {
-                worker,
-                tag: tag(&row.instance_id),
-                zone: ZoneId(names.zones.id(&row.zone) as u16),
-                kind: KindId(names.kinds.id(&row.machine_type) as u16),
-                cell: CellId(row.cell),
-                status: match row.lifecycle {
-                    Lifecycle::Up => Status::Ready,
-                    Lifecycle::Draining => Status::Draining,
-                    Lifecycle::Removed => Status::Gone,
-                },
-                weight: row.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
-                started_at: Some(row.started_at_ms).filter(|ms| *ms > 0.0).and_then(&since_unix),
-            });
+            named.push(worker);
         }
-        entries
+        named
+    }
+
+    /// Words a worker for the module. `since_unix` turns Unix time in milliseconds into the module's time.
+    pub(crate) fn entry(
+        &self,
+        worker: WorkerId,
+        names: &mut Names,
+        since_unix: impl Fn(f64) -> Option<Micros>,
+    ) -> Option<RosterEntry> {
+        let Server { row, removed, .. } = self.get(worker)?;
+        Some(RosterEntry {
+            worker,
+            tag: tag(&row.instance_id),
+            zone: ZoneId(names.zones.id(&row.zone) as u16),
+            kind: KindId(names.kinds.id(&row.machine_type) as u16),
+            cell: CellId(row.cell),
+            status: match row.lifecycle {
+                _ if *removed => Status::Gone,
+                Lifecycle::Up => Status::Ready,
+                Lifecycle::Draining => Status::Draining,
+                Lifecycle::Removed => Status::Gone,
+            },
+            weight: row.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
+            started_at: Some(row.started_at_ms).filter(|ms| *ms > 0.0).and_then(since_unix),
+        })
     }
 
     /// The number of a row's worker; a known one may have a new address. None where the row names no address
--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -1,6 +1,6 @@
 //! The clock of silence: when a watch of discovery's list is broken though its connection stands, when a watch is called for
-//! (the first one, and the next after any end), and since when what was missed counts as told. It has no clock and no socket
-//! of its own. From every state something is due: a dispatcher is never without a watch and without a time for its next call.
+//! (the first one, and the next after any end), since when what was missed counts as told, and whether the list that the
+//! program started with is still to be revalidated. It has no clock and no socket of its own. From every state something is due: a dispatcher is never without a watch and without a time for its next call.
 
 use crate::interface::{Micros, Settings};
 
@@ -38,6 +38,10 @@
 const APART: Micros = 200_000;
 /// An object of a list, once begun, is whole by then; else what follows would be taken for a part of it.
 const OBJECT: Micros = 1_000_000;
+/// A process that has just started waits so long for discovery to revalidate the list that it started with. In that time a
+/// service that can be reached is called three times; one that says nothing then counts as one that cannot be, and a list that
+/// may be stale is better than none. The process is ready by then, within the 6 s of the shortest days.
+const REVALIDATE: Micros = 3 * PERIOD;
 
 /// Why a watch is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +50,8 @@
     Silent,
     /// It was refused, or its connection ended.
     Ended,
+    /// No connection came up: nobody listens there, or nothing comes through.
+    Unreachable,
 }
 
 /// What the settings say of discovery.
@@ -113,6 +119,8 @@
     behind: Option<Micros>,
     /// Another service counts, and has told no list yet.
     moved: bool,
+    /// What the program started with is still to be revalidated, until then at the latest.
+    stale: Option<Micros>,
     rng: fastrand::Rng,
 }
 
@@ -120,7 +128,7 @@
     /// No watch yet; `seed` settles the random waits.
     pub fn new(terms: Terms, seed: u64) -> WatchClock {
         let rng = fastrand::Rng::with_seed(seed);
-        WatchClock { terms, phase: Phase::Closed, called: None, behind: None, moved: false, rng }
+        WatchClock { terms, phase: Phase::Closed, called: None, behind: None, moved: false, stale: None, rng }
     }
 
     /// The program begins. Returns when the first watch is to be opened: where lists are pushed at once.
@@ -128,6 +136,18 @@
         now + if self.terms.pushed { 0 } else { self.rng.u64(0..=self.terms.first()) }
     }
 
+    /// The list that the program starts with is to be revalidated: it may lack changes that count as told by now (a process
+    /// that comes back after a while knows what its predecessor knew). Returns until when at the latest.
+    pub fn revalidate(&mut self, now: Micros) -> Micros {
+        *self.stale.insert(now + REVALIDATE)
+    }
+
+    /// Whether that list is still to be revalidated: discovery has told none, and nothing shows that it cannot be reached (an
+    /// agent of the own machine says nothing as long as that is so).
+    pub fn is_stale(&self, now: Micros) -> bool {
+        self.stale.is_some_and(|until| now < until)
+    }
+
     /// Other settings count. True if a watch is to be opened now: where lists are pushed one always is.
     pub fn retune(&mut self, terms: Terms) -> bool {
         self.terms = terms;
@@ -179,13 +199,16 @@
     /// Since when what it tells now counts as told: after a silence, at the latest from [`TOLD_AFTER`] on. Whoever is told
     /// is no longer behind.
     pub fn told(&mut self, now: Micros) -> Micros {
-        self.moved = false;
+        (self.moved, self.stale) = (false, None);
         self.behind.take().map_or(now, |by| now.min(by))
     }
 
     /// The watch is over. Returns when it is to be opened anew.
     pub fn broke(&mut self, now: Micros, why: Broken) -> Micros {
         let was = std::mem::replace(&mut self.phase, Phase::Closed);
+        if why == Broken::Unreachable || self.terms.pushed && why == Broken::Silent {
+            self.stale = None;
+        }
         if let (Phase::Heard(last), Broken::Silent) = (was, why) {
             self.behind.get_or_insert(last + TOLD_AFTER);
         }
--- a/src/net/ask.rs
+++ b/src/net/ask.rs
@@ -22,7 +22,9 @@
 pub(super) enum CallEnd {
     /// Refused; with what `Retry-After` says.
     Refused(Option<Micros>),
-    /// No connection, or it ended.
+    /// No connection came up.
+    Unreachable,
+    /// The connection ended.
     Failed,
     /// It said nothing for too long.
     Silent,
@@ -159,7 +161,7 @@
             (true, CallEnd::Silent) => Event::WatchSilent { by: self.now + AFTER_SILENCE },
             (true, _) => Event::WatchEnded,
             (false, CallEnd::Refused(retry_after)) => Event::Refused { waited, retry_after },
-            (false, CallEnd::Failed) => Event::Failed,
+            (false, CallEnd::Failed | CallEnd::Unreachable) => Event::Failed,
             (false, CallEnd::Silent) => Event::TimedOut,
         });
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::ask::CallEnd;
 use super::conn::{Conn, ReadEnd};
-use super::{Role, Server, Token, WATCH_TIMER, WHOLE_TIMER};
+use super::{Role, STALE_TIMER, Server, Token, WATCH_TIMER, WHOLE_TIMER};
 use crate::config::ServerList;
 use crate::core::silence::{ANSWER, Broken, CONNECT, Objects, Terms, WatchClock};
 use crate::front::platform;
@@ -71,6 +71,19 @@
     pub(super) fn watch_begins(&mut self) {
         let at = self.lists.clock.begin(self.now);
         self.watch_at(at);
+        if self.core.servers.stale {
+            let until = self.lists.clock.revalidate(self.now);
+            self.core.remind(until, STALE_TIMER);
+        }
+    }
+
+    /// Where discovery has not revalidated the list that the program started with, and cannot be reached or has had its time
+    /// for it, that list is used as it is.
+    pub(super) fn use_stale(&mut self) {
+        if self.core.servers.stale && !self.lists.clock.is_stale(self.now) {
+            tracing::warn!("discovery: not heard since the start; the list known before it is used as it is");
+            self.core.use_stale();
+        }
     }
 
     /// Other settings count.
@@ -137,7 +150,7 @@
             self.add(conn, |_| Role::Call(call))
         });
         let up_by = if watch { self.lists.clock.called(self.now) } else { self.now + CONNECT };
-        let Some(token) = token else { return self.watch_over(watch, CallEnd::Failed) };
+        let Some(token) = token else { return self.watch_over(watch, CallEnd::Unreachable) };
         if watch {
             self.lists.watch = Some(token);
         }
@@ -244,6 +257,7 @@
         let told = self.lists.clock.told(self.now);
         if self.core.servers.emptied_by(&list) {
             self.counts.bad_lists += 1;
+            self.use_stale();
             return true;
         }
         self.core.listed(told, &list, false);
@@ -262,7 +276,8 @@
     pub(super) fn call_failed(&mut self, token: Token, conn: Conn, call: Call, why: &str) {
         self.log_failed(&call, why);
         if !call.watch || self.lists.watch.take_if(|watch| *watch == token).is_some() {
-            self.watch_over(call.watch, call.refused.map_or(CallEnd::Failed, CallEnd::Refused));
+            let end = if call.connecting { CallEnd::Unreachable } else { CallEnd::Failed };
+            self.watch_over(call.watch, call.refused.map_or(end, CallEnd::Refused));
         }
         self.close(token, conn, Role::Call(call));
     }
@@ -273,8 +288,9 @@
             return self.call_failed(token, conn, call, "no answer in time");
         }
         self.log_failed(&call, if call.answered { "fell silent" } else { "no answer in time" });
+        let end = if call.connecting { CallEnd::Unreachable } else { CallEnd::Silent };
         self.close(token, conn, Role::Call(call));
-        self.watch_over(true, CallEnd::Silent);
+        self.watch_over(true, end);
     }
 
     /// A line for each call that failed; of those that told nothing, one in so long: an agent is asked again at once.
@@ -289,11 +305,16 @@
     /// No call is under way any more: the clock of silence, or the pacer, says when it is asked anew.
     fn watch_over(&mut self, watch: bool, end: CallEnd) {
         if watch {
-            let why = if end == CallEnd::Silent { Broken::Silent } else { Broken::Ended };
+            let why = match end {
+                CallEnd::Silent => Broken::Silent,
+                CallEnd::Unreachable => Broken::Unreachable,
+                CallEnd::Refused(_) | CallEnd::Failed => Broken::Ended,
+            };
             match (self.lists.clock.broke(self.now, why), self.ask.on()) {
                 (_, true) => self.ask_over(end),
                 (again, false) => self.watch_at(again),
             }
+            self.use_stale();
         } else if self.lists.whole == Whole::Asked {
             self.lists.whole = Whole::Again;
             self.core.remind(self.lists.clock.whole_failed(self.now), WHOLE_TIMER);
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -460,7 +460,7 @@
             arrival.patience = plan.patience(self.now, arrival.patience);
         }
         let refused = match route {
-            Ok(Route::Ready) if self.takes_leave() => Some(Reject::NotReady),
+            Ok(Route::Ready) if self.takes_leave() || self.core.servers.stale => Some(Reject::NotReady),
             Ok(Route::Ready) => {
                 conn.outbox.push(platform::ready());
                 None
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -51,6 +51,9 @@
         peers: bool,
         drained: bool,
         table: ServerList,
+        /// That is still to be revalidated.
+        #[serde(default)]
+        stale: bool,
         open: Open,
         /// What the module has learned; read apart, since another version may word it otherwise.
         lesson: serde_json::Value,
@@ -140,6 +143,7 @@
     pub peers: Option<UdpSocket>,
     pub drained: bool,
     pub table: ServerList,
+    pub stale: bool,
     pub lesson: Option<Lesson>,
     open: Open,
 }
@@ -217,7 +221,8 @@
     let timeout = rustix::net::sockopt::Timeout::Recv;
     let limited = rustix::net::sockopt::set_socket_timeout(&link, timeout, Some(ASK_TIME));
     let answer = limited.and_then(|()| send(&link, &Note::Hello, &[], &[])).and_then(|()| receive(&link));
-    let Ok(Some((Note::Listeners { sse, peers, drained, table, open, lesson }, _, fds))) = answer else {
+    let Ok(Some((Note::Listeners { sse, peers, drained, table, stale, open, lesson }, _, fds))) = answer
+    else {
         tracing::info!("upgrade: the running process hands nothing over");
         return Asked::NoAnswer;
     };
@@ -226,7 +231,7 @@
     let sse = fds.next_if_some(sse).map(TcpListener::from);
     let peers = fds.next_if_some(peers).map(UdpSocket::from);
     let lesson = serde_json::from_value(lesson).ok();
-    Asked::All(Box::new(Inherited { link, platform, sse, peers, drained, table, lesson, open }))
+    Asked::All(Box::new(Inherited { link, platform, sse, peers, drained, table, stale, lesson, open }))
 }
 
 trait NextIf {
@@ -365,7 +370,8 @@
         let lesson = serde_json::to_value(self.core.lesson()).unwrap_or_default();
         let (sse, peers) = (self.sse.is_some(), self.peers.is_some());
         let drained = self.drained.is_some();
-        let note = Note::Listeners { sse, peers, drained, table, open: open.clone(), lesson };
+        let stale = self.core.servers.stale;
+        let note = Note::Listeners { sse, peers, drained, table, stale, open: open.clone(), lesson };
         let mut fds = vec![self.platform.as_fd()];
         fds.extend(self.sse.as_ref().map(|(listener, _)| listener.as_fd()));
         fds.extend(self.peers.as_ref().map(|socket| socket.as_fd()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -84,6 +84,7 @@
 const FLEET_TIMER: u64 = u64::MAX - 16;
 const ASK_TIMER: u64 = u64::MAX - 17;
 const WHOLE_TIMER: u64 = u64::MAX - 21;
+const STALE_TIMER: u64 = u64::MAX - 22;
 
 /// What a connection is for.
 enum Role {
@@ -348,7 +349,11 @@
         }
         let now = Core::clock_start();
         // What the elder was last told is newer than what this file holds.
-        core.listed(now, inherited.as_ref().map_or(&config.known, |from| &from.table), true);
+        match &inherited {
+            Some(from) if !from.stale => core.listed(now, &from.table, true),
+            Some(from) => core.remembered(now, &from.table),
+            None => core.remembered(now, &config.known),
+        }
         if let Some(lesson) = inherited.as_mut().and_then(|from| from.lesson.take()) {
             core.recall(lesson);
         }
@@ -513,6 +518,7 @@
                 Command::Watch => self.watch_wanted(),
                 Command::Due(WATCH_TIMER) => self.watch_due(),
                 Command::Due(WHOLE_TIMER) => self.whole_due(),
+                Command::Due(STALE_TIMER) => self.use_stale(),
                 Command::Fetch => self.call(false),
                 Command::Due(SUMMARY_TIMER) => {
                     self.summary();
--- /dev/null
+++ b/tests/restart.rs
@@ -0,0 +1,90 @@
+//! What a process that has just started may send by: the list that it was started with may be older than all that counts as told.
+
+use mothproxy_stand_ins::*;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+fn ready(program: &Program) -> u16 {
+    send(program.platform, "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n").expect("an answer").status
+}
+
+fn serve(program: &Program, id: &str) -> u16 {
+    send(program.platform, &job(id, "balance", "take started done=x", "")).expect("an answer").status
+}
+
+/// A process that knows `old` alone, asked or pushed, before a discovery that says nothing to the first calls, and then that
+/// `old` drains and `new` is there.
+fn restarted(mode: &str, silent: usize) -> (Program, Arc<Node>, Arc<Node>, Arc<Discovery>) {
+    let (old, new) = (Node::start("s-1"), Node::start("s-2"));
+    let list = json!({"generation": 2, "reset": true, "instances": [old.row("draining"), new.row("up")]});
+    let discovery = Discovery::start(list.clone());
+    discovery.then(&vec![Turn::Hold; silent], list);
+    let program = start_with(std::slice::from_ref(&old), Some(discovery.address), false, |config| {
+        config["settings"]["Discovery"] = json!(mode);
+        config["settings"]["Obligations"]["AskWithinMs"] = json!(80_000.0);
+    });
+    new.calls_back_to(program.platform);
+    until("a call", || discovery.calls.load(Ordering::SeqCst) > 0);
+    (program, old, new, discovery)
+}
+
+/// On a day on which a zone is lost for 18 s, with its dispatchers, these come back with the list of before. They sent by it at
+/// once, before discovery had answered their first call, to workers that had been gone for 15 s and had just come up again.
+#[test]
+fn nothing_is_sent_by_the_list_of_before_until_discovery_has_told_its_own() {
+    let (program, old, new, _discovery) = restarted("on_request", 1);
+    assert_eq!(ready(&program), 503, "a front sends its clients elsewhere meanwhile");
+    let served = (0..5).map(|n| serve(&program, &format!("a{n}"))).collect::<Vec<_>>();
+    assert_eq!(served, [200; 5], "they wait for the list");
+    assert_eq!((old.jobs.load(Ordering::SeqCst), new.jobs.load(Ordering::SeqCst)), (0, 5));
+    assert_eq!(ready(&program), 200);
+}
+
+/// Discovery that can't be reached, or has had its time, keeps nobody from serving: the list of before is used as it is.
+#[test]
+fn a_process_serves_by_the_list_of_before_where_discovery_cannot_be_reached() {
+    let unheard = "discovery: not heard since the start";
+    for (mode, silent) in [("on_request", 50), ("pushed", 50)] {
+        let (mut program, old, ..) = restarted(mode, silent);
+        program.logged(unheard);
+        assert_eq!((ready(&program), serve(&program, "a")), (200, 200), "{mode}");
+        assert_eq!(old.jobs.load(Ordering::SeqCst), 1, "{mode}");
+    }
+    let old = Node::start("s-1");
+    let program = start(std::slice::from_ref(&old), None, false); // nobody listens there: it returns once that is found
+    assert_eq!((ready(&program), serve(&program, "a")), (200, 200));
+}
+
+/// A list that names nobody says that discovery has lost its table, not that its workers are gone.
+#[test]
+fn a_process_serves_by_the_list_of_before_where_discovery_knows_nobody() {
+    let old = Node::start("s-1");
+    let nobody: Value = json!({"generation": 2, "reset": true, "instances": []});
+    let discovery = Discovery::start(nobody);
+    let program = start(std::slice::from_ref(&old), Some(discovery.address), false);
+    until("it is ready", || ready(&program) == 200);
+    assert_eq!(serve(&program, "a"), 200);
+}
+
+/// A list that names only the dead keeps nobody from being ready once discovery has told another.
+#[test]
+fn a_process_that_knows_only_the_dead_serves_once_the_list_comes() {
+    for mode in ["on_request", "pushed"] {
+        let new = Node::start("s-2");
+        let list = json!({"generation": 2, "reset": true, "instances": [new.row("up")]});
+        let discovery = Discovery::start(list.clone());
+        discovery.then(&[Turn::Hold, Turn::Hold], list);
+        let program = start_with(&[], Some(discovery.address), false, |config| {
+            config["settings"]["Discovery"] = json!(mode);
+            config["known"]["instances"] = json!([site::row("s-1", "127.0.0.1:1", "up")]);
+        });
+        new.calls_back_to(program.platform);
+        until("it is ready", || ready(&program) == 200);
+        let mut n = 0;
+        until("a job is served", || {
+            n += 1;
+            serve(&program, &format!("a{n}")) == 200
+        });
+    }
+}
