Tests of the groups' parts move from src/share.rs to tests/share.rs

Tests live in test files. They reach the groups through Share's public surface (of, regroup, hold_by, deal, group, part, workers, sample, kept, load, on, wish; SAID_FOR). What they read of private items is asked otherwise, as strictly: a worker that came by a view is one that was not in the part before it; that no wish goes to a gone node is asked of the wishes themselves, and that its group's others all get some is asked as well.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod net;
 pub mod rules;
 pub mod settings;
-mod share;
+pub mod share;
 mod state;
 pub mod wire;
 
--- a/src/share.rs
+++ b/src/share.rs
@@ -11,7 +11,7 @@
 /// Nodes that tell each other: each message goes to all but one of them.
 const GROUP: u32 = 10;
 /// What a mate has said counts for this long; whoever has work out says so again in half the time.
-const SAID_FOR: Micros = 4_000_000;
+pub const SAID_FOR: Micros = 4_000_000;
 /// Whoever has work out and has not said so again after this, one and a half times the time for it, is missed; for so long,
 /// by when a dead one's work has ended and one that is back has spoken.
 const MISSED_AFTER: Micros = SAID_FOR / 4 * 3;
@@ -64,14 +64,15 @@
     pub doubted: bool,
 }
 
+/// What one node knows of its group: who is in it, which workers are the group's, and what its mates have said.
 #[derive(Debug, Default)]
-pub(crate) struct Share {
+pub struct Share {
     nodes: u32,
     me: u32,
     group: u32,
     groups: u32,
     /// The other nodes of the group.
-    pub mates: Vec<u32>,
+    pub(crate) mates: Vec<u32>,
     /// What is believed of each node, by their numbers; all of them are here where it is empty.
     peers: Vec<Presence>,
     /// The view has changed at this time, and the workers are not dealt by it yet.
@@ -102,7 +103,7 @@
     /// What was told last: to the mates, and to each lender.
     told: BTreeMap<Option<u32>, Said>,
     /// Something has changed that may be worth a message.
-    pub news: bool,
+    pub(crate) news: bool,
 }
 
 fn short(tag: u64) -> u16 {
@@ -184,7 +185,7 @@
     ///
     /// So the sum over the sides of a cut is never above `slots`: the parts of all nodes add up to it, and a node is here on
     /// one side alone.
-    fn kept(&self, worker: WorkerId, slots: u32, now: Micros) -> u32 {
+    pub fn kept(&self, worker: WorkerId, slots: u32, now: Micros) -> u32 {
         if self.gained.get(&worker).is_some_and(|since| now < since + SAID_FOR) {
             return slots;
         }
@@ -194,13 +195,23 @@
         kept
     }
 
+    /// The number of the node's group.
+    pub fn group(&self) -> u32 {
+        self.group
+    }
+
+    /// The group's part of the ready workers, by their numbers.
+    pub fn part(&self) -> &[WorkerId] {
+        &self.part
+    }
+
     /// Whether there is a group.
     pub fn on(&self) -> bool {
         !self.mates.is_empty()
     }
 
     /// Whether there are other groups to ask for a slot.
-    pub fn lends(&self) -> bool {
+    pub(crate) fn lends(&self) -> bool {
         self.on() && self.groups > 1
     }
 
@@ -255,14 +266,14 @@
     }
 
     /// Whether a slot at a cold worker is on offer by its group: another one has not been told that it started.
-    pub fn lent_cold(&self, known: &RosterEntry, now: Micros) -> bool {
+    pub(crate) fn lent_cold(&self, known: &RosterEntry, now: Micros) -> bool {
         let by_group = |(by, until): &(u32, Micros)| now < *until && by % self.groups == self.top(known.tag);
         self.offers.get(&known.worker).is_some_and(by_group)
     }
 
     /// This node's rank for a cold worker, of so many that may send to it: those of its group, or where there are no groups
     /// all of them; `None` for one of another group. It follows from the settings and the worker's tag alone.
-    pub fn rank(&self, tag: u64) -> Option<(u32, u32)> {
+    pub(crate) fn rank(&self, tag: u64) -> Option<(u32, u32)> {
         let (nodes, place) = match self.on() {
             true if self.top(tag) == self.group => (self.mates.len() as u32 + 1, self.me / self.groups),
             true => return None,
@@ -321,7 +332,7 @@
 
     /// Whether a mate that had work out when it last spoke has missed saying so again: it may be cut off, or dead, and what
     /// it has out at the group's workers is not known.
-    pub fn deaf(&self, now: Micros) -> bool {
+    pub(crate) fn deaf(&self, now: Micros) -> bool {
         let missed = |said: &Said| now >= said.at + MISSED_AFTER && now < said.at + MISSED_FOR;
         self.mates
             .iter()
@@ -331,14 +342,14 @@
 
     /// Whether at least half of the mates have spoken so lately that what they have sent since is a small part of what a
     /// cold worker bears in its fall window.
-    pub fn hears(&self, now: Micros, window: Micros) -> bool {
+    pub(crate) fn hears(&self, now: Micros, window: Micros) -> bool {
         let late = |said: &&Said| now < said.at + window / HEARD_PART;
         let heard = self.mates.iter().filter_map(|mate| self.said.get(mate)).filter(late);
         self.on() && 2 * heard.count() >= self.mates.len()
     }
 
     /// Whether another has said that it doubts this worker, later than this.
-    pub fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
+    pub(crate) fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
         let tag = short(known.tag);
         self.fresh(now).any(|(_, said)| said.at > since && said.doubted.contains(&tag))
     }
@@ -348,17 +359,17 @@
     }
 
     /// The workers at which slots are on offer.
-    pub fn offers(&self, now: Micros) -> impl Iterator<Item = WorkerId> {
+    pub(crate) fn offers(&self, now: Micros) -> impl Iterator<Item = WorkerId> {
         self.offers.iter().filter(move |(_, (_, until))| now < *until).map(|(worker, _)| *worker)
     }
 
     /// Whether a slot at this worker is on offer.
-    pub fn on_offer(&self, worker: WorkerId, now: Micros) -> bool {
+    pub(crate) fn on_offer(&self, worker: WorkerId, now: Micros) -> bool {
         self.offers.get(&worker).is_some_and(|(_, until)| now < *until)
     }
 
     /// The offer for this worker, if there is one, is used.
-    pub fn use_offer(&mut self, worker: WorkerId) {
+    pub(crate) fn use_offer(&mut self, worker: WorkerId) {
         if let Some((lender, _)) = self.offers.remove(&worker) {
             self.lenders.insert(worker, lender);
         }
@@ -396,7 +407,7 @@
     }
 
     /// Offers a slot at a worker of the group.
-    pub fn offer(&mut self, now: Micros, to: u32, known: &RosterEntry, acts: &mut Vec<Action>) {
+    pub(crate) fn offer(&mut self, now: Micros, to: u32, known: &RosterEntry, acts: &mut Vec<Action>) {
         let tag = short(known.tag);
         self.offered.push((to, tag, now + OFFERED_FOR));
         self.news = true;
@@ -405,14 +416,14 @@
     }
 
     /// Has the alarm set at which news is told.
-    pub fn tell_soon(&mut self, acts: &mut Vec<Action>) {
+    pub(crate) fn tell_soon(&mut self, acts: &mut Vec<Action>) {
         if std::mem::take(&mut self.news) && self.on() {
             acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), NEWS_WITHIN));
         }
     }
 
     /// Tells the mates, and lenders, what there is to know of their workers if that is news or is to be said again.
-    pub fn tell(&mut self, now: Micros, seen: &[Seen], acts: &mut Vec<Action>) {
+    pub(crate) fn tell(&mut self, now: Micros, seen: &[Seen], acts: &mut Vec<Action>) {
         if !self.on() {
             return;
         }
@@ -460,7 +471,7 @@
     }
 
     /// A message. One that is not understood says nothing.
-    pub fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) -> Heard {
+    pub(crate) fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) -> Heard {
         let mate = self.mates.contains(&from);
         match bytes {
             [OUT | GUEST, doubted, tags @ ..]
@@ -506,224 +517,3 @@
         Some(out + f64::from(self.share.kept(known.worker, self.slots(known.kind).max(1.0) as u32, self.now)))
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn settings(me: u32) -> Settings {
-        Settings { me, nodes: 100, may_tell: true, may_probe: true, ..Settings::default() }
-    }
-
-    fn listed(n: u32) -> RosterEntry {
-        RosterEntry {
-            worker: WorkerId(n),
-            tag: u64::from(n).wrapping_mul(0x9e37_79b9_7f4a_7c15),
-            zone: ZoneId((n % 2) as u16),
-            kind: KindId(0),
-            cell: CellId(0),
-            status: Status::Ready,
-            weight: 1.0,
-            started_at: None,
-        }
-    }
-
-    /// Who has which worker, by one node of each group.
-    fn parts(workers: &[RosterEntry]) -> BTreeMap<WorkerId, u32> {
-        let mut owner = BTreeMap::new();
-        for me in 0..10 {
-            let mut share = Share::of(&settings(me));
-            share.deal(workers, &[]);
-            let part: Vec<WorkerId> = share.workers().collect();
-            assert!((3..=8).contains(&part.len()), "group {me} has {part:?}");
-            part.into_iter().for_each(|w| assert_eq!(owner.insert(w, me), None, "{w:?} has two groups"));
-        }
-        owner
-    }
-
-    #[test]
-    fn every_worker_has_one_group_and_one_that_leaves_moves_few() {
-        let all: Vec<RosterEntry> = (0..60).map(listed).collect();
-        let before = parts(&all);
-        assert_eq!(before.len(), 60);
-        let after = parts(&all[1..]);
-        let moved = after.iter().filter(|(w, group)| before[w] != **group).count();
-        assert!(moved <= 6, "{moved} of 59 have another group");
-        // The order of the list does not matter.
-        assert_eq!(parts(&all.iter().rev().copied().collect::<Vec<_>>()), before);
-    }
-
-    /// Drawing from the part walked all of it with a random number for each worker (a reservoir): at 10,000 workers and
-    /// 30 dispatchers, 60 % of a job's time in `make bench-decision`. Now as many numbers as workers drawn, distinct,
-    /// and each worker about as often as any other.
-    #[test]
-    fn a_sample_of_the_part_costs_what_it_draws_and_favours_no_worker() {
-        let mut share = Share::of(&settings(0));
-        share.deal(&(0..3_000).map(listed).collect::<Vec<_>>(), &[]);
-        let size = share.part.len();
-        assert!(size > 100, "{size} in the part");
-        let (mut rng, mut counted) = (fastrand::Rng::with_seed(5), fastrand::Rng::with_seed(5));
-        let mut times: BTreeMap<WorkerId, u32> = share.part.iter().map(|w| (*w, 0)).collect();
-        for _ in 0..2_000 {
-            let drawn = share.sample(&mut rng, 8);
-            for _ in 0..8 {
-                counted.u64(..);
-            }
-            assert_eq!(rng.u64(..), counted.u64(..), "8 numbers drawn for 8 of {size}");
-            let distinct: BTreeSet<WorkerId> = drawn.iter().copied().collect();
-            assert_eq!((drawn.len(), distinct.len()), (8, 8));
-            drawn.iter().for_each(|w| *times.get_mut(w).expect("one of the part") += 1);
-        }
-        let mean = 2_000.0 * 8.0 / size as f64;
-        let (least, most) = (times.values().min().copied(), times.values().max().copied());
-        let (least, most) = (f64::from(least.unwrap_or(0)), f64::from(most.unwrap_or(0)));
-        assert!(least > mean * 0.2 && most < mean * 2.5, "{least}..{most} times for {mean:.1} each");
-        assert_eq!(share.sample(&mut rng, size + 5).len(), size, "all of a part no larger than asked");
-    }
-
-    /// Who has which worker where only these nodes hold work, by the word of each of them.
-    fn held(nodes: u32, holders: &[bool], workers: &[RosterEntry]) -> BTreeMap<WorkerId, u32> {
-        let mut owner: BTreeMap<WorkerId, u32> = BTreeMap::new();
-        let believed = |here: &bool| if *here { Presence::Here } else { Presence::Gone };
-        let peers: Vec<Presence> = holders.iter().map(believed).collect();
-        for me in (0..nodes).filter(|n| holders[*n as usize]) {
-            let mut share = Share::of(&Settings { nodes, ..settings(me) });
-            share.hold_by(1, &peers);
-            share.deal(workers, &[]);
-            for worker in share.part.iter().copied() {
-                let group = *owner.entry(worker).or_insert(share.group);
-                assert_eq!(group, share.group, "{worker:?} has two groups by the word of {me}");
-            }
-        }
-        owner
-    }
-
-    /// One death moves the workers that the dead node held, one in n, and its return moves these back; whole groups may die.
-    #[test]
-    fn the_end_of_a_node_moves_its_part_alone() {
-        let (nodes, all): (u32, Vec<RosterEntry>) = (30, (0..300).map(listed).collect());
-        let mut rng = fastrand::Rng::with_seed(11);
-        let mut holders = vec![true; nodes as usize];
-        let (mut moved, mut deaths, mut before) = (0, 0, held(nodes, &holders, &all));
-        assert_eq!(before.len(), 300);
-        let whole = before.clone();
-        for step in 0..40 {
-            let node = rng.usize(0..nodes as usize);
-            let left = holders.iter().filter(|held| **held).count();
-            if left == 1 && holders[node] {
-                continue;
-            }
-            holders[node] = !holders[node];
-            let after = held(nodes, &holders, &all);
-            assert_eq!(after.len(), 300, "step {step}: a worker that no group has");
-            let changed = after.iter().filter(|(w, group)| before[*w] != **group).count();
-            let (least, most) = (left - usize::from(!holders[node]), 300.0);
-            assert!(
-                changed as f64 <= 3.0 * most / least.max(1) as f64,
-                "step {step}: {changed} moved, {least} left"
-            );
-            (moved, deaths, before) = (moved + changed, deaths + 1, after);
-        }
-        assert!(deaths > 30 && moved > 0, "{moved} moved at {deaths} changes");
-        assert_eq!(held(nodes, &vec![true; nodes as usize], &all), whole, "as if nothing had been");
-        // One after the other until one is left: never a worker without a group, and nobody is dealt to a dead node's.
-        let mut holders = vec![true; nodes as usize];
-        for node in 1..nodes as usize {
-            holders[node] = false;
-            let owner = held(nodes, &holders, &all);
-            assert_eq!(owner.len(), 300, "after {node} deaths");
-        }
-    }
-
-    /// Whatever the sides of a cut, and whoever of each has left by the word of that side: what all sides may take of a worker
-    /// is never above its slots, and all of it while nobody is away.
-    #[test]
-    fn what_the_sides_of_a_cut_may_take_is_within_the_slots() {
-        let mut rng = fastrand::Rng::with_seed(3);
-        let all: Vec<RosterEntry> = (0..40).map(listed).collect();
-        for round in 0..60 {
-            let (nodes, sides, slots) = (rng.u32(2..40), rng.u32(1..4), rng.u32(1..12));
-            let side: Vec<u32> = (0..nodes).map(|_| rng.u32(0..sides)).collect();
-            // Some have left. Who is on a side may have heard of it or not; they themselves take nothing any more.
-            let left: Vec<bool> = (0..nodes).map(|_| rng.u8(0..8) == 0).collect();
-            let mut taken: BTreeMap<WorkerId, u32> = BTreeMap::new();
-            for here in 0..sides {
-                let heard: Vec<bool> = left.iter().map(|left| *left && rng.bool()).collect();
-                let believed = |n: usize| match (side[n] == here && !left[n], heard[n]) {
-                    (true, _) => Presence::Here,
-                    (_, true) => Presence::Gone,
-                    _ => Presence::Away,
-                };
-                let peers: Vec<Presence> = (0..nodes as usize).map(believed).collect();
-                // One node of each group that has somebody on this side; the rest of it does what it does.
-                let mut groups = BTreeSet::new();
-                for me in (0..nodes).filter(|n| peers[*n as usize] == Presence::Here) {
-                    let mut share = Share::of(&Settings { nodes, ..settings(me) });
-                    if share.on() && groups.insert(share.group) {
-                        share.deal(&all, &[]);
-                        share.hold_by(1, &peers);
-                        share.deal(&all, &[]);
-                        let later = 1 + SAID_FOR;
-                        for worker in &share.part {
-                            *taken.entry(*worker).or_default() += slots - share.kept(*worker, slots, later);
-                            let came = share.gained.contains_key(worker);
-                            assert!(!came || share.kept(*worker, slots, later - 1) == slots, "taken at once");
-                        }
-                    }
-                }
-            }
-            let whole = sides == 1 && !left.contains(&true) && nodes > 1;
-            for (worker, taken) in taken {
-                assert!(
-                    taken <= slots,
-                    "round {round}: {taken} of {slots} slots at {worker:?}, {nodes} nodes"
-                );
-                assert!(!whole || taken == slots, "round {round}: {taken} of {slots} with nobody away");
-            }
-        }
-    }
-
-    #[test]
-    fn a_view_of_another_size_or_without_oneself_says_nothing() {
-        let mut share = Share::of(&settings(3));
-        let here = Presence::Here;
-        assert!(
-            !share.hold_by(1, &[here; 7]) && !share.hold_by(1, &[Presence::Gone; 100]),
-            "neither is heeded"
-        );
-        assert!(!share.hold_by(1, &[here; 100]), "all hold work anyway");
-        let mut peers = vec![here; 100];
-        peers[4] = Presence::Gone;
-        assert!(share.hold_by(1, &peers) && !share.hold_by(1, &peers), "heeded once");
-        assert!((0..1_000).all(|luck| share.one_of(4, luck) != 4), "no wish goes to one that is gone");
-    }
-
-    #[test]
-    fn new_ones_take_the_places_that_are_left() {
-        let mut all: Vec<RosterEntry> = (0..52).map(listed).collect();
-        let before = parts(&all);
-        all.extend((52..60).map(|n| RosterEntry { started_at: Some(1), ..listed(n) }));
-        let after = parts(&all);
-        let moved = before.iter().filter(|(w, group)| after[w] != **group).count();
-        assert_eq!(moved, 0, "the older ones stay where they are");
-    }
-
-    /// The group of node 0 is the same with 92 nodes and with 91; who may be asked for a slot is not.
-    #[test]
-    fn no_wish_goes_to_a_node_that_is_no_more() {
-        let mut share = Share::of(&Settings { nodes: 92, ..settings(0) });
-        share.regroup(&Settings { nodes: 91, ..settings(0) });
-        let mut acts = Vec::new();
-        (0..1_000).for_each(|luck| share.wish(ZoneId(0), luck, &mut acts));
-        assert!(acts.iter().all(|act| matches!(act, Action::Tell { to, .. } if *to < 91)), "{acts:?}");
-    }
-
-    #[test]
-    fn a_node_by_itself_or_without_messages_has_no_group() {
-        for set in [Settings { nodes: 1, ..settings(0) }, Settings { may_tell: false, ..settings(0) }] {
-            let mut share = Share::of(&set);
-            share.deal(&[listed(1)], &[]);
-            assert!(!share.on() && share.workers().next().is_none() && share.load(&listed(1), 0).is_none());
-        }
-    }
-}
--- /dev/null
+++ b/tests/share.rs
@@ -0,0 +1,222 @@
+//! The groups' parts of the workers, as every node works them out by itself, and what sides of a cut may take of them.
+
+use mothproxy::share::{SAID_FOR, Share};
+use mothproxy::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn settings(me: u32) -> Settings {
+    Settings { me, nodes: 100, may_tell: true, may_probe: true, ..Settings::default() }
+}
+
+fn listed(n: u32) -> RosterEntry {
+    RosterEntry {
+        worker: WorkerId(n),
+        tag: u64::from(n).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        zone: ZoneId((n % 2) as u16),
+        kind: KindId(0),
+        cell: CellId(0),
+        status: Status::Ready,
+        weight: 1.0,
+        started_at: None,
+    }
+}
+
+/// Who has which worker, by one node of each group.
+fn parts(workers: &[RosterEntry]) -> BTreeMap<WorkerId, u32> {
+    let mut owner = BTreeMap::new();
+    for me in 0..10 {
+        let mut share = Share::of(&settings(me));
+        share.deal(workers, &[]);
+        let part: Vec<WorkerId> = share.workers().collect();
+        assert!((3..=8).contains(&part.len()), "group {me} has {part:?}");
+        part.into_iter().for_each(|w| assert_eq!(owner.insert(w, me), None, "{w:?} has two groups"));
+    }
+    owner
+}
+
+#[test]
+fn every_worker_has_one_group_and_one_that_leaves_moves_few() {
+    let all: Vec<RosterEntry> = (0..60).map(listed).collect();
+    let before = parts(&all);
+    assert_eq!(before.len(), 60);
+    let after = parts(&all[1..]);
+    let moved = after.iter().filter(|(w, group)| before[w] != **group).count();
+    assert!(moved <= 6, "{moved} of 59 have another group");
+    // The order of the list does not matter.
+    assert_eq!(parts(&all.iter().rev().copied().collect::<Vec<_>>()), before);
+}
+
+/// Drawing from the part walked all of it with a random number for each worker (a reservoir): at 10,000 workers and
+/// 30 dispatchers, 60 % of a job's time in `make bench-decision`. Now as many numbers as workers drawn, distinct,
+/// and each worker about as often as any other.
+#[test]
+fn a_sample_of_the_part_costs_what_it_draws_and_favours_no_worker() {
+    let mut share = Share::of(&settings(0));
+    share.deal(&(0..3_000).map(listed).collect::<Vec<_>>(), &[]);
+    let size = share.part().len();
+    assert!(size > 100, "{size} in the part");
+    let (mut rng, mut counted) = (fastrand::Rng::with_seed(5), fastrand::Rng::with_seed(5));
+    let mut times: BTreeMap<WorkerId, u32> = share.part().iter().map(|w| (*w, 0)).collect();
+    for _ in 0..2_000 {
+        let drawn = share.sample(&mut rng, 8);
+        for _ in 0..8 {
+            counted.u64(..);
+        }
+        assert_eq!(rng.u64(..), counted.u64(..), "8 numbers drawn for 8 of {size}");
+        let distinct: BTreeSet<WorkerId> = drawn.iter().copied().collect();
+        assert_eq!((drawn.len(), distinct.len()), (8, 8));
+        drawn.iter().for_each(|w| *times.get_mut(w).expect("one of the part") += 1);
+    }
+    let mean = 2_000.0 * 8.0 / size as f64;
+    let (least, most) = (times.values().min().copied(), times.values().max().copied());
+    let (least, most) = (f64::from(least.unwrap_or(0)), f64::from(most.unwrap_or(0)));
+    assert!(least > mean * 0.2 && most < mean * 2.5, "{least}..{most} times for {mean:.1} each");
+    assert_eq!(share.sample(&mut rng, size + 5).len(), size, "all of a part no larger than asked");
+}
+
+/// Who has which worker where only these nodes hold work, by the word of each of them.
+fn held(nodes: u32, holders: &[bool], workers: &[RosterEntry]) -> BTreeMap<WorkerId, u32> {
+    let mut owner: BTreeMap<WorkerId, u32> = BTreeMap::new();
+    let believed = |here: &bool| if *here { Presence::Here } else { Presence::Gone };
+    let peers: Vec<Presence> = holders.iter().map(believed).collect();
+    for me in (0..nodes).filter(|n| holders[*n as usize]) {
+        let mut share = Share::of(&Settings { nodes, ..settings(me) });
+        share.hold_by(1, &peers);
+        share.deal(workers, &[]);
+        for worker in share.part().iter().copied() {
+            let group = *owner.entry(worker).or_insert(share.group());
+            assert_eq!(group, share.group(), "{worker:?} has two groups by the word of {me}");
+        }
+    }
+    owner
+}
+
+/// One death moves the workers that the dead node held, one in n, and its return moves these back; whole groups may die.
+#[test]
+fn the_end_of_a_node_moves_its_part_alone() {
+    let (nodes, all): (u32, Vec<RosterEntry>) = (30, (0..300).map(listed).collect());
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut holders = vec![true; nodes as usize];
+    let (mut moved, mut deaths, mut before) = (0, 0, held(nodes, &holders, &all));
+    assert_eq!(before.len(), 300);
+    let whole = before.clone();
+    for step in 0..40 {
+        let node = rng.usize(0..nodes as usize);
+        let left = holders.iter().filter(|held| **held).count();
+        if left == 1 && holders[node] {
+            continue;
+        }
+        holders[node] = !holders[node];
+        let after = held(nodes, &holders, &all);
+        assert_eq!(after.len(), 300, "step {step}: a worker that no group has");
+        let changed = after.iter().filter(|(w, group)| before[*w] != **group).count();
+        let (least, most) = (left - usize::from(!holders[node]), 300.0);
+        assert!(
+            changed as f64 <= 3.0 * most / least.max(1) as f64,
+            "step {step}: {changed} moved, {least} left"
+        );
+        (moved, deaths, before) = (moved + changed, deaths + 1, after);
+    }
+    assert!(deaths > 30 && moved > 0, "{moved} moved at {deaths} changes");
+    assert_eq!(held(nodes, &vec![true; nodes as usize], &all), whole, "as if nothing had been");
+    // One after the other until one is left: never a worker without a group, and nobody is dealt to a dead node's.
+    let mut holders = vec![true; nodes as usize];
+    for node in 1..nodes as usize {
+        holders[node] = false;
+        let owner = held(nodes, &holders, &all);
+        assert_eq!(owner.len(), 300, "after {node} deaths");
+    }
+}
+
+/// Whatever the sides of a cut, and whoever of each has left by the word of that side: what all sides may take of a worker
+/// is never above its slots, and all of it while nobody is away.
+#[test]
+fn what_the_sides_of_a_cut_may_take_is_within_the_slots() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let all: Vec<RosterEntry> = (0..40).map(listed).collect();
+    for round in 0..60 {
+        let (nodes, sides, slots) = (rng.u32(2..40), rng.u32(1..4), rng.u32(1..12));
+        let side: Vec<u32> = (0..nodes).map(|_| rng.u32(0..sides)).collect();
+        // Some have left. Who is on a side may have heard of it or not; they themselves take nothing any more.
+        let left: Vec<bool> = (0..nodes).map(|_| rng.u8(0..8) == 0).collect();
+        let mut taken: BTreeMap<WorkerId, u32> = BTreeMap::new();
+        for here in 0..sides {
+            let heard: Vec<bool> = left.iter().map(|left| *left && rng.bool()).collect();
+            let believed = |n: usize| match (side[n] == here && !left[n], heard[n]) {
+                (true, _) => Presence::Here,
+                (_, true) => Presence::Gone,
+                _ => Presence::Away,
+            };
+            let peers: Vec<Presence> = (0..nodes as usize).map(believed).collect();
+            // One node of each group that has somebody on this side; the rest of it does what it does.
+            let mut groups = BTreeSet::new();
+            for me in (0..nodes).filter(|n| peers[*n as usize] == Presence::Here) {
+                let mut share = Share::of(&Settings { nodes, ..settings(me) });
+                if share.on() && groups.insert(share.group()) {
+                    share.deal(&all, &[]);
+                    let before = share.part().to_vec();
+                    share.hold_by(1, &peers);
+                    share.deal(&all, &[]);
+                    let later = 1 + SAID_FOR;
+                    for worker in share.part() {
+                        *taken.entry(*worker).or_default() += slots - share.kept(*worker, slots, later);
+                        let came = !before.contains(worker);
+                        assert!(!came || share.kept(*worker, slots, later - 1) == slots, "taken at once");
+                    }
+                }
+            }
+        }
+        let whole = sides == 1 && !left.contains(&true) && nodes > 1;
+        for (worker, taken) in taken {
+            assert!(taken <= slots, "round {round}: {taken} of {slots} slots at {worker:?}, {nodes} nodes");
+            assert!(!whole || taken == slots, "round {round}: {taken} of {slots} with nobody away");
+        }
+    }
+}
+
+#[test]
+fn a_view_of_another_size_or_without_oneself_says_nothing() {
+    let mut share = Share::of(&settings(3));
+    let here = Presence::Here;
+    assert!(!share.hold_by(1, &[here; 7]) && !share.hold_by(1, &[Presence::Gone; 100]), "neither is heeded");
+    assert!(!share.hold_by(1, &[here; 100]), "all hold work anyway");
+    let mut peers = vec![here; 100];
+    peers[4] = Presence::Gone;
+    assert!(share.hold_by(1, &peers) && !share.hold_by(1, &peers), "heeded once");
+    let mut acts = Vec::new();
+    (0..1_000).for_each(|luck| share.wish(ZoneId(0), luck, &mut acts));
+    let asked = |node| acts.iter().any(|act| matches!(act, Action::Tell { to, .. } if *to == node));
+    assert!(
+        !asked(4) && (14..100).step_by(10).all(asked),
+        "no wish goes to one that is gone, of its group's"
+    );
+}
+
+#[test]
+fn new_ones_take_the_places_that_are_left() {
+    let mut all: Vec<RosterEntry> = (0..52).map(listed).collect();
+    let before = parts(&all);
+    all.extend((52..60).map(|n| RosterEntry { started_at: Some(1), ..listed(n) }));
+    let after = parts(&all);
+    let moved = before.iter().filter(|(w, group)| after[w] != **group).count();
+    assert_eq!(moved, 0, "the older ones stay where they are");
+}
+
+/// The group of node 0 is the same with 92 nodes and with 91; who may be asked for a slot is not.
+#[test]
+fn no_wish_goes_to_a_node_that_is_no_more() {
+    let mut share = Share::of(&Settings { nodes: 92, ..settings(0) });
+    share.regroup(&Settings { nodes: 91, ..settings(0) });
+    let mut acts = Vec::new();
+    (0..1_000).for_each(|luck| share.wish(ZoneId(0), luck, &mut acts));
+    assert!(acts.iter().all(|act| matches!(act, Action::Tell { to, .. } if *to < 91)), "{acts:?}");
+}
+
+#[test]
+fn a_node_by_itself_or_without_messages_has_no_group() {
+    for set in [Settings { nodes: 1, ..settings(0) }, Settings { may_tell: false, ..settings(0) }] {
+        let mut share = Share::of(&set);
+        share.deal(&[listed(1)], &[]);
+        assert!(!share.on() && share.workers().next().is_none() && share.load(&listed(1), 0).is_none());
+    }
+}
