Dispatchers of any number tell each other that they stop: beyond 16, eight each

Need: MOST_PEERS (16) silenced larger fleets: in a stop of all, each closed its clients' connections though nobody else could take them.

Change: core/peer_states.rs holds who stops and whom to tell: all others up to 16, beyond that the next ones by number and those 382, 236 and 146 thousandths of the fleet away on both sides. A U is answered by an S to its sender alone. Where a datagram comes from is looked up, not searched for in the list. What was said stays with its address when a reload changes the numbers. net::Server has one field less.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod keys;
 pub mod ledger;
 pub mod moved;
+pub mod peer_states;
 pub mod planned_stop;
 pub mod servers;
 pub mod silence;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -245,10 +245,8 @@
     drained: Option<Micros>,
     /// Whether the next look at them is due by a timer.
     drain_due: bool,
-    /// The other dispatchers that have said they stop, by number.
-    stopped_peers: std::collections::BTreeSet<u32>,
-    /// How often this one's own state is still to be said.
-    state_repeats: u32,
+    /// Where the other dispatchers are, and which of them stop.
+    standing: peers::Standing,
     done: bool,
     counts: Counts,
     reported: (Counts, crate::core::ledger::Ledger),
@@ -397,8 +395,7 @@
             quiet_since: None,
             drained: None,
             drain_due: false,
-            stopped_peers: Default::default(),
-            state_repeats: 0,
+            standing: peers::Standing::of(&config),
             done: false,
             counts: Counts::default(),
             reported: Default::default(),
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,7 +1,11 @@
 //! Datagrams between dispatchers: the module's own, and whether each of them serves or is about to stop.
 
 use super::{PEER_TIMER, Server};
+use crate::config::Config;
+use crate::core::peer_states::PeerStates;
 use crate::interface::Micros;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
 /// The longest datagram that may be sent.
 const MOST: usize = 256;
@@ -13,8 +17,37 @@
 /// time so long after.
 const REPEATS: u32 = 4;
 const REPEAT_AFTER: Micros = 150_000;
-/// In a larger fleet not all others stop at once: nothing that these say is worth a datagram to each of them.
-const MOST_PEERS: usize = 16;
+
+/// Where the dispatchers are, and which of them have said that they stop.
+pub(super) struct Standing {
+    places: HashMap<SocketAddr, u32>,
+    states: PeerStates,
+    /// How often this one's own state is still to be said.
+    repeats: u32,
+}
+
+impl Standing {
+    pub fn of(config: &Config) -> Standing {
+        let states = PeerStates::new(config.settings.me, config.peers.len());
+        Standing { places: places(&config.peers), states, repeats: 0 }
+    }
+
+    /// The dispatchers of another configuration: what was said counts for whoever has the same address there.
+    pub fn renumber(&mut self, old: &[SocketAddr], config: &Config) {
+        self.places = places(&config.peers);
+        let place = |n: u32| old.get(n as usize).and_then(|at| self.places.get(at)).copied();
+        self.states.renumber(config.settings.me, config.peers.len(), place);
+    }
+}
+
+/// The first number of each address.
+fn places(peers: &[SocketAddr]) -> HashMap<SocketAddr, u32> {
+    let mut places = HashMap::with_capacity(peers.len());
+    for (n, at) in (0..).zip(peers) {
+        places.entry(*at).or_insert(n);
+    }
+    places
+}
 
 impl Server {
     /// The module's own, to one of the others.
@@ -25,51 +58,39 @@
         }
     }
 
-    fn tell_peers(&mut self, bytes: &[u8]) {
-        // During an upgrade the younger process speaks for both.
-        let Some(socket) = self.peers.as_ref().filter(|_| bytes.len() <= MOST && !self.handed) else {
-            return;
-        };
-        // A datagram may be lost in any case; one that cannot be sent now is.
-        match self.config.peers_all {
-            Some(all) => drop(socket.send_to(bytes, all)),
-            None => {
-                let me = self.config.settings.me as usize;
-                let others = self.config.peers.iter().enumerate().filter(|(n, _)| *n != me);
-                others.for_each(|(_, to)| drop(socket.send_to(bytes, to)));
-            }
+    /// One word, to each that is to know it.
+    fn tell_peers(&self, word: u8) {
+        // A datagram may be lost in any case; one that cannot be sent now is. During an upgrade the younger process speaks for both.
+        let all = self.config.peers_all.filter(|_| self.standing.states.is_small() && !self.handed);
+        match self.peers.as_ref().zip(all) {
+            Some((socket, all)) => drop(socket.send_to(&[word], all)),
+            None => self.standing.states.told().into_iter().for_each(|to| self.tell_peer(to, &[word])),
         }
     }
 
     /// Says whether this dispatcher serves or stops, now and a few times more.
     pub(super) fn tell_state(&mut self) {
-        if self.peers.is_some() && self.config.may_tell_state && self.tells_all() {
-            self.state_repeats = REPEATS;
+        if self.peers.is_some() && self.config.may_tell_state {
+            self.standing.repeats = REPEATS;
             self.tell_state_once();
         }
     }
 
-    fn tells_all(&self) -> bool {
-        self.config.peers.len() <= MOST_PEERS
-    }
-
     fn tell_state_once(&mut self) {
-        self.tell_peers(&[if self.takes_leave() { STOPPING } else { SERVING }]);
+        self.tell_peers(if self.takes_leave() { STOPPING } else { SERVING });
         self.core.remind(self.now + REPEAT_AFTER, PEER_TIMER);
     }
 
     pub(super) fn tell_state_again(&mut self) {
-        if (self.stopping.is_some() && self.tells_all()) || self.state_repeats > 0 {
-            self.state_repeats = self.state_repeats.saturating_sub(1);
+        if self.stopping.is_some() || self.standing.repeats > 0 {
+            self.standing.repeats = self.standing.repeats.saturating_sub(1);
             self.tell_state_once();
         }
     }
 
-    /// Whether every other dispatcher has said that it stops and none that it serves again.
+    /// Whether every other dispatcher that tells this one has said that it stops.
     pub(super) fn peers_stopped(&self) -> bool {
-        let me = self.config.settings.me;
-        let mut others = (0..self.config.peers.len() as u32).filter(|n| *n != me).peekable();
-        others.peek().is_some() && others.all(|n| self.stopped_peers.contains(&n))
+        self.standing.states.all_stop()
     }
 
     pub(super) fn hear_peers(&mut self) {
@@ -78,20 +99,19 @@
             let Some(Ok((len, from))) = self.peers.as_ref().map(|socket| socket.recv_from(&mut buf)) else {
                 return;
             };
-            let peer = self.config.peers.iter().position(|peer| *peer == from);
-            let Some(peer) = peer.filter(|_| len <= MOST).map(|n| n as u32) else {
+            let Some(peer) = self.standing.places.get(&from).copied().filter(|_| len <= MOST) else {
                 self.counts.bad_datagrams += 1;
                 continue;
             };
             match buf[..len] {
                 [SERVING] => {
-                    self.stopped_peers.remove(&peer);
+                    self.standing.states.heard(peer, false);
                     // One that has just started cannot know who is about to stop.
                     if self.takes_leave() {
-                        self.tell_peers(&[STOPPING]);
+                        self.tell_peer(peer, &[STOPPING]);
                     }
                 }
-                [STOPPING] => drop(self.stopped_peers.insert(peer)),
+                [STOPPING] => self.standing.states.heard(peer, true),
                 _ if self.fleet_hears(peer, &buf[..len]) => {}
                 _ => self.core.mail(peer, buf[..len].to_vec()),
             }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -66,8 +66,9 @@
         self.budget = Budget::of(new.limits, if self.notes.is_some() { super::notes::FDS } else { 0 });
         let moved = new.discovery != self.config.discovery;
         let regroup = (new.settings.me, &new.peers) != (self.config.settings.me, &self.config.peers);
-        self.config = new;
+        let old = std::mem::replace(&mut self.config, new);
         if regroup {
+            self.standing.renumber(&old.peers, &self.config);
             self.fleet_speaks_again();
         }
         if moved {
