An upgrade takes a thousand workers over: what is longer than a packet goes in a file

Seen: with 1,024 workers the younger process ended with 'Address already in use'. Cause: the list and what was learned of each worker went over in one packet of a Unix socket: 308,100 bytes, of which the system sends no more than its buffer (212,992 here), and the reader takes 256 KiB; the elder took the error for the end of the younger. It binds from about 700 workers on, and sooner where each has a report.

Change: a packet that is longer, or that the system refuses as too long, goes in a file without a name (memfd), whose descriptor is passed along; an older version takes such a packet for one it can't read, as it could not be sent to it before.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -14,6 +14,7 @@
 use crate::http::{self, Piece};
 use crate::interface::Micros;
 use rustix::event::epoll::{self, EventData, EventFlags};
+use rustix::fs::MemfdFlags;
 use rustix::io::Errno;
 use rustix::net::{
     AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
@@ -21,7 +22,8 @@
 };
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
-use std::io::{IoSlice, IoSliceMut};
+use std::fs::File;
+use std::io::{IoSlice, IoSliceMut, Read, Seek, Write};
 use std::mem::MaybeUninit;
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -35,6 +37,11 @@
 const STEP: Micros = 4_000;
 /// The longest packet: a request with its body, what was read behind it, and what is known of its session.
 const MOST: usize = 256 * 1024;
+/// What is longer, or longer than the system lets a packet be, such as the list and what was learned of a thousand workers, goes
+/// in a file without a name. This stands for its length, and the file's descriptor comes last.
+const IN_FILE: [u8; 4] = [u8::MAX; 4];
+/// The longest such file: of lists, `MOST` of src/net/discovery.rs many times over.
+const MOST_IN_FILE: u64 = 64 << 20;
 /// Packets read in one go.
 const PACKETS: usize = 64;
 /// Descriptors in one packet at most.
@@ -157,8 +164,24 @@
 fn send(link: &OwnedFd, note: &Note, bytes: &[&[u8]], fds: &[BorrowedFd<'_>]) -> Result<(), Errno> {
     let head = serde_json::to_vec(note).map_err(|_| Errno::INVAL)?;
     let length = (head.len() as u32).to_le_bytes();
-    let mut slices = vec![IoSlice::new(&length), IoSlice::new(&head)];
-    slices.extend(bytes.iter().map(|b| IoSlice::new(b)));
+    let parts: Vec<&[u8]> = [&length[..], &head].into_iter().chain(bytes.iter().copied()).collect();
+    let sent = if parts.iter().map(|part| part.len()).sum::<usize>() <= MOST {
+        send_packet(link, &parts, fds)
+    } else {
+        Err(Errno::MSGSIZE)
+    };
+    if sent != Err(Errno::MSGSIZE) {
+        return sent;
+    }
+    let mut file = File::from(rustix::fs::memfd_create("mothproxy-handover", MemfdFlags::CLOEXEC)?);
+    let written = parts.iter().try_for_each(|part| file.write_all(part)).and_then(|()| file.rewind());
+    written.map_err(|error| Errno::from_io_error(&error).unwrap_or(Errno::IO))?;
+    let fds: Vec<BorrowedFd<'_>> = fds.iter().copied().chain([file.as_fd()]).collect();
+    send_packet(link, &[&IN_FILE], &fds)
+}
+
+fn send_packet(link: &OwnedFd, parts: &[&[u8]], fds: &[BorrowedFd<'_>]) -> Result<(), Errno> {
+    let slices: Vec<IoSlice<'_>> = parts.iter().map(|part| IoSlice::new(part)).collect();
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
     let mut ancillary = SendAncillaryBuffer::new(&mut space);
     if !fds.is_empty() && !ancillary.push(SendAncillaryMessage::ScmRights(fds)) {
@@ -187,6 +210,11 @@
         return Ok(None);
     }
     bytes.truncate(got.bytes);
+    if bytes == IN_FILE {
+        let file = File::from(fds.pop().ok_or(Errno::INVAL)?);
+        bytes.clear();
+        file.take(MOST_IN_FILE).read_to_end(&mut bytes).map_err(|_| Errno::INVAL)?;
+    }
     let length = bytes.first_chunk::<4>().map_or(usize::MAX, |n| u32::from_le_bytes(*n) as usize);
     let end = length.checked_add(4).filter(|end| *end <= bytes.len()).ok_or(Errno::INVAL)?;
     let note = serde_json::from_slice(&bytes[4..end]).map_err(|_| Errno::INVAL)?;
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -125,3 +125,28 @@
     others[&5].set_nonblocking(true).expect("a socket option");
     assert!(others[&5].recv_from(&mut [0; 256]).is_err(), "said to one of a thousand more than needs it");
 }
+
+/// The list and what was learned of a thousand workers went over in one packet of at most 256 KB: it could not be sent, and the
+/// younger process waited for an address that the elder kept.
+#[test]
+fn a_thousand_workers_go_over_to_a_younger_process() {
+    let (node, folder) = (Node::start("s-0000"), tempfile::tempdir().expect("a folder"));
+    let start = |listen: String| {
+        start_beside(&[], None, false, Some(folder.path()), |config| {
+            thousandfold(config, &node, &BTreeMap::new());
+            config["listen"] = json!(listen);
+        })
+    };
+    let mut elder = start("127.0.0.1:0".to_owned());
+    let mut client = connect(elder.platform);
+    (0..5).for_each(|n| drop(served(&mut client, &format!("a{n}"))));
+    let younger = start(elder.platform.to_string());
+    elder.logged("upgrade: handing over");
+    // On the same connection, by the younger: the elder holds nothing and ends.
+    served(&mut client, "b0");
+    elder.terminate();
+    assert!(elder.wait().0);
+    served(&mut client, "b1");
+    let figures = younger.figures();
+    assert_eq!((figures["served"], figures["broken_invariants"]), (2, 0), "{figures:?}");
+}
