A group tells all that is out at a thousand workers, each by a short tag of its own

Seen in the module with 1,024 workers: (1) a message names 120 slots at most; beyond that always the same tags were left out, so with 600 jobs out at one node its mate sent 157 of 300 jobs to full workers. (2) Workers are named by 16 bits of their tag, of 1,024 about eight pairs alike; of such a pair in one group one was not known as the group's and got nothing, work of both counted at the other, and an offer was taken at a third group's worker: among 512 pairs 505 of 600 jobs placed, of 50 offers 13 not taken and 9 at a wrong worker.

Change: Share::name gives each listed worker a short tag of its own, the first of equals by its whole tag the plain one (as before for all that share with none), the others the next free. Said::in_parts splits what does not fit by halves of the tags, so that a start still costs one datagram; a part says all there is of its range. Doubts are no longer cut at 60.

The two new tests in tests/size.rs fail without the tags, without parts, and where a part replaces other parts or not itself; all tried.

--- a/src/share.rs
+++ b/src/share.rs
@@ -6,7 +6,9 @@
 
 use crate::interface::*;
 use mothproxy_membership::share;
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 
 /// Nodes that tell each other: each message goes to all but one of them.
 const GROUP: u32 = 10;
@@ -27,6 +29,9 @@
 /// The first byte of a message: what its sender has out at the group's workers, and which of them it doubts; the same of
 /// those of the receiver's group, by an offer of the receiver's; a wish for a slot, in this zone if there is one; an offer
 /// of a slot at this worker. In the first two the number of doubted ones comes next, then their tags, then those of the work.
+/// Either is all that its sender has to say. Where that is more than a message may name it is said in parts, with this bit in
+/// the first byte: how many leading bits the tags of the part have in common, the first such tag, and then as above.
+const PART: u8 = 0x20;
 const OUT: u8 = b'W';
 const GUEST: u8 = b'G';
 const WISH: u8 = b'A';
@@ -48,14 +53,80 @@
     Offer,
 }
 
-/// What a node has said: when, where it has work out, and which workers it doubts; by their tags.
-#[derive(Debug, Default)]
+/// What a node has said of the workers of a range of tags, all of them or a part: when, where it has work out, and which of
+/// them it doubts; in order.
+#[derive(Debug)]
 struct Said {
     at: Micros,
+    range: RangeInclusive<u16>,
     out: Vec<u16>,
     doubted: Vec<u16>,
 }
 
+impl Said {
+    fn new(at: Micros, range: RangeInclusive<u16>, mut out: Vec<u16>, mut doubted: Vec<u16>) -> Said {
+        out.sort_unstable();
+        doubted.sort_unstable();
+        Said { at, range, out, doubted }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.out.is_empty() && self.doubted.is_empty()
+    }
+
+    /// How often this tag is among those of the work.
+    fn times(&self, tag: u16) -> usize {
+        self.out.partition_point(|t| *t <= tag) - self.out.partition_point(|t| *t < tag)
+    }
+
+    /// The same in as few messages as may name so many, each of a half, a quarter and so on of the tags: what changes at one
+    /// worker changes one of them. Only at a single worker is more work out of one node than a message names, and the rest is
+    /// left out: it is full in any case.
+    fn in_parts(self) -> Vec<Said> {
+        let (first, last) = self.range.clone().into_inner();
+        if self.out.len() + self.doubted.len() <= MOST || first == last {
+            let out = self.out.into_iter().take(MOST - self.doubted.len()).collect();
+            return vec![Said { out, ..self }];
+        }
+        let middle = first + (last - first) / 2;
+        let halves = [first..=middle, middle + 1..=last];
+        let half = |range: RangeInclusive<u16>| {
+            let of = |tags: &[u16]| tags.iter().copied().filter(|tag| range.contains(tag)).collect();
+            Said { at: self.at, out: of(&self.out), doubted: of(&self.doubted), range: range.clone() }
+        };
+        halves.into_iter().flat_map(|range| half(range).in_parts()).collect()
+    }
+
+    /// The message that says it.
+    fn bytes(&self, kind: u8) -> Vec<u8> {
+        let (first, last) = self.range.clone().into_inner();
+        let [high, low] = first.to_be_bytes();
+        let bits = (last - first).leading_zeros() as u8;
+        let head = if bits == 0 { vec![kind] } else { vec![kind | PART, bits, high, low] };
+        let tags = self.doubted.iter().chain(&self.out).flat_map(|t| t.to_be_bytes());
+        head.into_iter().chain([self.doubted.len() as u8]).chain(tags).collect()
+    }
+
+    /// What such a message says, and its kind, if it is one.
+    fn read(at: Micros, bytes: &[u8]) -> Option<(u8, Said)> {
+        let (kind, range, rest) = match bytes {
+            [kind @ (OUT | GUEST), rest @ ..] => (*kind, 0..=u16::MAX, rest),
+            [kind, bits @ 1..=16, high, low, rest @ ..] if matches!(kind ^ PART, OUT | GUEST) => {
+                let (first, others) =
+                    (u16::from_be_bytes([*high, *low]), u16::MAX.checked_shr((*bits).into()).unwrap_or(0));
+                (first & others == 0).then_some((kind ^ PART, first..=first | others, rest))?
+            }
+            _ => return None,
+        };
+        let (doubted, tags) = rest.split_first()?;
+        let whole = tags.len() % 2 == 0;
+        let tags: Vec<u16> = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]])).collect();
+        let (doubted, out) = tags.split_at_checked(usize::from(*doubted))?;
+        let sound = whole && tags.iter().all(|tag| range.contains(tag));
+        sound.then(|| (kind, Said::new(at, range, out.to_vec(), doubted.to_vec())))
+    }
+}
+
 /// A worker as this node sees it: its tag, the slots of each own attempt that is out there, and whether it is doubted.
 pub(crate) struct Seen {
     pub worker: WorkerId,
@@ -83,7 +154,7 @@
     kept: BTreeMap<WorkerId, Vec<u16>>,
     /// The group's part of the ready workers, by the short tags that messages name them by.
     workers: BTreeMap<u16, WorkerId>,
-    /// The same workers by number, those of the same short tag as another one too.
+    /// The same workers by number.
     part: Vec<WorkerId>,
     /// Where in `part` the first dealt is, the second, and so on: places to draw by.
     places: Vec<usize>,
@@ -91,17 +162,18 @@
     named: Vec<bool>,
     /// The group of each ready worker.
     owners: BTreeMap<WorkerId, u32>,
-    /// All ready workers, by their short tags.
+    /// All ready workers, by their short tags; and those that do not go by what their tag shortens to.
     listed: BTreeMap<u16, WorkerId>,
-    /// What each mate has said; and each node of another group of workers of this one.
-    said: BTreeMap<u32, Said>,
+    aliases: BTreeMap<WorkerId, u16>,
+    /// What each mate has said; and each node of another group of workers of this one; in parts that do not overlap.
+    said: BTreeMap<u32, Vec<Said>>,
     /// Slots that were offered and are not known to be used: to whom, where, until when.
     offered: Vec<(u32, u16, Micros)>,
     /// Slots that others have offered: where, by whom, until when; once used, by whom.
     offers: BTreeMap<WorkerId, (u32, Micros)>,
     lenders: BTreeMap<WorkerId, u32>,
     /// What was told last: to the mates, and to each lender.
-    told: BTreeMap<Option<u32>, Said>,
+    told: BTreeMap<Option<u32>, Vec<Said>>,
     /// Something has changed that may be worth a message.
     pub(crate) news: bool,
 }
@@ -226,7 +298,7 @@
         self.kept.clear();
         let mut dealt = Vec::new();
         self.news |= self.lends();
-        self.listed = ready.iter().map(|k| (short(k.tag), k.worker)).collect();
+        self.name(ready);
         for zone in sorted.chunk_by(|a, b| a.zone == b.zone) {
             let part = zone.len().div_ceil(groups as usize);
             let mut had = vec![0; groups as usize];
@@ -239,7 +311,7 @@
                 let group = if is_cold { group } else { moved() };
                 self.owners.insert(known.worker, group as u32);
                 if group == u64::from(self.group) {
-                    self.workers.insert(short(known.tag), known.worker);
+                    self.workers.insert(self.short(known.worker, known.tag), known.worker);
                     dealt.push(known.worker);
                     let came = before.get(&known.worker).is_some_and(|had| *had != self.group);
                     if let Some(now) = view_at.filter(|_| came) {
@@ -260,6 +332,37 @@
         self.workers.values().for_each(|worker| self.named[worker.0 as usize] = true);
     }
 
+    /// Gives each ready worker a short tag of its own. Where several would have the same, the first by its whole tag has it, and
+    /// each of the others the next one that is free. So whoever holds the same list names all alike, and while lists differ
+    /// only workers that share one can be taken for each other. (Beyond 65,536 workers some have none.)
+    fn name(&mut self, ready: &[RosterEntry]) {
+        let mut order: Vec<(u64, WorkerId)> = ready.iter().map(|k| (k.tag, k.worker)).collect();
+        order.sort_unstable();
+        (self.listed, self.aliases) = Default::default();
+        order.retain(|(tag, worker)| match self.listed.entry(short(*tag)) {
+            Entry::Vacant(free) => {
+                free.insert(*worker);
+                false
+            }
+            Entry::Occupied(_) => true,
+        });
+        for (tag, worker) in order {
+            if self.listed.len() > usize::from(u16::MAX) {
+                return;
+            }
+            let mut next = (1..=u16::MAX).map(|n| short(tag).wrapping_add(n));
+            if let Some(free) = next.find(|tag| !self.listed.contains_key(tag)) {
+                self.listed.insert(free, worker);
+                self.aliases.insert(worker, free);
+            }
+        }
+    }
+
+    /// The short tag of a worker.
+    fn short(&self, worker: WorkerId, tag: u64) -> u16 {
+        self.aliases.get(&worker).copied().unwrap_or_else(|| short(tag))
+    }
+
     /// The group of a cold worker.
     fn top(&self, tag: u64) -> u32 {
         (0..self.groups).max_by_key(|g| mix(tag ^ mix(u64::from(*g) + 1))).unwrap_or(0)
@@ -324,10 +427,10 @@
         if !self.on() || !self.named.get(known.worker.0 as usize).is_some_and(|named| *named) {
             return None;
         }
-        let tag = short(known.tag);
+        let tag = self.short(known.worker, known.tag);
         let offered = self.offered.iter().filter(|(_, at, until)| *at == tag && now < *until);
-        let out = self.fresh(now).flat_map(|(_, said)| &said.out).filter(|t| **t == tag);
-        Some((out.count() + offered.count()) as f64)
+        let out: usize = self.fresh(now).map(|(_, said)| said.times(tag)).sum();
+        Some((out + offered.count()) as f64)
     }
 
     /// Whether a mate that had work out when it last spoke has missed saying so again: it may be cut off, or dead, and what
@@ -337,25 +440,27 @@
         self.mates
             .iter()
             .filter_map(|mate| self.said.get(mate))
+            .flatten()
             .any(|said| !said.out.is_empty() && missed(said))
     }
 
     /// Whether at least half of the mates have spoken so lately that what they have sent since is a small part of what a
     /// cold worker bears in its fall window.
     pub(crate) fn hears(&self, now: Micros, window: Micros) -> bool {
-        let late = |said: &&Said| now < said.at + window / HEARD_PART;
+        let late = |parts: &&Vec<Said>| parts.iter().any(|said| now < said.at + window / HEARD_PART);
         let heard = self.mates.iter().filter_map(|mate| self.said.get(mate)).filter(late);
         self.on() && 2 * heard.count() >= self.mates.len()
     }
 
     /// Whether another has said that it doubts this worker, later than this.
     pub(crate) fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
-        let tag = short(known.tag);
+        let tag = self.short(known.worker, known.tag);
         self.fresh(now).any(|(_, said)| said.at > since && said.doubted.contains(&tag))
     }
 
     fn fresh(&self, now: Micros) -> impl Iterator<Item = (&u32, &Said)> {
-        self.said.iter().filter(move |(_, said)| now < said.at + SAID_FOR)
+        let parts = self.said.iter().flat_map(|(node, parts)| parts.iter().map(move |said| (node, said)));
+        parts.filter(move |(_, said)| now < said.at + SAID_FOR)
     }
 
     /// The workers at which slots are on offer.
@@ -408,7 +513,7 @@
 
     /// Offers a slot at a worker of the group.
     pub(crate) fn offer(&mut self, now: Micros, to: u32, known: &RosterEntry, acts: &mut Vec<Action>) {
-        let tag = short(known.tag);
+        let tag = self.short(known.worker, known.tag);
         self.offered.push((to, tag, now + OFFERED_FOR));
         self.news = true;
         let [high, low] = tag.to_be_bytes();
@@ -429,65 +534,77 @@
         }
         self.follow(seen);
         let times = |slots: &f64| slots.ceil().clamp(1.0, 16.0) as usize;
+        let tag = |s: &Seen| self.short(s.worker, s.tag);
         let of = |here: &dyn Fn(&Seen) -> bool| {
             let here: Vec<&Seen> = seen.iter().filter(|s| here(s)).collect();
-            let out =
-                here.iter().flat_map(|s| std::iter::repeat_n(short(s.tag), s.out.iter().map(times).sum()));
-            let doubted = here.iter().filter(|s| s.doubted).map(|s| short(s.tag)).take(MOST / 2);
-            Said { at: now, out: out.collect(), doubted: doubted.collect() }
+            let out = here.iter().flat_map(|s| std::iter::repeat_n(tag(s), s.out.iter().map(times).sum()));
+            let doubted = here.iter().filter(|s| s.doubted).map(|s| tag(s));
+            (out.collect::<Vec<u16>>(), doubted.collect::<Vec<u16>>())
         };
-        self.offered.retain(|(.., until)| now < *until);
-        let mut own = of(&|s| self.has(short(s.tag), s.worker));
-        own.out.extend(self.offered.iter().map(|(_, tag, _)| *tag));
-        own.out
-            .extend(self.fresh(now).filter(|(n, _)| !self.mates.contains(n)).flat_map(|(_, said)| &said.out));
+        let (mut own, doubted) = of(&|s| self.has(tag(s), s.worker));
+        own.extend(self.offered.iter().filter(|(.., until)| now < *until).map(|(_, tag, _)| *tag));
+        own.extend(self.fresh(now).filter(|(n, _)| !self.mates.contains(n)).flat_map(|(_, said)| &said.out));
         let lenders = self.lenders.values().copied().collect::<BTreeSet<u32>>();
         let lent = |by: u32| (Some(by), of(&|s| self.lenders.get(&s.worker) == Some(&by)));
-        for (to, mut said) in
-            std::iter::once((None, own)).chain(lenders.into_iter().map(lent)).collect::<Vec<_>>()
-        {
-            said.out.sort_unstable();
-            said.out.truncate(MOST - said.doubted.len());
-            said.doubted.sort_unstable();
-            let last = self.told.entry(to).or_default();
-            let (nothing, was) = (said.out.is_empty(), (&last.out, &last.doubted));
-            if was == (&said.out, &said.doubted) && (nothing || now < last.at + SAID_FOR / 2) {
+        let all: Vec<_> =
+            std::iter::once((None, (own, doubted))).chain(lenders.into_iter().map(lent)).collect();
+        self.offered.retain(|(.., until)| now < *until);
+        for (to, (out, doubted)) in all {
+            self.tell_all(to, Said::new(now, 0..=u16::MAX, out, doubted), acts);
+        }
+    }
+
+    /// Tells the mates, or a lender, those parts of it that are news or are to be said again.
+    fn tell_all(&mut self, to: Option<u32>, said: Said, acts: &mut Vec<Action>) {
+        let (now, nothing, kind) = (said.at, said.out.is_empty(), if to.is_some() { GUEST } else { OUT });
+        let (before, mut told) = (self.told.remove(&to).unwrap_or_default(), Vec::new());
+        let (mut news, mut again) = (false, false);
+        for part in said.in_parts() {
+            let last = before.iter().find(|last| last.range == part.range);
+            let same = match last {
+                Some(last) => (&last.out, &last.doubted) == (&part.out, &part.doubted),
+                None => before.is_empty() && part.is_empty(),
+            };
+            let at = last.map_or(0, |last| last.at);
+            if same && (part.out.is_empty() || now < at + SAID_FOR / 2) {
+                told.push(Said { at, ..part });
                 continue;
             }
-            let first = [if to.is_some() { GUEST } else { OUT }, said.doubted.len() as u8];
-            let tags = said.doubted.iter().chain(&said.out).flat_map(|t| t.to_be_bytes());
-            let bytes: Vec<u8> = first.into_iter().chain(tags).collect();
+            let bytes = part.bytes(kind);
             let mates = self.mates.iter().copied().filter(|mate| to.is_none() && self.holds(*mate));
             acts.extend(to.into_iter().chain(mates).map(|to| Action::Tell { to, bytes: bytes.clone() }));
-            if !nothing {
-                acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), SAID_FOR / 2));
-            }
-            self.told.insert(to, said);
-            if let Some(lender) = to.filter(|_| nothing) {
-                self.lenders.retain(|_, by| *by != lender);
-                self.told.remove(&to);
-            }
+            (news, again) = (true, again || !part.out.is_empty());
+            told.push(part);
+        }
+        if again {
+            acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), SAID_FOR / 2));
+        }
+        match to.filter(|_| news && nothing) {
+            Some(lender) => self.lenders.retain(|_, by| *by != lender),
+            None => drop(self.told.insert(to, told)),
         }
     }
 
     /// A message. One that is not understood says nothing.
     pub(crate) fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) -> Heard {
         let mate = self.mates.contains(&from);
-        match bytes {
-            [OUT | GUEST, doubted, tags @ ..]
-                if mate == (bytes[0] == OUT)
-                    && tags.len() % 2 == 0
-                    && tags.len() / 2 >= usize::from(*doubted)
-                    && self.on() =>
-            {
-                let mut tags = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]]));
-                let doubted = tags.by_ref().take(usize::from(*doubted)).collect();
-                self.said.insert(from, Said { at: now, doubted, out: tags.collect() });
-                if !mate {
-                    self.offered.retain(|(to, ..)| *to != from);
-                    self.news = true;
-                }
+        let said = Said::read(now, bytes).filter(|(kind, _)| mate == (*kind == OUT) && self.on());
+        if let Some((_, said)) = said {
+            // What it says of these workers now is all that it has out there and doubts of them.
+            let parts = self.said.entry(from).or_default();
+            for part in parts.iter_mut() {
+                part.out.retain(|tag| !said.range.contains(tag));
+                part.doubted.retain(|tag| !said.range.contains(tag));
+            }
+            parts.retain(|part| !part.is_empty() && now < part.at + MISSED_FOR);
+            parts.push(said);
+            if !mate {
+                self.offered.retain(|(to, ..)| *to != from);
+                self.news = true;
             }
+            return Heard::Nothing;
+        }
+        match bytes {
             [WISH, zone] if !mate => return Heard::Wish(ZoneId(u16::from(*zone))),
             [OFFER, high, low] if !mate => {
                 let tag = u16::from_be_bytes([*high, *low]);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -167,6 +167,13 @@
         (3, vec![b'W', 2, 0, 1]),
         (3, vec![b'W', 0, 0, 1]),
         (999, vec![b'W']),
+        // Parts: of no or too many common bits, of a tag that does not begin one, of a tag outside, of half a tag.
+        (3, vec![b'w', 0, 0, 0, 0, 0, 0]),
+        (3, vec![b'w', 17, 0, 0, 0, 0, 0]),
+        (3, vec![b'w', 1, 0, 1, 0, 0, 0]),
+        (3, vec![b'w', 1, 128, 0, 0, 0, 0]),
+        (3, vec![b'w', 1, 0, 0, 0, 0, 0, 0]),
+        (3, vec![b'w', 1, 0, 0, 2, 0, 0]),
     ] {
         assert!(node.feed(Event::Mail { from, bytes }).is_empty());
     }
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -1,9 +1,13 @@
 //! A thousand dispatchers and a thousand workers: what one may not do because all do it, what no list may be too long for.
 
+mod common;
+use common::{MS, Node as Module, class, sends, worker};
 use mothproxy::core::peer_states::PeerStates;
+use mothproxy::share::Share;
+use mothproxy::*;
 use mothproxy_stand_ins::*;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, UdpSocket};
 
 /// Dispatchers, and workers on the list.
@@ -150,3 +154,118 @@
     let figures = younger.figures();
     assert_eq!((figures["served"], figures["broken_invariants"]), (2, 0), "{figures:?}");
 }
+
+fn settings(me: u32, nodes: u32) -> Settings {
+    let class = Class { aim: 250 * MS, deadline: 7_500 * MS, ..class(Effect::Pure) };
+    let base = Settings { may_probe: true, may_tell: true, tells_start: true, ..Settings::default() };
+    Settings { me, nodes, classes: vec![class], ..base }
+}
+
+/// So many workers, each two of which have a tag that messages shorten to the same 16 bits.
+fn alike(count: u32) -> Vec<RosterEntry> {
+    let mix = |x: u64| {
+        let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    };
+    let (mut first, mut tags) = (BTreeMap::new(), Vec::new());
+    for tag in 1.. {
+        match first.remove(&(mix(tag) as u16)) {
+            Some(like) => tags.extend([like, tag]),
+            None => drop(first.insert(mix(tag) as u16, tag)),
+        }
+        if tags.len() >= count as usize {
+            break;
+        }
+    }
+    (0..).zip(tags).map(|(n, tag)| RosterEntry { tag, ..worker(n) }).collect()
+}
+
+/// One of so many nodes, among workers that have one slot each.
+fn among(me: u32, nodes: u32, workers: &[RosterEntry]) -> Module {
+    let mut node = Module::seeded(settings(me, nodes), me.into());
+    node.roster(workers.to_vec());
+    node.report(0, 0.0, 1.0);
+    node
+}
+
+/// This many jobs arrive at a node, one each 3 ms, from this number on: where they go, and what it tells this other one.
+fn load(node: &mut Module, from: u64, jobs: u64, to: u32) -> (Vec<(u64, WorkerId)>, Vec<Vec<u8>>) {
+    let (mut used, mut told) = (Vec::new(), Vec::new());
+    for job in from..from + jobs {
+        let mut acts = node.arrive(job, 0, 60_000 * MS);
+        acts.extend(node.pass(3 * MS));
+        for (job, at) in sends(&acts) {
+            acts.extend(node.feed(Event::Started { job: JobId(job), attempt: 0 }));
+            used.push((job, at));
+        }
+        told.extend(tells(acts, to));
+    }
+    (used, told)
+}
+
+fn tells(acts: Vec<Action>, whom: u32) -> impl Iterator<Item = Vec<u8>> {
+    acts.into_iter().filter_map(move |act| match act {
+        Action::Tell { to, bytes } if to == whom => Some(bytes),
+        _ => None,
+    })
+}
+
+fn hear(node: &mut Module, from: u32, told: impl IntoIterator<Item = Vec<u8>>) -> Vec<Action> {
+    told.into_iter().flat_map(|bytes| node.feed(Event::Mail { from, bytes })).collect()
+}
+
+/// A message names 120 workers at most, and what was beyond that was left out: always the same ones, which the mates took for
+/// idle. Of two workers with one short tag the group knew of one alone, and counted the work of both there.
+#[test]
+fn a_group_knows_of_all_that_is_out_at_a_thousand_workers() {
+    let workers = alike(SIZE);
+    let [mut node, mut mate] = [0, 1].map(|me| among(me, 2, &workers));
+    let (mut out, told) = load(&mut node, 0, 600, 1);
+    assert_eq!(out.len(), 600);
+    assert!(told.iter().all(|bytes| bytes.len() <= 256));
+    // A start changes one message or splits it in two; in 1.8 s nothing has to be said again.
+    assert!((600..=620).contains(&told.len()), "{} messages of 600 starts", told.len());
+    hear(&mut mate, 0, told);
+    let apart = |mate: &mut Module, from, jobs, out: &[(u64, WorkerId)]| {
+        let full: BTreeSet<WorkerId> = out.iter().map(|(_, worker)| *worker).collect();
+        let (mine, _) = load(mate, from, jobs, 0);
+        let both = mine.iter().filter(|(_, worker)| full.contains(worker)).count();
+        assert!(
+            both == 0 && mine.len() as u64 > jobs * 9 / 10,
+            "{both} of {} are at full workers",
+            mine.len()
+        );
+    };
+    apart(&mut mate, 0, 300, &out);
+    // What gets lost is said again; and what has ended takes no room any more, though messages of less than all are merged.
+    out.extend(load(&mut node, 600, 50, 1).0);
+    let again: Vec<Vec<u8>> = tells(node.pass(2_000 * MS), 1).collect();
+    assert!((6..=12).contains(&again.len()), "{} messages of 650 that are out", again.len());
+    hear(&mut mate, 0, again);
+    apart(&mut mate, 300, 30, &out);
+    for (job, worker) in out.split_off(20) {
+        node.end(job, 0, worker, Outcome::Ok);
+    }
+    let left: Vec<Vec<u8>> = tells(node.pass(3 * MS), 1).collect();
+    assert_eq!(left.len(), 1, "it says all in one message again");
+    hear(&mut mate, 0, left);
+    apart(&mut mate, 330, 300, &out);
+}
+
+/// A slot that was offered at one of two workers with one short tag was taken at the other, whose group knew nothing of it.
+#[test]
+fn an_offer_is_taken_at_the_worker_that_was_meant() {
+    let workers = alike(300);
+    let [mut lender, mut asker] = [0, 1].map(|me| among(me, 30, &workers));
+    let mut group = Share::of(&settings(0, 30));
+    group.deal(&workers, &[]);
+    let (own, _) = load(&mut asker, 0, 160, 0);
+    assert!((90..=110).contains(&own.len()), "{} workers in its part", own.len());
+    let offers = (0..50).flat_map(|_| lender.feed(Event::Mail { from: 1, bytes: vec![b'A', 0] }));
+    let offers: Vec<Vec<u8>> = tells(offers.collect(), 1).filter(|bytes| bytes[0] == b'O').collect();
+    let lent = sends(&hear(&mut asker, 0, offers));
+    assert!(lent.len() >= 45, "{} of 50 offers are taken", lent.len());
+    let strays = lent.iter().filter(|(_, worker)| !group.part().contains(worker)).count();
+    assert_eq!(strays, 0, "at workers of another group than the lender's");
+}
