Jobs that begin and end within a tick are spread over the group's workers

Cause: a run time of 0 makes each worker's slowness exactly 0 (learned and that of its like), so the lot that parts equal workers, which slowness multiplies, was 0 for all, and the first by number won; all dispatchers of a group number alike.

Change: a job takes 1 us at least.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -603,7 +603,7 @@
         }
         match outcome {
             Outcome::Ok => {
-                let took = ran_for.unwrap_or(elapsed) as f64;
+                let took = ran_for.unwrap_or(elapsed).max(1) as f64; // 0 would make all workers equal
                 self.m.class_work[class].add(took);
                 self.m.learn(worker, (took / work).min(LONG_ANSWER));
                 let state = self.m.worker(worker);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -487,3 +487,20 @@
     node.feed(Event::Mail { from: 3, bytes });
     assert_eq!(sends(&node.arrive(4, 0, 5_000 * MS)).len(), 2, "the one that was held goes as well");
 }
+
+/// Where jobs begin and end within a tick all workers were 0 slow, so lots were worth nothing and the first of the list got all.
+#[test]
+fn jobs_that_take_no_time_are_spread_as_well() {
+    let mut node = Node::new(Settings { nodes: 10, ..settings(7, true) });
+    node.roster((0..8).map(worker).collect());
+    let mut used = BTreeSet::new();
+    for job in 0..100 {
+        for (job, at) in sends(&node.arrive(job, 0, 5_000 * MS)) {
+            node.feed(Event::Started { job: JobId(job), attempt: 0 });
+            node.end(job, 0, at, Outcome::Ok);
+            used.insert(at);
+        }
+        node.pass(MS);
+    }
+    assert_eq!(used.len(), 8, "{used:?}");
+}
