--- a/src/share.rs
+++ b/src/share.rs
@@ -7,11 +7,12 @@
 use crate::interface::*;
 use mothproxy_membership::share;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 
 /// Nodes that tell each other: each message goes to all but one of them.
 const GROUP: u32 = 10;
 /// What a mate has said counts for this long; whoever has work out says so again in half the time.
-const SAID_FOR: Micros = 4_000_000;
+pub const SAID_FOR: Micros = 4_000_000;
 /// Whoever has work out and has not said so again after this, one and a half times the time for it, is missed; for so long,
 /// by when a dead one's work has ended and one that is back has spoken.
 const MISSED_AFTER: Micros = SAID_FOR / 4 * 3;
@@ -27,6 +28,9 @@
 /// The first byte of a message: what its sender has out at the group's workers, and which of them it doubts; the same of
 /// those of the receiver's group, by an offer of the receiver's; a wish for a slot, in this zone if there is one; an offer
 /// of a slot at this worker. In the first two the number of doubted ones comes next, then their tags, then those of the work.
+/// Either is all that its sender has to say. Where that is more than a message may name it is said in parts, with this bit in
+/// the first byte: how many leading bits the tags of the part have in common, the first such tag, and then as above.
+const PART: u8 = 0x20;
 const OUT: u8 = b'W';
 const GUEST: u8 = b'G';
 const WISH: u8 = b'A';
@@ -48,14 +52,80 @@
     Offer,
 }
 
-/// What a node has said: when, where it has work out, and which workers it doubts; by their tags.
-#[derive(Debug, Default)]
+/// What a node has said of the workers of a range of tags, all of them or a part: when, where it has work out, and which of
+/// them it doubts; in order.
+#[derive(Debug)]
 struct Said {
     at: Micros,
+    range: RangeInclusive<u16>,
     out: Vec<u16>,
     doubted: Vec<u16>,
 }
 
+impl Said {
+    fn new(at: Micros, range: RangeInclusive<u16>, mut out: Vec<u16>, mut doubted: Vec<u16>) -> Said {
+        out.sort_unstable();
+        doubted.sort_unstable();
+        Said { at, range, out, doubted }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.out.is_empty() && self.doubted.is_empty()
+    }
+
+    /// How often this tag is among those of the work.
+    fn times(&self, tag: u16) -> usize {
+        self.out.partition_point(|t| *t <= tag) - self.out.partition_point(|t| *t < tag)
+    }
+
+    /// The same in as few messages as may name so many, each of a half, a quarter and so on of the tags: what changes at one
+    /// worker changes one of them. Only at a single worker is more work out of one node than a message names, and the rest is
+    /// left out: it is full in any case.
+    fn in_parts(self) -> Vec<Said> {
+        let (first, last) = self.range.clone().into_inner();
+        if self.out.len() + self.doubted.len() <= MOST || first == last {
+            let out = self.out.into_iter().take(MOST - self.doubted.len()).collect();
+            return vec![Said { out, ..self }];
+        }
+        let middle = first + (last - first) / 2;
+        let halves = [first..=middle, middle + 1..=last];
+        let half = |range: RangeInclusive<u16>| {
+            let of = |tags: &[u16]| tags.iter().copied().filter(|tag| range.contains(tag)).collect();
+            Said { at: self.at, out: of(&self.out), doubted: of(&self.doubted), range: range.clone() }
+        };
+        halves.into_iter().flat_map(|range| half(range).in_parts()).collect()
+    }
+
+    /// The message that says it.
+    fn bytes(&self, kind: u8) -> Vec<u8> {
+        let (first, last) = self.range.clone().into_inner();
+        let [high, low] = first.to_be_bytes();
+        let bits = (last - first).leading_zeros() as u8;
+        let head = if bits == 0 { vec![kind] } else { vec![kind | PART, bits, high, low] };
+        let tags = self.doubted.iter().chain(&self.out).flat_map(|t| t.to_be_bytes());
+        head.into_iter().chain([self.doubted.len() as u8]).chain(tags).collect()
+    }
+
+    /// What such a message says, and its kind, if it is one.
+    fn read(at: Micros, bytes: &[u8]) -> Option<(u8, Said)> {
+        let (kind, range, rest) = match bytes {
+            [kind @ (OUT | GUEST), rest @ ..] => (*kind, 0..=u16::MAX, rest),
+            [kind, bits @ 1..=16, high, low, rest @ ..] if matches!(kind ^ PART, OUT | GUEST) => {
+                let (first, others) =
+                    (u16::from_be_bytes([*high, *low]), u16::MAX.checked_shr((*bits).into()).unwrap_or(0));
+                (first & others == 0).then_some((kind ^ PART, first..=first | others, rest))?
+            }
+            _ => return None,
+        };
+        let (doubted, tags) = rest.split_first()?;
+        let whole = tags.len() % 2 == 0;
+        let tags: Vec<u16> = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]])).collect();
+        let (doubted, out) = tags.split_at_checked(usize::from(*doubted))?;
+        let sound = whole && tags.iter().all(|tag| range.contains(tag));
+        sound.then(|| (kind, Said::new(at, range, out.to_vec(), doubted.to_vec())))
+    }
+}
+
 /// A worker as this node sees it: its tag, the slots of each own attempt that is out there, and whether it is doubted.
 pub(crate) struct Seen {
     pub worker: WorkerId,
@@ -64,14 +134,15 @@
     pub doubted: bool,
 }
 
+/// What one node knows of its group: who is in it, which workers are the group's, and what its mates have said.
 #[derive(Debug, Default)]
-pub(crate) struct Share {
+pub struct Share {
     nodes: u32,
     me: u32,
     group: u32,
     groups: u32,
     /// The other nodes of the group.
-    pub mates: Vec<u32>,
+    pub(crate) mates: Vec<u32>,
     /// What is believed of each node, by their numbers; all of them are here where it is empty.
     peers: Vec<Presence>,
     /// The view has changed at this time, and the workers are not dealt by it yet.
@@ -82,7 +153,7 @@
     kept: BTreeMap<WorkerId, Vec<u16>>,
     /// The group's part of the ready workers, by the short tags that messages name them by.
     workers: BTreeMap<u16, WorkerId>,
-    /// The same workers by number, those of the same short tag as another one too.
+    /// The same workers by number.
     part: Vec<WorkerId>,
     /// Where in `part` the first dealt is, the second, and so on: places to draw by.
     places: Vec<usize>,
@@ -90,19 +161,20 @@
     named: Vec<bool>,
     /// The group of each ready worker.
     owners: BTreeMap<WorkerId, u32>,
-    /// All ready workers, by their short tags.
+    /// All ready workers, by their short tags; and those that do not go by what their tag shortens to.
     listed: BTreeMap<u16, WorkerId>,
-    /// What each mate has said; and each node of another group of workers of this one.
-    said: BTreeMap<u32, Said>,
+    aliases: BTreeMap<WorkerId, u16>,
+    /// What each mate has said; and each node of another group of workers of this one; in parts that do not overlap.
+    said: BTreeMap<u32, Vec<Said>>,
     /// Slots that were offered and are not known to be used: to whom, where, until when.
     offered: Vec<(u32, u16, Micros)>,
     /// Slots that others have offered: where, by whom, until when; once used, by whom.
     offers: BTreeMap<WorkerId, (u32, Micros)>,
     lenders: BTreeMap<WorkerId, u32>,
     /// What was told last: to the mates, and to each lender.
-    told: BTreeMap<Option<u32>, Said>,
+    told: BTreeMap<Option<u32>, Vec<Said>>,
     /// Something has changed that may be worth a message.
-    pub news: bool,
+    pub(crate) news: bool,
 }
 
 fn short(tag: u64) -> u16 {
@@ -184,7 +256,7 @@
     ///
     /// So the sum over the sides of a cut is never above `slots`: the parts of all nodes add up to it, and a node is here on
     /// one side alone.
-    fn kept(&self, worker: WorkerId, slots: u32, now: Micros) -> u32 {
+    pub fn kept(&self, worker: WorkerId, slots: u32, now: Micros) -> u32 {
         if self.gained.get(&worker).is_some_and(|since| now < since + SAID_FOR) {
             return slots;
         }
@@ -194,13 +266,23 @@
         kept
     }
 
+    /// The number of the node's group.
+    pub fn group(&self) -> u32 {
+        self.group
+    }
+
+    /// The group's part of the ready workers, by their numbers.
+    pub fn part(&self) -> &[WorkerId] {
+        &self.part
+    }
+
     /// Whether there is a group.
     pub fn on(&self) -> bool {
         !self.mates.is_empty()
     }
 
     /// Whether there are other groups to ask for a slot.
-    pub fn lends(&self) -> bool {
+    pub(crate) fn lends(&self) -> bool {
         self.on() && self.groups > 1
     }
 
@@ -208,28 +290,30 @@
     /// for it among those that have not had their part yet, so that one more or less moves few others. But a cold one goes to
     /// the group that ranks highest of all: whoever is told of whichever others, and whoever is gone, it has the same group.
     pub fn deal(&mut self, ready: &[RosterEntry], cold: &[WorkerId]) {
+        if !self.on() {
+            return; // there are no parts
+        }
         let (mut sorted, groups) = (ready.to_vec(), u64::from(self.groups.max(1)));
         sorted.sort_unstable_by_key(|k| (k.zone, k.started_at, k.tag));
-        self.workers.clear();
         let (before, view_at) = (std::mem::take(&mut self.owners), self.view_at.take());
         self.kept.clear();
-        let mut dealt = Vec::new();
+        let (mut dealt, mut owners) = (Vec::new(), Vec::with_capacity(sorted.len()));
+        let ranks: Vec<u64> = (0..groups).map(|g| mix(g + 1)).collect();
         self.news |= self.lends();
-        self.listed = ready.iter().map(|k| (short(k.tag), k.worker)).collect();
+        self.name(ready);
         for zone in sorted.chunk_by(|a, b| a.zone == b.zone) {
             let part = zone.len().div_ceil(groups as usize);
             let mut had = vec![0; groups as usize];
             for known in zone {
                 let is_cold = cold.binary_search(&known.worker).is_ok();
                 let open = (0..groups).filter(|g| is_cold || had[*g as usize] < part);
-                let Some(group) = open.max_by_key(|g| mix(known.tag ^ mix(g + 1))) else { continue };
+                let Some(group) = open.max_by_key(|g| mix(known.tag ^ ranks[*g as usize])) else { continue };
                 had[group as usize] += 1;
                 let moved = || u64::from(self.group_of(known.tag, group as u32));
                 let group = if is_cold { group } else { moved() };
-                self.owners.insert(known.worker, group as u32);
+                owners.push((known.worker, group as u32));
                 if group == u64::from(self.group) {
-                    self.workers.insert(short(known.tag), known.worker);
-                    dealt.push(known.worker);
+                    dealt.push(known);
                     let came = before.get(&known.worker).is_some_and(|had| *had != self.group);
                     if let Some(now) = view_at.filter(|_| came) {
                         self.gained.insert(known.worker, now);
@@ -240,29 +324,62 @@
                 }
             }
         }
+        self.owners = owners.into_iter().collect();
         let (owners, group) = (&self.owners, self.group);
         self.gained.retain(|worker, _| owners.get(worker) == Some(&group));
-        self.part.clone_from(&dealt);
+        self.workers = dealt.iter().map(|k| (self.short(k.worker, k.tag), k.worker)).collect();
+        self.part = dealt.iter().map(|known| known.worker).collect();
         self.part.sort_unstable();
-        self.places = dealt.iter().filter_map(|worker| self.part.binary_search(worker).ok()).collect();
+        self.places = dealt.iter().filter_map(|known| self.part.binary_search(&known.worker).ok()).collect();
         self.named = vec![false; self.part.last().map_or(0, |worker| worker.0 as usize + 1)];
         self.workers.values().for_each(|worker| self.named[worker.0 as usize] = true);
     }
 
+    /// Gives each ready worker a short tag of its own. Where several would have the same, the first by its whole tag has it, and
+    /// the others, in order, the next ones that are free. So whoever holds the same list names all alike, and while lists
+    /// differ only workers that share one can be taken for each other. (Beyond 65,536 workers some have none.)
+    fn name(&mut self, ready: &[RosterEntry]) {
+        let mut order: Vec<_> = ready.iter().map(|k| (short(k.tag), k.tag, k.worker)).collect();
+        order.sort_unstable();
+        let mut late = Vec::new();
+        order.dedup_by(|next, first| {
+            let same = next.0 == first.0;
+            late.extend(same.then_some(*next));
+            same
+        });
+        self.listed = order.into_iter().map(|(tag, _, worker)| (tag, worker)).collect();
+        self.aliases.clear();
+        for (tag, _, worker) in late {
+            if self.listed.len() > usize::from(u16::MAX) {
+                return;
+            }
+            let mut next = (1..=u16::MAX).map(|n| tag.wrapping_add(n));
+            if let Some(free) = next.find(|tag| !self.listed.contains_key(tag)) {
+                self.listed.insert(free, worker);
+                self.aliases.insert(worker, free);
+            }
+        }
+    }
+
+    /// The short tag of a worker.
+    fn short(&self, worker: WorkerId, tag: u64) -> u16 {
+        self.aliases.get(&worker).copied().unwrap_or_else(|| short(tag))
+    }
+
     /// The group of a cold worker.
     fn top(&self, tag: u64) -> u32 {
         (0..self.groups).max_by_key(|g| mix(tag ^ mix(u64::from(*g) + 1))).unwrap_or(0)
     }
 
     /// Whether a slot at a cold worker is on offer by its group: another one has not been told that it started.
-    pub fn lent_cold(&self, known: &RosterEntry, now: Micros) -> bool {
+    pub(crate) fn lent_cold(&self, known: &RosterEntry, now: Micros) -> bool {
         let by_group = |(by, until): &(u32, Micros)| now < *until && by % self.groups == self.top(known.tag);
         self.offers.get(&known.worker).is_some_and(by_group)
     }
 
     /// This node's rank for a cold worker, of so many that may send to it: those of its group, or where there are no groups
     /// all of them; `None` for one of another group. It follows from the settings and the worker's tag alone.
-    pub fn rank(&self, tag: u64) -> Option<(u32, u32)> {
+    pub(crate) fn rank(&self, tag: u64) -> Option<(u32, u32)> {
         let (nodes, place) = match self.on() {
             true if self.top(tag) == self.group => (self.mates.len() as u32 + 1, self.me / self.groups),
             true => return None,
@@ -313,52 +430,54 @@
         if !self.on() || !self.named.get(known.worker.0 as usize).is_some_and(|named| *named) {
             return None;
         }
-        let tag = short(known.tag);
+        let tag = self.short(known.worker, known.tag);
         let offered = self.offered.iter().filter(|(_, at, until)| *at == tag && now < *until);
-        let out = self.fresh(now).flat_map(|(_, said)| &said.out).filter(|t| **t == tag);
-        Some((out.count() + offered.count()) as f64)
+        let out: usize = self.fresh(now).map(|(_, said)| said.times(tag)).sum();
+        Some((out + offered.count()) as f64)
     }
 
     /// Whether a mate that had work out when it last spoke has missed saying so again: it may be cut off, or dead, and what
     /// it has out at the group's workers is not known.
-    pub fn deaf(&self, now: Micros) -> bool {
+    pub(crate) fn deaf(&self, now: Micros) -> bool {
         let missed = |said: &Said| now >= said.at + MISSED_AFTER && now < said.at + MISSED_FOR;
         self.mates
             .iter()
             .filter_map(|mate| self.said.get(mate))
+            .flatten()
             .any(|said| !said.out.is_empty() && missed(said))
     }
 
     /// Whether at least half of the mates have spoken so lately that what they have sent since is a small part of what a
     /// cold worker bears in its fall window.
-    pub fn hears(&self, now: Micros, window: Micros) -> bool {
-        let late = |said: &&Said| now < said.at + window / HEARD_PART;
+    pub(crate) fn hears(&self, now: Micros, window: Micros) -> bool {
+        let late = |parts: &&Vec<Said>| parts.iter().any(|said| now < said.at + window / HEARD_PART);
         let heard = self.mates.iter().filter_map(|mate| self.said.get(mate)).filter(late);
         self.on() && 2 * heard.count() >= self.mates.len()
     }
 
     /// Whether another has said that it doubts this worker, later than this.
-    pub fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
-        let tag = short(known.tag);
+    pub(crate) fn doubted(&self, known: &RosterEntry, since: Micros, now: Micros) -> bool {
+        let tag = self.short(known.worker, known.tag);
         self.fresh(now).any(|(_, said)| said.at > since && said.doubted.contains(&tag))
     }
 
     fn fresh(&self, now: Micros) -> impl Iterator<Item = (&u32, &Said)> {
-        self.said.iter().filter(move |(_, said)| now < said.at + SAID_FOR)
+        let parts = self.said.iter().flat_map(|(node, parts)| parts.iter().map(move |said| (node, said)));
+        parts.filter(move |(_, said)| now < said.at + SAID_FOR)
     }
 
     /// The workers at which slots are on offer.
-    pub fn offers(&self, now: Micros) -> impl Iterator<Item = WorkerId> {
+    pub(crate) fn offers(&self, now: Micros) -> impl Iterator<Item = WorkerId> {
         self.offers.iter().filter(move |(_, (_, until))| now < *until).map(|(worker, _)| *worker)
     }
 
     /// Whether a slot at this worker is on offer.
-    pub fn on_offer(&self, worker: WorkerId, now: Micros) -> bool {
+    pub(crate) fn on_offer(&self, worker: WorkerId, now: Micros) -> bool {
         self.offers.get(&worker).is_some_and(|(_, until)| now < *until)
     }
 
     /// The offer for this worker, if there is one, is used.
-    pub fn use_offer(&mut self, worker: WorkerId) {
+    pub(crate) fn use_offer(&mut self, worker: WorkerId) {
         if let Some((lender, _)) = self.offers.remove(&worker) {
             self.lenders.insert(worker, lender);
         }
@@ -396,8 +515,8 @@
     }
 
     /// Offers a slot at a worker of the group.
-    pub fn offer(&mut self, now: Micros, to: u32, known: &RosterEntry, acts: &mut Vec<Action>) {
-        let tag = short(known.tag);
+    pub(crate) fn offer(&mut self, now: Micros, to: u32, known: &RosterEntry, acts: &mut Vec<Action>) {
+        let tag = self.short(known.worker, known.tag);
         self.offered.push((to, tag, now + OFFERED_FOR));
         self.news = true;
         let [high, low] = tag.to_be_bytes();
@@ -405,78 +524,95 @@
     }
 
     /// Has the alarm set at which news is told.
-    pub fn tell_soon(&mut self, acts: &mut Vec<Action>) {
+    pub(crate) fn tell_soon(&mut self, acts: &mut Vec<Action>) {
         if std::mem::take(&mut self.news) && self.on() {
             acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), NEWS_WITHIN));
         }
     }
 
     /// Tells the mates, and lenders, what there is to know of their workers if that is news or is to be said again.
-    pub fn tell(&mut self, now: Micros, seen: &[Seen], acts: &mut Vec<Action>) {
+    pub(crate) fn tell(&mut self, now: Micros, seen: &[Seen], acts: &mut Vec<Action>) {
         if !self.on() {
             return;
         }
         self.follow(seen);
         let times = |slots: &f64| slots.ceil().clamp(1.0, 16.0) as usize;
+        let tag = |s: &Seen| self.short(s.worker, s.tag);
         let of = |here: &dyn Fn(&Seen) -> bool| {
             let here: Vec<&Seen> = seen.iter().filter(|s| here(s)).collect();
-            let out =
-                here.iter().flat_map(|s| std::iter::repeat_n(short(s.tag), s.out.iter().map(times).sum()));
-            let doubted = here.iter().filter(|s| s.doubted).map(|s| short(s.tag)).take(MOST / 2);
-            Said { at: now, out: out.collect(), doubted: doubted.collect() }
+            let out = here.iter().flat_map(|s| std::iter::repeat_n(tag(s), s.out.iter().map(times).sum()));
+            let doubted = here.iter().filter(|s| s.doubted).map(|s| tag(s));
+            (out.collect::<Vec<u16>>(), doubted.collect::<Vec<u16>>())
         };
-        self.offered.retain(|(.., until)| now < *until);
-        let mut own = of(&|s| self.has(short(s.tag), s.worker));
-        own.out.extend(self.offered.iter().map(|(_, tag, _)| *tag));
-        own.out
-            .extend(self.fresh(now).filter(|(n, _)| !self.mates.contains(n)).flat_map(|(_, said)| &said.out));
+        let (mut own, doubted) = of(&|s| self.has(tag(s), s.worker));
+        own.extend(self.offered.iter().filter(|(.., until)| now < *until).map(|(_, tag, _)| *tag));
+        own.extend(self.fresh(now).filter(|(n, _)| !self.mates.contains(n)).flat_map(|(_, said)| &said.out));
         let lenders = self.lenders.values().copied().collect::<BTreeSet<u32>>();
         let lent = |by: u32| (Some(by), of(&|s| self.lenders.get(&s.worker) == Some(&by)));
-        for (to, mut said) in
-            std::iter::once((None, own)).chain(lenders.into_iter().map(lent)).collect::<Vec<_>>()
-        {
-            said.out.sort_unstable();
-            said.out.truncate(MOST - said.doubted.len());
-            said.doubted.sort_unstable();
-            let last = self.told.entry(to).or_default();
-            let (nothing, was) = (said.out.is_empty(), (&last.out, &last.doubted));
-            if was == (&said.out, &said.doubted) && (nothing || now < last.at + SAID_FOR / 2) {
+        let all: Vec<_> =
+            std::iter::once((None, (own, doubted))).chain(lenders.into_iter().map(lent)).collect();
+        // What is void goes: kept, what every node of a large fleet has ever said would be looked through for each job.
+        self.offered.retain(|(.., until)| now < *until);
+        self.offers.retain(|_, (_, until)| now < *until);
+        let mates = &self.mates;
+        let counts = |parts: &[Said]| parts.iter().any(|said| now < said.at + SAID_FOR);
+        self.said.retain(|node, parts| mates.contains(node) || counts(parts));
+        for (to, (out, doubted)) in all {
+            self.tell_all(to, Said::new(now, 0..=u16::MAX, out, doubted), acts);
+        }
+    }
+
+    /// Tells the mates, or a lender, those parts of it that are news or are to be said again.
+    fn tell_all(&mut self, to: Option<u32>, said: Said, acts: &mut Vec<Action>) {
+        let (now, nothing, kind) = (said.at, said.out.is_empty(), if to.is_some() { GUEST } else { OUT });
+        let (before, mut told) = (self.told.remove(&to).unwrap_or_default(), Vec::new());
+        let (mut news, mut again) = (false, false);
+        for part in said.in_parts() {
+            let last = before.iter().find(|last| last.range == part.range);
+            let same = match last {
+                Some(last) => (&last.out, &last.doubted) == (&part.out, &part.doubted),
+                None => before.is_empty() && part.is_empty(),
+            };
+            let at = last.map_or(0, |last| last.at);
+            if same && (part.out.is_empty() || now < at + SAID_FOR / 2) {
+                told.push(Said { at, ..part });
                 continue;
             }
-            let first = [if to.is_some() { GUEST } else { OUT }, said.doubted.len() as u8];
-            let tags = said.doubted.iter().chain(&said.out).flat_map(|t| t.to_be_bytes());
-            let bytes: Vec<u8> = first.into_iter().chain(tags).collect();
+            let bytes = part.bytes(kind);
             let mates = self.mates.iter().copied().filter(|mate| to.is_none() && self.holds(*mate));
             acts.extend(to.into_iter().chain(mates).map(|to| Action::Tell { to, bytes: bytes.clone() }));
-            if !nothing {
-                acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), SAID_FOR / 2));
-            }
-            self.told.insert(to, said);
-            if let Some(lender) = to.filter(|_| nothing) {
-                self.lenders.retain(|_, by| *by != lender);
-                self.told.remove(&to);
-            }
+            (news, again) = (true, again || !part.out.is_empty());
+            told.push(part);
+        }
+        if again {
+            acts.push(Action::SetAlarm(AlarmId(TELL_ALARM), SAID_FOR / 2));
+        }
+        match to.filter(|_| news && nothing) {
+            Some(lender) => self.lenders.retain(|_, by| *by != lender),
+            None => drop(self.told.insert(to, told)),
         }
     }
 
     /// A message. One that is not understood says nothing.
-    pub fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) -> Heard {
+    pub(crate) fn hear(&mut self, now: Micros, from: u32, bytes: &[u8]) -> Heard {
         let mate = self.mates.contains(&from);
-        match bytes {
-            [OUT | GUEST, doubted, tags @ ..]
-                if mate == (bytes[0] == OUT)
-                    && tags.len() % 2 == 0
-                    && tags.len() / 2 >= usize::from(*doubted)
-                    && self.on() =>
-            {
-                let mut tags = tags.chunks_exact(2).map(|t| u16::from_be_bytes([t[0], t[1]]));
-                let doubted = tags.by_ref().take(usize::from(*doubted)).collect();
-                self.said.insert(from, Said { at: now, doubted, out: tags.collect() });
-                if !mate {
-                    self.offered.retain(|(to, ..)| *to != from);
-                    self.news = true;
-                }
+        let said = Said::read(now, bytes).filter(|(kind, _)| mate == (*kind == OUT) && self.on());
+        if let Some((_, said)) = said {
+            // What it says of these workers now is all that it has out there and doubts of them.
+            let parts = self.said.entry(from).or_default();
+            for part in parts.iter_mut() {
+                part.out.retain(|tag| !said.range.contains(tag));
+                part.doubted.retain(|tag| !said.range.contains(tag));
             }
+            parts.retain(|part| !part.is_empty() && now < part.at + MISSED_FOR);
+            parts.push(said);
+            if !mate {
+                self.offered.retain(|(to, ..)| *to != from);
+                self.news = true;
+            }
+            return Heard::Nothing;
+        }
+        match bytes {
             [WISH, zone] if !mate => return Heard::Wish(ZoneId(u16::from(*zone))),
             [OFFER, high, low] if !mate => {
                 let tag = u16::from_be_bytes([*high, *low]);
@@ -506,224 +642,3 @@
         Some(out + f64::from(self.share.kept(known.worker, self.slots(known.kind).max(1.0) as u32, self.now)))
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn settings(me: u32) -> Settings {
-        Settings { me, nodes: 100, may_tell: true, may_probe: true, ..Settings::default() }
-    }
-
-    fn listed(n: u32) -> RosterEntry {
-        RosterEntry {
-            worker: WorkerId(n),
-            tag: u64::from(n).wrapping_mul(0x9e37_79b9_7f4a_7c15),
-            zone: ZoneId((n % 2) as u16),
-            kind: KindId(0),
-            cell: CellId(0),
-            status: Status::Ready,
-            weight: 1.0,
-            started_at: None,
-        }
-    }
-
-    /// Who has which worker, by one node of each group.
-    fn parts(workers: &[RosterEntry]) -> BTreeMap<WorkerId, u32> {
-        let mut owner = BTreeMap::new();
-        for me in 0..10 {
-            let mut share = Share::of(&settings(me));
-            share.deal(workers, &[]);
-            let part: Vec<WorkerId> = share.workers().collect();
-            assert!((3..=8).contains(&part.len()), "group {me} has {part:?}");
-            part.into_iter().for_each(|w| assert_eq!(owner.insert(w, me), None, "{w:?} has two groups"));
-        }
-        owner
-    }
-
-    #[test]
-    fn every_worker_has_one_group_and_one_that_leaves_moves_few() {
-        let all: Vec<RosterEntry> = (0..60).map(listed).collect();
-        let before = parts(&all);
-        assert_eq!(before.len(), 60);
-        let after = parts(&all[1..]);
-        let moved = after.iter().filter(|(w, group)| before[w] != **group).count();
-        assert!(moved <= 6, "{moved} of 59 have another group");
-        // The order of the list does not matter.
-        assert_eq!(parts(&all.iter().rev().copied().collect::<Vec<_>>()), before);
-    }
-
-    /// Drawing from the part walked all of it with a random number for each worker (a reservoir): at 10,000 workers and
-    /// 30 dispatchers, 60 % of a job's time in `make bench-decision`. Now as many numbers as workers drawn, distinct,
-    /// and each worker about as often as any other.
-    #[test]
-    fn a_sample_of_the_part_costs_what_it_draws_and_favours_no_worker() {
-        let mut share = Share::of(&settings(0));
-        share.deal(&(0..3_000).map(listed).collect::<Vec<_>>(), &[]);
-        let size = share.part.len();
-        assert!(size > 100, "{size} in the part");
-        let (mut rng, mut counted) = (fastrand::Rng::with_seed(5), fastrand::Rng::with_seed(5));
-        let mut times: BTreeMap<WorkerId, u32> = share.part.iter().map(|w| (*w, 0)).collect();
-        for _ in 0..2_000 {
-            let drawn = share.sample(&mut rng, 8);
-            for _ in 0..8 {
-                counted.u64(..);
-            }
-            assert_eq!(rng.u64(..), counted.u64(..), "8 numbers drawn for 8 of {size}");
-            let distinct: BTreeSet<WorkerId> = drawn.iter().copied().collect();
-            assert_eq!((drawn.len(), distinct.len()), (8, 8));
-            drawn.iter().for_each(|w| *times.get_mut(w).expect("one of the part") += 1);
-        }
-        let mean = 2_000.0 * 8.0 / size as f64;
-        let (least, most) = (times.values().min().copied(), times.values().max().copied());
-        let (least, most) = (f64::from(least.unwrap_or(0)), f64::from(most.unwrap_or(0)));
-        assert!(least > mean * 0.2 && most < mean * 2.5, "{least}..{most} times for {mean:.1} each");
-        assert_eq!(share.sample(&mut rng, size + 5).len(), size, "all of a part no larger than asked");
-    }
-
-    /// Who has which worker where only these nodes hold work, by the word of each of them.
-    fn held(nodes: u32, holders: &[bool], workers: &[RosterEntry]) -> BTreeMap<WorkerId, u32> {
-        let mut owner: BTreeMap<WorkerId, u32> = BTreeMap::new();
-        let believed = |here: &bool| if *here { Presence::Here } else { Presence::Gone };
-        let peers: Vec<Presence> = holders.iter().map(believed).collect();
-        for me in (0..nodes).filter(|n| holders[*n as usize]) {
-            let mut share = Share::of(&Settings { nodes, ..settings(me) });
-            share.hold_by(1, &peers);
-            share.deal(workers, &[]);
-            for worker in share.part.iter().copied() {
-                let group = *owner.entry(worker).or_insert(share.group);
-                assert_eq!(group, share.group, "{worker:?} has two groups by the word of {me}");
-            }
-        }
-        owner
-    }
-
-    /// One death moves the workers that the dead node held, one in n, and its return moves these back; whole groups may die.
-    #[test]
-    fn the_end_of_a_node_moves_its_part_alone() {
-        let (nodes, all): (u32, Vec<RosterEntry>) = (30, (0..300).map(listed).collect());
-        let mut rng = fastrand::Rng::with_seed(11);
-        let mut holders = vec![true; nodes as usize];
-        let (mut moved, mut deaths, mut before) = (0, 0, held(nodes, &holders, &all));
-        assert_eq!(before.len(), 300);
-        let whole = before.clone();
-        for step in 0..40 {
-            let node = rng.usize(0..nodes as usize);
-            let left = holders.iter().filter(|held| **held).count();
-            if left == 1 && holders[node] {
-                continue;
-            }
-            holders[node] = !holders[node];
-            let after = held(nodes, &holders, &all);
-            assert_eq!(after.len(), 300, "step {step}: a worker that no group has");
-            let changed = after.iter().filter(|(w, group)| before[*w] != **group).count();
-            let (least, most) = (left - usize::from(!holders[node]), 300.0);
-            assert!(
-                changed as f64 <= 3.0 * most / least.max(1) as f64,
-                "step {step}: {changed} moved, {least} left"
-            );
-            (moved, deaths, before) = (moved + changed, deaths + 1, after);
-        }
-        assert!(deaths > 30 && moved > 0, "{moved} moved at {deaths} changes");
-        assert_eq!(held(nodes, &vec![true; nodes as usize], &all), whole, "as if nothing had been");
-        // One after the other until one is left: never a worker without a group, and nobody is dealt to a dead node's.
-        let mut holders = vec![true; nodes as usize];
-        for node in 1..nodes as usize {
-            holders[node] = false;
-            let owner = held(nodes, &holders, &all);
-            assert_eq!(owner.len(), 300, "after {node} deaths");
-        }
-    }
-
-    /// Whatever the sides of a cut, and whoever of each has left by the word of that side: what all sides may take of a worker
-    /// is never above its slots, and all of it while nobody is away.
-    #[test]
-    fn what_the_sides_of_a_cut_may_take_is_within_the_slots() {
-        let mut rng = fastrand::Rng::with_seed(3);
-        let all: Vec<RosterEntry> = (0..40).map(listed).collect();
-        for round in 0..60 {
-            let (nodes, sides, slots) = (rng.u32(2..40), rng.u32(1..4), rng.u32(1..12));
-            let side: Vec<u32> = (0..nodes).map(|_| rng.u32(0..sides)).collect();
-            // Some have left. Who is on a side may have heard of it or not; they themselves take nothing any more.
-            let left: Vec<bool> = (0..nodes).map(|_| rng.u8(0..8) == 0).collect();
-            let mut taken: BTreeMap<WorkerId, u32> = BTreeMap::new();
-            for here in 0..sides {
-                let heard: Vec<bool> = left.iter().map(|left| *left && rng.bool()).collect();
-                let believed = |n: usize| match (side[n] == here && !left[n], heard[n]) {
-                    (true, _) => Presence::Here,
-                    (_, true) => Presence::Gone,
-                    _ => Presence::Away,
-                };
-                let peers: Vec<Presence> = (0..nodes as usize).map(believed).collect();
-                // One node of each group that has somebody on this side; the rest of it does what it does.
-                let mut groups = BTreeSet::new();
-                for me in (0..nodes).filter(|n| peers[*n as usize] == Presence::Here) {
-                    let mut share = Share::of(&Settings { nodes, ..settings(me) });
-                    if share.on() && groups.insert(share.group) {
-                        share.deal(&all, &[]);
-                        share.hold_by(1, &peers);
-                        share.deal(&all, &[]);
-                        let later = 1 + SAID_FOR;
-                        for worker in &share.part {
-                            *taken.entry(*worker).or_default() += slots - share.kept(*worker, slots, later);
-                            let came = share.gained.contains_key(worker);
-                            assert!(!came || share.kept(*worker, slots, later - 1) == slots, "taken at once");
-                        }
-                    }
-                }
-            }
-            let whole = sides == 1 && !left.contains(&true) && nodes > 1;
-            for (worker, taken) in taken {
-                assert!(
-                    taken <= slots,
-                    "round {round}: {taken} of {slots} slots at {worker:?}, {nodes} nodes"
-                );
-                assert!(!whole || taken == slots, "round {round}: {taken} of {slots} with nobody away");
-            }
-        }
-    }
-
-    #[test]
-    fn a_view_of_another_size_or_without_oneself_says_nothing() {
-        let mut share = Share::of(&settings(3));
-        let here = Presence::Here;
-        assert!(
-            !share.hold_by(1, &[here; 7]) && !share.hold_by(1, &[Presence::Gone; 100]),
-            "neither is heeded"
-        );
-        assert!(!share.hold_by(1, &[here; 100]), "all hold work anyway");
-        let mut peers = vec![here; 100];
-        peers[4] = Presence::Gone;
-        assert!(share.hold_by(1, &peers) && !share.hold_by(1, &peers), "heeded once");
-        assert!((0..1_000).all(|luck| share.one_of(4, luck) != 4), "no wish goes to one that is gone");
-    }
-
-    #[test]
-    fn new_ones_take_the_places_that_are_left() {
-        let mut all: Vec<RosterEntry> = (0..52).map(listed).collect();
-        let before = parts(&all);
-        all.extend((52..60).map(|n| RosterEntry { started_at: Some(1), ..listed(n) }));
-        let after = parts(&all);
-        let moved = before.iter().filter(|(w, group)| after[w] != **group).count();
-        assert_eq!(moved, 0, "the older ones stay where they are");
-    }
-
-    /// The group of node 0 is the same with 92 nodes and with 91; who may be asked for a slot is not.
-    #[test]
-    fn no_wish_goes_to_a_node_that_is_no_more() {
-        let mut share = Share::of(&Settings { nodes: 92, ..settings(0) });
-        share.regroup(&Settings { nodes: 91, ..settings(0) });
-        let mut acts = Vec::new();
-        (0..1_000).for_each(|luck| share.wish(ZoneId(0), luck, &mut acts));
-        assert!(acts.iter().all(|act| matches!(act, Action::Tell { to, .. } if *to < 91)), "{acts:?}");
-    }
-
-    #[test]
-    fn a_node_by_itself_or_without_messages_has_no_group() {
-        for set in [Settings { nodes: 1, ..settings(0) }, Settings { may_tell: false, ..settings(0) }] {
-            let mut share = Share::of(&set);
-            share.deal(&[listed(1)], &[]);
-            assert!(!share.on() && share.workers().next().is_none() && share.load(&listed(1), 0).is_none());
-        }
-    }
-}
