A worker that handed a job back by a call gets no second attempt of it

A worker tries each call-back until it is answered, and names the request and itself, not the attempt. The repeat of a first attempt's 'returned' was taken for the newest attempt at that worker: it counted as never run while it ran, and a third attempt went there beside it.

Outcome::HandedBack is apart from Full now: the job never ran, may be refused and goes elsewhere, but this worker is left out for it, so that 'returned' can mean one attempt only. It goes along in a handover. And a dispatch whose connection is closed for want of an answer is given up by DELETE only if it has not ended by then: the id is the request's.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -169,6 +169,20 @@
     started: Option<Micros>,
     /// It has ended and never ran.
     never_ran: bool,
+    /// Its worker handed it back by a call.
+    handed_back: bool,
+}
+
+impl Dispatch {
+    fn new(worker: WorkerId, at: Micros) -> Dispatch {
+        let (out, never_ran, handed_back) = (false, false, false);
+        Dispatch { worker, at, limit: None, out, started: None, never_ran, handed_back }
+    }
+
+    fn past(&self) -> Past {
+        let Dispatch { worker, at, out, started: running_since, never_ran, handed_back, .. } = *self;
+        Past { worker, at, out, running_since, never_ran, handed_back }
+    }
 }
 
 struct Session {
@@ -365,12 +379,11 @@
                 // It counts as a dispatch of this session: the module settles whether and where it may be sent again.
                 let at = Micros::try_from(i128::from(first.at) + self.unix_offset).unwrap_or(0).min(now);
                 let worker = self.servers.place(&first);
-                let past = Past { worker, at, out: false, running_since: None, never_ran: false };
+                let dispatch = Dispatch::new(worker, at);
+                self.events.push(Event::Adopted { new: job, since: now, past: vec![dispatch.past()] });
                 if let Some(session) = self.sessions.get_mut(&id) {
-                    let (limit, out, started, never_ran) = (None, false, None, false);
-                    session.dispatches.push(Dispatch { worker, at, limit, out, started, never_ran });
+                    session.dispatches.push(dispatch);
                 }
-                self.events.push(Event::Adopted { new: job, since: now, past: vec![past] });
             }
             Look::Unknown => self.events.push(Event::Arrived(job)),
         }
@@ -517,9 +530,10 @@
         self.events.push(Event::Peers(peers));
     }
 
-    /// The request's id of a session, as workers know it.
-    pub fn name(&self, id: SessionId) -> Option<&str> {
-        self.sessions.get(&id).map(|s| s.name.as_str())
+    /// The request's id, by which a dispatch can be given up: none where it has ended and there is nothing to give up.
+    pub fn name_of(&self, id: SessionId, dispatch: u32) -> Option<String> {
+        let session = self.sessions.get(&id)?;
+        session.dispatches.get(dispatch as usize).filter(|d| d.out).map(|_| session.name.clone())
     }
 
     fn class(&self, id: SessionId) -> Option<&Class> {
@@ -558,7 +572,10 @@
             let dispatches = &self.sessions.get(&id)?.dispatches;
             Some((id, dispatches.iter().rposition(|d| d.worker == worker)? as u32))
         });
-        let fresh = found.is_some_and(|(id, dispatch)| self.dispatch_news(now, id, dispatch, news, report));
+        let fresh = found.is_some_and(|(id, dispatch)| match news {
+            News::Returned => self.ended(now, id, dispatch, Fate::Without(Outcome::HandedBack), report),
+            news => self.dispatch_news(now, id, dispatch, news, report),
+        });
         self.stale_news += u64::from(!fresh);
         if let (false, Some(book)) = (fresh, &mut self.keys)
             && let Some((key, result)) = book.key_of(name).zip(result)
@@ -684,7 +701,7 @@
         }
         self.learners.ended(now, ticket(id, dispatch), outcome == Outcome::Ok);
         if let Some(this) = self.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(dispatch as usize)) {
-            this.never_ran = outcome.never_ran();
+            (this.never_ran, this.handed_back) = (outcome.never_ran(), outcome == Outcome::HandedBack);
         }
         self.tell_end(id, dispatch, worker, elapsed, outcome, report);
         true
@@ -883,14 +900,7 @@
         let attempt = session.dispatches.len() as u32;
         if !session.open {
             // The batch was fixed before its session ended: nothing goes out after a final answer.
-            session.dispatches.push(Dispatch {
-                worker,
-                at: now,
-                limit: None,
-                out: false,
-                started: None,
-                never_ran: true,
-            });
+            session.dispatches.push(Dispatch { never_ran: true, ..Dispatch::new(worker, now) });
             let (job, outcome) = (JobId(id), Outcome::Moot);
             let ended = Ended { job, attempt, worker, elapsed: 0, closed: true, outcome, report: None };
             return self.events.push(Event::Ended(ended));
@@ -902,14 +912,7 @@
         if let Some(at) = limit {
             self.deadlines.set(at, Deadline::Limit(id, dispatch));
         }
-        session.dispatches.push(Dispatch {
-            worker,
-            at: now,
-            limit,
-            out: true,
-            started: None,
-            never_ran: false,
-        });
+        session.dispatches.push(Dispatch { limit, out: true, ..Dispatch::new(worker, now) });
         if session.token.is_some() {
             let ticket = ticket(id, dispatch);
             self.unnoted.insert(ticket, (id, dispatch));
@@ -994,7 +997,8 @@
         let dispatch = |d: &Dispatch| {
             let worker = self.servers.get(d.worker)?.row.instance_id.clone();
             let (at, started) = (unix(d.at), d.started.map(unix));
-            Some(MovedDispatch { worker, at, started, out: d.out, never_ran: d.never_ran })
+            let (out, never_ran, handed_back) = (d.out, d.never_ran, d.handed_back);
+            Some(MovedDispatch { worker, at, started, out, never_ran, handed_back })
         };
         let moved = Moved {
             name: session.name.clone(),
@@ -1040,8 +1044,8 @@
         let tenant = moved.tenant.and_then(|t| self.names.0.tenants.find(&t)).map(|t| TenantId(t as u16));
         let dispatch = |d: &MovedDispatch| {
             let (worker, started) = (self.servers.find(&d.worker)?, d.started.map(here));
-            let (at, never_ran) = (here(d.at), d.never_ran);
-            Some(Dispatch { worker, at, limit: None, out: d.out, started, never_ran })
+            let (at, limit, never_ran, handed_back) = (here(d.at), None, d.never_ran, d.handed_back);
+            Some(Dispatch { worker, at, limit, out: d.out, started, never_ran, handed_back })
         };
         let dispatches: Vec<Dispatch> = moved.dispatches.iter().map(dispatch).collect::<Option<_>>()?;
         let id = self.next_session;
@@ -1063,14 +1067,7 @@
                 .and_then(|job| self.learners.estimate(&job)),
             worth: None,
         };
-        let past = |d: &Dispatch| Past {
-            worker: d.worker,
-            at: d.at,
-            out: d.out,
-            running_since: d.started,
-            never_ran: d.never_ran,
-        };
-        let past = dispatches.iter().map(past).collect();
+        let past = dispatches.iter().map(Dispatch::past).collect();
         self.events.push(Event::Adopted { new, since: arrived, past });
         self.by_name.insert(moved.name.clone(), id);
         self.deadlines.set(deadline, Deadline::Session(id));
--- a/src/core/moved.rs
+++ b/src/core/moved.rs
@@ -50,6 +50,9 @@
     pub out: bool,
     /// It has ended and never ran.
     pub never_ran: bool,
+    /// Its worker handed it back by a call.
+    #[serde(default)]
+    pub handed_back: bool,
 }
 
 /// What the module of one process has learned, with the names behind its numbers.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -416,6 +416,8 @@
     Error,
     /// Turned away unseen.
     Full,
+    /// Handed back unstarted, by a call that the worker may repeat: it may not be taken for the end of another attempt there.
+    HandedBack,
     /// No answer in time; it may have run.
     Timeout,
     /// No connection; it never ran.
@@ -431,7 +433,12 @@
 impl Outcome {
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+        self.turned_away() || matches!(self, Outcome::ConnectFailed | Outcome::Moot)
+    }
+
+    /// Whether the worker was reached and did not want it.
+    pub fn turned_away(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::HandedBack)
     }
 }
 
@@ -480,6 +487,8 @@
     pub running_since: Option<Micros>,
     /// It ended, and it is known that it never ran.
     pub never_ran: bool,
+    /// Its worker handed it back by a call.
+    pub handed_back: bool,
 }
 
 /// What is believed of a node.
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -486,12 +486,14 @@
             // The worker may have read it. Closing the connection gives it up, and the session goes on elsewhere
             // instead of being waited for until its deadline. Where an answer is lost or on its way, the worker has
             // taken it: then only being told stops it.
-            State::Awaiting(exchange @ Exchange::Dispatch { session, .. }) if conn.outbox.is_empty() => {
+            State::Awaiting(exchange @ Exchange::Dispatch { session, dispatch })
+                if conn.outbox.is_empty() =>
+            {
                 // That is no fault of the worker, whose other connections serve: it is not held against it. If its
                 // machine is gone, new connections to it will not come up, which is.
                 self.counts.untaken += 1;
                 self.note_broken(session);
-                let (worker, name) = (back.worker, self.core.name(session).map(str::to_owned));
+                let (worker, name) = (back.worker, self.core.name_of(session, dispatch));
                 self.exchange_failed(Some(token), worker, exchange, Outcome::Cancelled);
                 self.close(token, conn, Role::Back(back));
                 name.iter().for_each(|name| self.call_off(worker, name));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -218,7 +218,7 @@
 
     /// Whether a job may be sent (again) to this worker, by its class and by what may have run.
     fn may_send(&self, job: &Job, to: &RosterEntry) -> bool {
-        let mut risky = job.attempts.iter().filter(|a| a.state != State::NeverRan);
+        let mut risky = job.attempts.iter().filter(|a| !a.never_ran());
         if job.sent() >= self.set.max_attempts || (!self.set.second_copies && job.out() > 0) {
             return false;
         }
@@ -594,11 +594,11 @@
         let this = job.attempts.get_mut(attempt as usize).filter(|a| a.worker == worker);
         let Some(this) = this else { return };
         let ran_for = this.running_since.filter(|_| self.set.tells_start).map(|s| now.saturating_sub(s));
-        this.state = if outcome.never_ran() { State::NeverRan } else { State::MayHaveRun };
+        this.state = State::after(outcome);
         let (work, class, bounces) = (job.work, usize::from(job.new.class.0), job.bounces());
         self.m.returned(worker, id, attempt);
         let zone = self.m.worker(worker).known.map(|k| k.zone);
-        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+        if outcome.turned_away() || matches!(outcome, Outcome::Ok | Outcome::Error) {
             self.m.worker(worker).heard = now;
         }
         match outcome {
@@ -611,7 +611,7 @@
                 zone.map(|z| self.m.zones.remove(&z));
             }
             // A bounce is newer than any report: the worker is left alone for a window, without a strike.
-            Outcome::Full => self.m.worker(worker).trust.until = now + window,
+            Outcome::Full | Outcome::HandedBack => self.m.worker(worker).trust.until = now + window,
             Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
                 self.m.learn(worker, LONG_ANSWER);
                 self.strike(worker);
@@ -627,7 +627,7 @@
         } else if let Some(job) = self.m.jobs.get(&id).filter(|j| !j.closed) {
             let left = u64::from(self.set.max_attempts.saturating_sub(job.sent()));
             // Turned away again and again: the tries that are left are spread over the time that is left.
-            if bounces >= QUICK_TRIES && outcome == Outcome::Full && job.out() == 0 && left > 0 {
+            if bounces >= QUICK_TRIES && outcome.turned_away() && job.out() == 0 && left > 0 {
                 let until = now + self.latest_start(job).saturating_sub(now) / (left + 1);
                 self.m.jobs.entry(id).and_modify(|job| job.wait_until = until);
                 self.m.hold(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,10 +124,23 @@
 pub(crate) enum State {
     Out,
     Running,
+    /// Its worker may be tried again.
     NeverRan,
+    /// It never ran either, but the call that said so may come again, and names no attempt: its worker gets no other.
+    HandedBack,
     MayHaveRun,
 }
 
+impl State {
+    pub fn after(outcome: Outcome) -> State {
+        match outcome {
+            Outcome::HandedBack => State::HandedBack,
+            _ if outcome.never_ran() => State::NeverRan,
+            _ => State::MayHaveRun,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub worker: WorkerId,
@@ -146,6 +159,10 @@
     pub fn is_out(&self) -> bool {
         matches!(self.state, State::Out | State::Running)
     }
+
+    pub fn never_ran(&self) -> bool {
+        matches!(self.state, State::NeverRan | State::HandedBack)
+    }
 }
 
 #[derive(Debug)]
@@ -179,7 +196,7 @@
 
     /// Attempts that never ran.
     pub fn bounces(&self) -> usize {
-        self.attempts.iter().filter(|a| a.state == State::NeverRan).count()
+        self.attempts.iter().filter(|a| a.never_ran()).count()
     }
 
     pub fn newest_unstarted(&mut self) -> Option<&mut Attempt> {
@@ -321,6 +338,7 @@
             let state = match (past.out, running_since, past.never_ran) {
                 (true, None, _) => State::Out,
                 (true, Some(_), _) => State::Running,
+                (false, _, true) if past.handed_back => State::HandedBack,
                 (false, _, true) => State::NeverRan,
                 (false, _, false) => State::MayHaveRun,
             };
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -193,6 +193,19 @@
     assert!(!bench.core.may_write(bench.now, id, second, 0), "its client has left");
 }
 
+/// The call that hands a job back may come again: its worker gets no other attempt of it, whichever process goes on.
+#[test]
+fn what_was_handed_back_is_not_tried_again_there_after_a_handover() {
+    let mut bench = Bench::new(1);
+    let id = bench.arrive(1, 5_000 * MS).expect("new");
+    let (_, _, worker) = sent(&bench.pass(5 * MS))[0];
+    assert!(bench.news("job-1", worker, News::Returned));
+    bench.core.batch(bench.now);
+    let moved = carried(&bench.core.release(id).expect("it may go"));
+    bench.core.adopt(moved, 70).expect("its worker is known");
+    assert_eq!(sent(&bench.pass(2_000 * MS)), []);
+}
+
 #[test]
 fn a_silent_worker_costs_the_session_no_more_than_its_deadline() {
     let mut bench = Bench::new(1);
