A kept connection is looked at before it is used again, and rests after turning a job away

An answer that a worker says twice was read as the answer to the next request if that had been written by then: a second 503 with X-Unprocessed said 'never ran' of an attempt that ran, which was then sent again. Three things mend what can be told apart:

- Before a request is handed to a kept connection that is read: bytes or an end there mean that it is closed and another one used.
Until now only the turn's own events were seen.
- After an answer that turned a job away or failed it the connection rests for ConnectTimeoutMs before it goes back to the pool; a copy that comes meanwhile ends it.
- A success other than 202 or an event stream is no answer to a dispatch: the connection is closed and the worker told by DELETE, as it may have taken the job.
It was taken for an error.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -60,6 +60,8 @@
     /// When it was begun, and how long the last byte of a dispatch may be on its way.
     begun: Micros,
     way: Micros,
+    /// How long it rests before it is used again.
+    rest: Micros,
 }
 
 /// When a probe was sent.
@@ -69,9 +71,21 @@
 }
 
 impl Back {
-    /// Its worker, if it is idle.
+    /// Its worker, if it is idle and may be used.
     pub(super) fn idle_worker(&self) -> Option<WorkerId> {
-        matches!(self.state, State::Idle).then_some(self.worker)
+        (matches!(self.state, State::Idle) && self.rest == 0).then_some(self.worker)
+    }
+}
+
+/// Whether an answer may be that of an exchange. To a dispatch no success is answered but 202 and an event stream: another is what
+/// a probe or a cancel got before it, said twice.
+fn is_of(exchange: Exchange, head: &http::Response, conn: &Conn) -> bool {
+    let stream =
+        || head.fields.text(&conn.inbox, "content-type").unwrap_or("").trim_start().to_ascii_lowercase();
+    match (exchange, head.status) {
+        (Exchange::Dispatch { .. }, 200) => stream().starts_with("text/event-stream"),
+        (Exchange::Dispatch { .. }, status) => status == 202 || status >= 300,
+        _ => true,
     }
 }
 
@@ -87,6 +101,7 @@
             time: None,
             begun: self.now,
             way: 0,
+            rest: 0,
         };
         let Some(token) = self.add(conn, |_| Role::Back(back)) else { return };
         let Some((conn, Role::Back(back))) = self.take(token) else { return };
@@ -165,8 +180,10 @@
         let address = self.core.servers.get(worker).map(|s| s.address);
         while let Some(token) = self.pool.get_mut(&worker).filter(|_| !fresh).and_then(Vec::pop) {
             if let Some((mut conn, Role::Back(mut back))) = self.take(token) {
-                if back.address != address {
-                    self.close(token, conn, Role::Back(back)); // its worker has come back elsewhere
+                // Its worker has come back elsewhere, or has ended it, or has said what nobody asked for: whatever is here before
+                // a request cannot be its answer.
+                if back.address != address || conn.has_ended(1) || !conn.inbox.is_empty() {
+                    self.close(token, conn, Role::Back(back));
                     continue;
                 }
                 conn.outbox.push(pieces);
@@ -184,7 +201,8 @@
             conn.outbox.push(pieces);
             let (state, begun) = (State::Connecting(exchange), self.now);
             let unwritten = if is_dispatch { conn.outbox.len() } else { 0 };
-            let back = Back { worker, address, state, reused: false, unwritten, time, begun, way: 0 };
+            let back =
+                Back { worker, address, state, reused: false, unwritten, time, begun, way: 0, rest: 0 };
             self.add(conn, |_| Role::Back(back))
         });
         if token.is_none() {
@@ -243,7 +261,7 @@
             let end = conn.fill(most);
             let before = conn.inbox.len();
             if !self.back_read(token, &mut conn, &mut back) {
-                return self.back_broken(token, conn, back);
+                return self.back_spoilt(token, conn, back);
             }
             match end {
                 ReadEnd::Dry => return self.back_settle(token, conn, back),
@@ -264,8 +282,10 @@
                     match http::read_response(&conn.inbox) {
                         Ok(None) => return true,
                         Ok(Some(head)) if head.status == 100 => drop(conn.inbox.drain(..head.len)),
-                        Ok(Some(head)) => back.state = self.answered(conn, exchange, head),
-                        Err(_) => return false,
+                        Ok(Some(head)) if is_of(exchange, &head, conn) => {
+                            (back.state, back.rest) = self.answered(conn, exchange, head);
+                        }
+                        _ => return false,
                     }
                 }
                 State::Body { exchange, status, body, read, keep_alive } => {
@@ -302,15 +322,16 @@
         }
     }
 
-    /// The head of a worker's answer: what it says of a dispatch counts at once.
-    fn answered(&mut self, conn: &mut Conn, exchange: Exchange, head: http::Response) -> State {
+    /// The head of a worker's answer: what it says of a dispatch counts at once. With it, how long its connection is to rest: an
+    /// answer that turns a job away would turn away the next one too, were it said twice, so the second has time to come.
+    fn answered(&mut self, conn: &mut Conn, exchange: Exchange, head: http::Response) -> (State, Micros) {
         let text = |name| head.fields.text(&conn.inbox, name);
+        let mut rest = 0;
         if let Exchange::Dispatch { session, dispatch } = exchange {
-            let stream = text("content-type").unwrap_or("").trim_start().to_ascii_lowercase();
-            if head.status == 200 && stream.starts_with("text/event-stream") {
+            if head.status == 200 {
                 conn.inbox.drain(..head.len);
                 let (body, events) = (Body::new(head.framing), EventStream::default());
-                return State::Stream { session, dispatch, body, events };
+                return (State::Stream { session, dispatch, body, events }, 0);
             }
             self.dispatching.remove(&(session, dispatch));
             let unprocessed = text(names::UNPROCESSED) == Some("1");
@@ -320,6 +341,7 @@
                 _ => Some(Outcome::Error),
             };
             if let Some(outcome) = outcome {
+                rest = self.config.connect_timeout;
                 let report = platform::head_report(self.core.names(), &conn.inbox, &head.fields);
                 self.core.ended(self.now, session, dispatch, Fate::Without(outcome), report);
             }
@@ -327,7 +349,7 @@
         conn.inbox.drain(..head.len);
         let keep_alive = head.keep_alive && head.framing != Framing::Absent;
         let (status, body) = (head.status, Body::new(head.framing));
-        State::Body { exchange, status, body, read: Vec::new(), keep_alive }
+        (State::Body { exchange, status, body, read: Vec::new(), keep_alive }, rest)
     }
 
     fn echoed(&mut self, token: Token, status: u16, body: &[u8]) {
@@ -389,10 +411,12 @@
         }
         if matches!(back.state, State::Idle) {
             // Workers close connections idle for this long; a request written to one then ends as a reset.
-            let until = self.now + self.config.conn_idle / 2;
+            let idle_time = self.config.conn_idle / 2;
+            let rest = back.rest.min(idle_time / 2);
+            let until = self.now + if rest > 0 { rest } else { idle_time };
             self.set_timer(token, &mut conn, Some(until));
             let idle = self.pool.entry(back.worker).or_default();
-            if !idle.contains(&token) {
+            if rest == 0 && !idle.contains(&token) {
                 idle.push(token);
             }
         }
@@ -411,6 +435,20 @@
         self.back_broken(token, conn, back);
     }
 
+    /// The other side does not keep to the protocol. Where that was its answer to a dispatch it may have taken it, and then only
+    /// being told stops it.
+    fn back_spoilt(&mut self, token: Token, conn: Conn, back: Back) {
+        let told = match back.state {
+            State::Awaiting(Exchange::Dispatch { session, dispatch }) if conn.outbox.is_empty() => {
+                self.core.name_of(session, dispatch)
+            }
+            _ => None,
+        };
+        let worker = back.worker;
+        self.back_broken(token, conn, back);
+        told.iter().for_each(|name| self.call_off(worker, name));
+    }
+
     /// The connection is over; so is what it was used for.
     fn back_broken(&mut self, token: Token, conn: Conn, back: Back) {
         let written = conn.outbox.is_empty();
@@ -483,6 +521,10 @@
             }
         }
         match back.state {
+            State::Idle if back.rest > 0 => {
+                back.rest = 0;
+                self.back_settle(token, conn, back);
+            }
             // The worker may have read it. Closing the connection gives it up, and the session goes on elsewhere
             // instead of being waited for until its deadline. Where an answer is lost or on its way, the worker has
             // taken it: then only being told stops it.
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -7,6 +7,8 @@
 use std::net::{TcpListener, TcpStream};
 
 const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+const FULL: &str = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+const UP: &str = "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n";
 /// How long a worker may take for its first answer.
 const TAKE_MS: f64 = 1_000.0;
 
@@ -25,7 +27,14 @@
     }
 
     fn wire(&self) -> Wire {
-        let (stream, _) = self.0.accept().expect("a connection of the program");
+        self.0.set_nonblocking(true).expect("a socket option");
+        let mut stream = None;
+        until("a connection of the program", || {
+            stream = self.0.accept().ok();
+            stream.is_some()
+        });
+        let (stream, _) = stream.expect("a connection");
+        stream.set_nonblocking(false).expect("a socket option");
         stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
         Wire(stream)
     }
@@ -62,6 +71,30 @@
     client
 }
 
+/// Further clients, which the program has met.
+fn others(program: &Program, count: usize) -> Vec<TcpStream> {
+    let mut clients: Vec<TcpStream> = (0..count).map(|_| hand_in(program, UP)).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(read_reply(client).expect("an answer").status, 200));
+    clients
+}
+
+/// A client hands in a job, and the worker has read it.
+fn attempt(worker: &Worker, program: &Program, id: &str, extra: &str) -> (TcpStream, Wire) {
+    let client = hand_in(program, &job(id, "balance", "", extra));
+    let mut wire = worker.wire();
+    assert_eq!(wire.request(), Some(format!("POST /balance {id}")));
+    (client, wire)
+}
+
+/// Has all this happen in this order before the program sees any of it.
+fn in_one_turn(program: &Program, what: impl FnOnce()) {
+    program.signal("-STOP");
+    let stat = format!("/proc/{}/stat", program.pid());
+    until("it is held up", || std::fs::read_to_string(&stat).is_ok_and(|stat| stat.contains(") T ")));
+    what();
+    program.signal("-CONT");
+}
+
 /// Calls back.
 fn news(program: &Program, id: &str, state: &str) {
     let text = json!({"id": id, "from": "s-1", "state": state, "result": "x"}).to_string();
@@ -74,9 +107,7 @@
 #[test]
 fn what_has_ended_is_not_given_up() {
     let (worker, program) = Worker::start(|_| {});
-    let mut client = hand_in(&program, &job("a0", "balance", "", "X-Time-Left-Ms: 1500\r\n"));
-    let mut wire = worker.wire();
-    assert_eq!(wire.request().as_deref(), Some("POST /balance a0"));
+    let (mut client, mut wire) = attempt(&worker, &program, "a0", "X-Time-Left-Ms: 1500\r\n");
     news(&program, "a0", "returned");
     assert_eq!(wire.request(), None, "it is closed once it has had its time");
     assert_eq!(read_reply(&mut client).expect("an answer").status, 503);
@@ -100,9 +131,7 @@
     for (answer, state) in cases {
         let (worker, program) =
             Worker::start(|config| config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(300.0));
-        let mut client = hand_in(&program, &job("b0", "balance", "", "X-Time-Left-Ms: 900\r\n"));
-        let mut wire = worker.wire();
-        assert_eq!(wire.request().as_deref(), Some("POST /balance b0"));
+        let (mut client, mut wire) = attempt(&worker, &program, "b0", "X-Time-Left-Ms: 900\r\n");
         wire.say(answer);
         if !state.is_empty() {
             news(&program, "b0", state);
@@ -111,3 +140,67 @@
         assert_eq!(program.figures()["dispatches"], 1, "{answer}{state}");
     }
 }
+
+/// An answer that turned a job away is said a second time. Other clients bring so much at once that the program has not looked
+/// at that when it has the next job to send: it may not be read as the answer to that.
+#[test]
+fn bytes_that_were_there_before_a_request_are_not_its_answer() {
+    let (worker, program) = Worker::start(|_| {});
+    let (mut first, mut wire) = attempt(&worker, &program, "d0", "");
+    wire.say(TAKEN);
+    news(&program, "d0", "done");
+    assert_eq!(read_reply(&mut first).expect("an answer").status, 200);
+    let mut others = others(&program, 300);
+    in_one_turn(&program, || {
+        first.write_all(job("d1", "balance", "", "").as_bytes()).expect("written");
+        for other in &mut others {
+            other.write_all(UP.as_bytes()).expect("written");
+        }
+        wire.say(FULL);
+    });
+    assert_eq!(wire.request(), None, "it is of no more use");
+    let mut wire = worker.wire();
+    assert_eq!(wire.request().as_deref(), Some("POST /balance d1"));
+    wire.say(TAKEN);
+    news(&program, "d1", "done");
+    assert_eq!(read_reply(&mut first).expect("an answer").status, 200);
+    assert_eq!(program.figures()["dispatches"], 2);
+}
+
+/// The second answer has time to come before the connection of one that turned a job away is used again.
+#[test]
+fn a_connection_whose_answer_turned_a_job_away_rests() {
+    let (worker, program) = Worker::start(|_| {});
+    let (first, mut wire) = attempt(&worker, &program, "e0", "");
+    let mut clients = others(&program, 1);
+    clients.insert(0, first);
+    in_one_turn(&program, || {
+        clients[1].write_all(job("e1", "balance", "", "").as_bytes()).expect("written");
+        wire.say(FULL);
+    });
+    let mut other = worker.wire();
+    for n in [1, 0] {
+        assert_eq!(other.request(), Some(format!("POST /balance e{n}")));
+        other.say(TAKEN);
+        news(&program, &format!("e{n}"), "started");
+    }
+    wire.say(FULL);
+    assert_eq!(wire.request(), None, "what it said unasked ends it");
+    for (n, client) in clients.iter_mut().enumerate() {
+        news(&program, &format!("e{n}"), "done");
+        assert_eq!(read_reply(client).expect("an answer").status, 200);
+    }
+    assert_eq!(program.figures()["dispatches"], 3);
+}
+
+/// No dispatch is answered so: it is what was answered to something before it. The worker may have taken this one.
+#[test]
+fn an_answer_to_something_else_is_not_a_dispatchs() {
+    let (worker, program) = Worker::start(|_| {});
+    let (mut client, mut wire) = attempt(&worker, &program, "f0", "X-Time-Left-Ms: 1000\r\n");
+    wire.say("HTTP/1.1 204 No Content\r\n\r\n");
+    assert_eq!(wire.request(), None);
+    assert_eq!(worker.wire().request().as_deref(), Some("DELETE /jobs/f0"));
+    assert_eq!(read_reply(&mut client).expect("an answer").status, 503);
+    assert_eq!(program.figures()["dispatches"], 1);
+}
