A dispatch that never left counts as no attempt

withheld dispatches (told to stop, moved, the window of repeat over, no descriptor) used up Limits.MaxAttempts in the module: sent() was the number of attempts begun. It counts those that left now (State::NeverLeft is apart); their numbers are the attempts' places as before, so core and module stay in step, and a handover leaves out what never left.

Nothing bounds what does not leave any more, so from the second one on it waits a window, where the tries of a job that is turned away again and again are spread.

Without the change the two tests fail: on real connections, with MaxAttempts 1, the job whose connection came up after its worker was told to stop is refused with 503; in the module four of six dispatches leave. Without the wait all six go out at once.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -171,12 +171,14 @@
     never_ran: bool,
     /// Its worker handed it back by a call.
     handed_back: bool,
+    /// It has ended and never left.
+    withheld: bool,
 }
 
 impl Dispatch {
     fn new(worker: WorkerId, at: Micros) -> Dispatch {
-        let (out, never_ran, handed_back) = (false, false, false);
-        Dispatch { worker, at, limit: None, out, started: None, never_ran, handed_back }
+        let (out, never_ran, handed_back, withheld) = (false, false, false, false);
+        Dispatch { worker, at, limit: None, out, started: None, never_ran, handed_back, withheld }
     }
 
     fn past(&self) -> Past {
@@ -702,6 +704,7 @@
         self.learners.ended(now, ticket(id, dispatch), outcome == Outcome::Ok);
         if let Some(this) = self.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(dispatch as usize)) {
             (this.never_ran, this.handed_back) = (outcome.never_ran(), outcome == Outcome::HandedBack);
+            this.withheld = outcome == Outcome::Moot;
         }
         self.tell_end(id, dispatch, worker, elapsed, outcome, report);
         true
@@ -1013,7 +1016,13 @@
             repeat: session.new.repeat,
             told_started: session.told_started,
             token: session.token.clone(),
-            dispatches: session.dispatches.iter().map(dispatch).collect::<Option<_>>()?,
+            // What never left is no attempt there either, and both sides number them anew.
+            dispatches: session
+                .dispatches
+                .iter()
+                .filter(|d| !d.withheld)
+                .map(dispatch)
+                .collect::<Option<_>>()?,
         };
         let session = self.sessions.remove(&id)?;
         self.by_name.remove(&session.name);
@@ -1044,8 +1053,9 @@
         let tenant = moved.tenant.and_then(|t| self.names.0.tenants.find(&t)).map(|t| TenantId(t as u16));
         let dispatch = |d: &MovedDispatch| {
             let (worker, started) = (self.servers.find(&d.worker)?, d.started.map(here));
-            let (at, limit, never_ran, handed_back) = (here(d.at), None, d.never_ran, d.handed_back);
-            Some(Dispatch { worker, at, limit, out: d.out, started, never_ran, handed_back })
+            let (never_ran, handed_back) = (d.never_ran, d.handed_back);
+            let new = Dispatch::new(worker, here(d.at));
+            Some(Dispatch { out: d.out, started, never_ran, handed_back, ..new })
         };
         let dispatches: Vec<Dispatch> = moved.dispatches.iter().map(dispatch).collect::<Option<_>>()?;
         let id = self.next_session;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -426,7 +426,7 @@
     Reset,
     /// Called off; it may have run.
     Cancelled,
-    /// Never dispatched.
+    /// Never dispatched; it counts as no attempt.
     Moot,
 }
 
@@ -436,6 +436,11 @@
         self.turned_away() || matches!(self, Outcome::ConnectFailed | Outcome::Moot)
     }
 
+    /// Whether the same attempt may be welcome a little later, with nothing against its worker.
+    pub fn may_pass(self) -> bool {
+        self.turned_away() || self == Outcome::Moot
+    }
+
     /// Whether the worker was reached and did not want it.
     pub fn turned_away(self) -> bool {
         matches!(self, Outcome::Full | Outcome::HandedBack)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -309,8 +309,8 @@
                 let span = if slack > 0 { slack } else { left }.max(self.window());
                 let until = self.m.now + span / HOLD_LOOKS[usize::from(grouped)];
                 if let Some(job) = self.m.jobs.get_mut(&id).filter(|_| out == 0) {
-                    (job.wait_until, job.sample) = (until, Vec::new());
-                    self.m.hold(id);
+                    job.sample = Vec::new();
+                    self.m.hold(id, until);
                     self.m.share.wish(self.set.zone, self.rng.u32(..), acts);
                 }
                 self.alarm(id, until, acts);
@@ -382,7 +382,7 @@
             };
             kind.is_none_or(|k| k == known.kind)
                 && (crosses || known.zone == self.set.zone)
-                && !job.attempts.iter().any(|a| a.worker == *id && a.state != State::NeverRan)
+                && !job.attempts.iter().any(|a| a.worker == *id && a.bars())
                 && self.may_send(job, &known)
                 && self.warm_enough(self.m.at(*id), &known, job.work)
         });
@@ -532,7 +532,7 @@
     fn send(&mut self, id: JobId, to: WorkerId, rank: Rank, acts: &mut Vec<Action>) {
         let (now, window) = (self.m.now, self.set.fall_window);
         let Some(job) = self.m.jobs.get_mut(&id) else { return };
-        let (attempt, slots, work) = (job.sent(), job.new.slots, job.work);
+        let (attempt, slots, work) = (job.attempts.len() as u32, job.new.slots, job.work);
         job.attempts.push(Attempt::new(to, now, rank));
         self.m.count(to, work, window);
         self.m.grant(to, Out { job: id, attempt, at: now, slots, started: false });
@@ -626,11 +626,11 @@
             self.close(id, acts);
         } else if let Some(job) = self.m.jobs.get(&id).filter(|j| !j.closed) {
             let left = u64::from(self.set.max_attempts.saturating_sub(job.sent()));
-            // Turned away again and again: the tries that are left are spread over the time that is left.
-            if bounces >= QUICK_TRIES && outcome.turned_away() && job.out() == 0 && left > 0 {
-                let until = now + self.latest_start(job).saturating_sub(now) / (left + 1);
-                self.m.jobs.entry(id).and_modify(|job| job.wait_until = until);
-                self.m.hold(id);
+            // Turned away, or not let out, again and again: the tries left are spread over the time left.
+            if bounces >= QUICK_TRIES && outcome.may_pass() && job.out() == 0 && left > 0 {
+                let span = self.latest_start(job).saturating_sub(now) / (left + 1);
+                let until = now + if outcome == Outcome::Moot { span.max(window) } else { span };
+                self.m.hold(id, until);
                 self.alarm(id, until, acts);
             }
             self.review(id, acts);
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,8 @@
 pub(crate) enum State {
     Out,
     Running,
+    /// It never left this node, and counts as no attempt.
+    NeverLeft,
     /// Its worker may be tried again.
     NeverRan,
     /// It never ran either, but the call that said so may come again, and names no attempt: its worker gets no other.
@@ -134,6 +136,7 @@
 impl State {
     pub fn after(outcome: Outcome) -> State {
         match outcome {
+            Outcome::Moot => State::NeverLeft,
             Outcome::HandedBack => State::HandedBack,
             _ if outcome.never_ran() => State::NeverRan,
             _ => State::MayHaveRun,
@@ -161,7 +164,12 @@
     }
 
     pub fn never_ran(&self) -> bool {
-        matches!(self.state, State::NeverRan | State::HandedBack)
+        matches!(self.state, State::NeverLeft | State::NeverRan | State::HandedBack)
+    }
+
+    /// Whether its worker may not have another attempt of its job.
+    pub fn bars(&self) -> bool {
+        !matches!(self.state, State::NeverLeft | State::NeverRan)
     }
 }
 
@@ -186,8 +194,9 @@
         Job { new, arrived, work, attempts, sample, echoes_due: 0, wait_until: 0, closed: false }
     }
 
+    /// Attempts that left this node, or may.
     pub fn sent(&self) -> u32 {
-        self.attempts.len() as u32
+        self.attempts.iter().filter(|a| a.state != State::NeverLeft).count() as u32
     }
 
     pub fn out(&self) -> usize {
@@ -324,7 +333,9 @@
         (sum / f64::max(all, 1.0)).max(1.0)
     }
 
-    pub fn hold(&mut self, id: JobId) {
+    /// Lets a job wait here until then, unless room shows before.
+    pub fn hold(&mut self, id: JobId, until: Micros) {
+        self.jobs.entry(id).and_modify(|job| job.wait_until = until);
         if !self.held.contains(&id) {
             self.held.push(id);
         }
@@ -356,7 +367,7 @@
     pub fn never_left(&mut self, id: JobId, attempt: u32) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(this) = job.attempts.get_mut(attempt as usize) else { return };
-        this.state = State::NeverRan;
+        this.state = State::NeverLeft;
         let worker = this.worker;
         self.returned(worker, id, attempt);
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -31,6 +31,23 @@
     assert_eq!(sends(&node.pass(5_000 * MS)).len(), 1);
 }
 
+/// What never leaves is no attempt, however often: all of them are left, and are not spent in a rush either.
+#[test]
+fn a_dispatch_that_never_left_uses_up_no_attempt() {
+    let mut node = answers(Effect::SideEffect);
+    node.roster((0..8).map(worker).collect());
+    let mut sent = sends(&node.arrive(1, 0, 5_000 * MS));
+    let mut end = |outcome| {
+        let (attempt, to) = (sent.len() as u32 - 1, sent[sent.len() - 1].1);
+        let (now, later) = (sends(&node.end(1, attempt, to, outcome)), sends(&node.pass(150 * MS)));
+        sent.extend(now.iter().chain(&later));
+        (now.len(), later.len())
+    };
+    assert_eq!([0; 6].map(|_| end(Outcome::Moot)), [(1, 0), (0, 1), (0, 1), (0, 1), (0, 1), (0, 1)]);
+    let left = (0..200).map(|_| end(Outcome::Full)).map(|(now, later)| now + later).sum::<usize>();
+    assert_eq!(left + 1, Settings::default().max_attempts as usize, "one of them is out already");
+}
+
 /// Found on deploy days: jobs that any kind may run filled the one kind that others need.
 #[test]
 fn a_kind_that_others_need_is_spared() {
--- a/tests/first_byte.rs
+++ b/tests/first_byte.rs
@@ -80,7 +80,10 @@
 fn a_connection_that_comes_up_after_its_worker_was_told_to_stop_carries_nothing() {
     for case in ["draining", "unnamed", "elsewhere"] {
         let (late, node, back) = (Late::start(), Node::start("s-1"), Node::start("s-late"));
-        let (program, discovery) = only_late(&late, &[&node, &back], |_| {});
+        // What did not leave is no attempt: the only one is left for the other worker.
+        let (program, discovery) = only_late(&late, &[&node, &back], |config| {
+            config["settings"]["Limits"]["MaxAttempts"] = json!(1);
+        });
         let mut client = hand_in(&program, &job("a0", "redeem", "take started done=x", ""));
         until_tried(&late.listener);
         let (rows, server) = match case {
