A worker is told the time that is left when its attempt's first byte leaves

X-Time-Left-Ms was worded when the dispatch was decided; its connection may come up as much later as Limits.ConnectTimeoutMs says. The dispatch is worded at its first byte now, where it is settled as well whether it may still leave, and Command::Send carries no time any more: Core::left says it. A connection that comes up is waited for without anything to be written yet.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -100,7 +100,7 @@
 /// What the program round the core must do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
-    /// Begin a dispatch; `left` is how long its answer will be waited for.
+    /// Begin a dispatch; [`Core::left`] says how long its answer will be waited for.
     Send {
         /// The session.
         session: SessionId,
@@ -108,8 +108,6 @@
         dispatch: u32,
         /// To whom.
         worker: WorkerId,
-        /// How long the answer will be waited for.
-        left: Micros,
     },
     /// Note this of a keyed job: `None` forgets the key. Where a ticket comes with it, a dispatch waits:
     /// [`Core::noted`] lets it go, or says that it could not be noted.
@@ -469,14 +467,13 @@
     }
 
     /// Whether a dispatch could be noted: it leaves, or the module gives its job up.
-    pub fn noted(&mut self, now: Micros, ticket: u64, written: bool) {
+    pub fn noted(&mut self, ticket: u64, written: bool) {
         let Some((id, dispatch)) = self.unnoted.remove(&ticket) else { return };
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Some(this) = session.dispatches.get_mut(dispatch as usize).filter(|d| d.out) else { return };
         let worker = this.worker;
         if written && session.open {
-            let left = this.limit.unwrap_or(session.deadline).saturating_sub(now);
-            return self.commands.push_back(Command::Send { session: id, dispatch, worker, left });
+            return self.commands.push_back(Command::Send { session: id, dispatch, worker });
         }
         (this.out, this.never_ran) = (false, true);
         if let Some(at) = this.limit.take() {
@@ -542,6 +539,13 @@
         self.dispatcher.set.classes.get(usize::from(self.sessions.get(&id)?.new.class.0))
     }
 
+    /// How long the answer to a dispatch will be waited for from now on.
+    pub fn left(&self, now: Micros, id: SessionId, dispatch: u32) -> Micros {
+        let session = self.sessions.get(&id);
+        let until = session.and_then(|s| s.dispatches.get(dispatch as usize)?.limit.or(Some(s.deadline)));
+        until.map_or(0, |at| at.saturating_sub(now))
+    }
+
     /// How long a dispatch waits for its worker's first answer, where a connection may take `connect` to come up. `None`
     /// where it could not be sent again: then it is waited for until its deadline.
     pub fn take_time(&self, id: SessionId, connect: Micros) -> Option<Micros> {
@@ -921,8 +925,7 @@
             self.unnoted.insert(ticket, (id, dispatch));
             return self.note(now, id, Some(ticket), None);
         }
-        let left = limit.unwrap_or(session.deadline).saturating_sub(now);
-        self.commands.push_back(Command::Send { session: id, dispatch, worker, left });
+        self.commands.push_back(Command::Send { session: id, dispatch, worker });
     }
 
     /// Answers every open session as failed: it is past its deadline, and the process ends.
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -53,8 +53,8 @@
     state: State,
     /// It has carried an exchange before.
     reused: bool,
-    /// The length of its dispatch while the last byte is not written, else 0.
-    unwritten: usize,
+    /// The length of its dispatch while the last byte is not written; 0 before it is worded.
+    unwritten: Option<usize>,
     /// How long its exchange's first answer may take; a dispatch's deadline ends it in any case.
     time: Option<Micros>,
     /// When it was begun, and how long the last byte of a dispatch may be on its way.
@@ -97,7 +97,7 @@
             address: conn.stream.peer_addr().ok(),
             state: State::Idle,
             reused: true,
-            unwritten: 0,
+            unwritten: None,
             time: None,
             begun: self.now,
             way: 0,
@@ -113,17 +113,16 @@
         }
     }
 
-    pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId, left: Micros) {
+    pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId) {
         if self.looked.is_old(self.reading()) {
             self.client_left(session);
         }
-        let Some(raw) = self.requests.get(&session) else {
+        if !self.requests.contains_key(&session) {
             // Its client left in the meantime: nothing goes out any more, which shows nothing of the worker.
             let fate = Fate::Without(Outcome::Moot);
             self.core.ended(self.now, session, dispatch, fate, None);
             return;
-        };
-        let pieces = platform::dispatch(raw, left);
+        }
         self.counts.dispatches += 1;
         let exchange = Exchange::Dispatch { session, dispatch };
         // A session has few attempts: once a kept connection has cost it one, the others go out on new ones.
@@ -131,7 +130,8 @@
         // A worker answers as soon as it has read: one that says nothing for as long as its machine may take to answer
         // a connection has one that fell silent, and no reset comes. What could not be sent again is waited for.
         let time = self.core.take_time(session, self.config.connect_timeout);
-        if let Some(token) = self.exchange(worker, exchange, time, pieces, fresh) {
+        // It is worded at its first byte.
+        if let Some(token) = self.exchange(worker, exchange, time, Vec::new(), fresh) {
             self.dispatching.insert((session, dispatch), token);
             self.back_start(token);
         }
@@ -189,7 +189,7 @@
                 conn.outbox.push(pieces);
                 (back.state, back.reused) = (State::Awaiting(exchange), true);
                 (back.time, back.way) = (time, 0);
-                back.unwritten = if is_dispatch { conn.outbox.len() } else { 0 };
+                back.unwritten = is_dispatch.then_some(0);
                 self.put(token, conn, Role::Back(back));
                 return Some(token);
             }
@@ -200,7 +200,7 @@
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(pieces);
             let (state, begun) = (State::Connecting(exchange), self.now);
-            let unwritten = if is_dispatch { conn.outbox.len() } else { 0 };
+            let unwritten = is_dispatch.then_some(0);
             let back =
                 Back { worker, address, state, reused: false, unwritten, time, begun, way: 0, rest: 0 };
             self.add(conn, |_| Role::Back(back))
@@ -225,7 +225,7 @@
         self.set_timer(token, &mut conn, time.map(|t| self.now + t));
         if matches!(back.state, State::Connecting(_)) {
             // Writable once it is up; the message waits until then.
-            self.watch_for(token, &mut conn, true);
+            self.watch_both(token, &mut conn, true, true);
             return self.put(token, conn, Role::Back(back));
         }
         self.back_settle(token, conn, back);
@@ -373,10 +373,10 @@
     /// Writes what it can, and counts a dispatch at its last byte. Here alone bytes of a dispatch leave, so here it is
     /// settled whether they still may. False if the connection is of no more use.
     fn back_flush(&mut self, token: Token, conn: &mut Conn, back: &mut Back) -> bool {
-        if back.unwritten > 0
+        if let Some(worded) = back.unwritten
             && let State::Awaiting(exchange @ Exchange::Dispatch { session, dispatch }) = back.state
         {
-            let begun = conn.outbox.len() < back.unwritten;
+            let begun = conn.outbox.len() < worded;
             self.clock(); // a turn may be long, and the last bytes of it late
             let server = self.core.servers.get(back.worker);
             let usable = server.is_some_and(|s| s.stopped.is_none() && back.address == Some(s.address));
@@ -385,14 +385,20 @@
                 // Its last byte has not left, so it never ran, and nobody is to blame. Nothing of it has: then the
                 // connection can carry another one.
                 conn.outbox.clear();
-                (back.state, back.unwritten) = (State::Idle, 0);
+                (back.state, back.unwritten) = (State::Idle, None);
                 self.counts.withheld += 1;
                 self.exchange_failed(Some(token), back.worker, exchange, Outcome::Moot);
                 return usable && !begun;
             }
+            if let Some(raw) = self.requests.get(&session).filter(|_| !begun) {
+                // What its worker is told is left to the client is so now; its connection may have been long in coming.
+                conn.outbox.clear();
+                conn.outbox.push(platform::dispatch(raw, self.core.left(self.now, session, dispatch)));
+                back.unwritten = Some(conn.outbox.len());
+            }
         }
         let whole = conn.flush();
-        if whole && conn.outbox.is_empty() && std::mem::take(&mut back.unwritten) > 0 {
+        if whole && conn.outbox.is_empty() && back.unwritten.take().is_some() {
             self.counts.dispatches_written += 1;
         }
         whole
@@ -416,7 +422,7 @@
             let until = self.now + if rest > 0 { rest } else { idle_time };
             self.set_timer(token, &mut conn, Some(until));
             let idle = self.pool.entry(back.worker).or_default();
-            if rest == 0 && !idle.contains(&token) {
+            if rest == 0 && conn.outbox.is_empty() && !idle.contains(&token) {
                 idle.push(token);
             }
         }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -340,7 +340,7 @@
             Note::Write { ticket, key, kept } => {
                 self.note_for_elder(ticket, &key, kept.then(|| bytes.to_vec()))
             }
-            Note::Written { ticket, written } => self.core.noted(self.now, ticket, written),
+            Note::Written { ticket, written } => self.core.noted(ticket, written),
             Note::Hello | Note::Listeners { .. } => self.counts.rejects += 1,
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -490,9 +490,7 @@
     fn run_commands(&mut self) {
         while let Some(command) = self.core.next_command() {
             match command {
-                Command::Send { session, dispatch, worker, left } => {
-                    self.dispatch(session, dispatch, worker, left);
-                }
+                Command::Send { session, dispatch, worker } => self.dispatch(session, dispatch, worker),
                 Command::Note { ticket, key, note } => self.note(ticket, key, note),
                 Command::GiveUp { session, dispatch, worker, name } => {
                     self.give_up(session, dispatch, worker, &name);
@@ -605,11 +603,16 @@
         conn.timer = at;
     }
 
-    /// Tells epoll what to watch a connection for.
+    /// Tells epoll what to watch a connection for; for room to write where there is something to be written.
     fn watch_for(&mut self, token: Token, conn: &mut Conn, read: bool) {
+        let write = !conn.outbox.is_empty();
+        self.watch_both(token, conn, read, write);
+    }
+
+    fn watch_both(&mut self, token: Token, conn: &mut Conn, read: bool, write: bool) {
         let mut flags = EventFlags::RDHUP;
         flags.set(EventFlags::IN, read);
-        flags.set(EventFlags::OUT, !conn.outbox.is_empty());
+        flags.set(EventFlags::OUT, write);
         if flags != conn.interest {
             let changed = epoll::modify(&self.epoll, &conn.stream, EventData::new_u64(token.0), flags);
             invariant!(changed.is_ok(), "epoll does not know a connection");
--- a/src/net/notes.rs
+++ b/src/net/notes.rs
@@ -174,7 +174,7 @@
             if !self.send_twin(&word, &[bytes])
                 && let Some(ticket) = ticket
             {
-                self.core.noted(self.now, ticket, false);
+                self.core.noted(ticket, false);
             }
             return;
         }
@@ -201,7 +201,7 @@
                     let ticket = ticket - ELDERS;
                     self.send_twin(&Note::Written { ticket, written: result.is_ok() }, &[]);
                 }
-                Some(ticket) => self.core.noted(self.now, ticket, result.is_ok()),
+                Some(ticket) => self.core.noted(ticket, result.is_ok()),
                 None => {}
             }
         }
@@ -222,7 +222,7 @@
     /// The process that was to note these has ended.
     pub(super) fn notes_back(&mut self) {
         for ticket in self.core.waiting_notes() {
-            self.core.noted(self.now, ticket, false);
+            self.core.noted(ticket, false);
         }
     }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -449,7 +449,7 @@
     assert_eq!(sent(&commands), [], "it left before it was noted");
     let tickets = enter(&mut notes, &commands);
     assert_eq!(tickets.len(), 1);
-    bench.core.noted(bench.now, tickets[0], true);
+    bench.core.noted(tickets[0], true);
     let sends = sent(&bench.pass(MS));
     assert_eq!(sends.len(), 1);
     (bench, notes, sends[0].2)
@@ -470,7 +470,7 @@
     bench.core.keep_keys(bench.now, std::iter::empty(), true);
     let id = bench.arrive_keyed("r-1", "k", 5).expect("new");
     let tickets = enter(&mut BTreeMap::new(), &bench.pass(5 * MS));
-    bench.core.noted(bench.now, tickets[0], false);
+    bench.core.noted(tickets[0], false);
     let commands = bench.pass(5 * MS);
     assert_eq!(sent(&commands), []);
     // Nothing of it may have run: it may be turned away.
@@ -489,7 +489,7 @@
         let commands = next.pass(5 * MS);
         let tickets = enter(&mut notes.clone(), &commands);
         if may_go {
-            next.core.noted(next.now, tickets[0], true);
+            next.core.noted(tickets[0], true);
             let to = sent(&next.pass(MS))[0].2;
             assert_eq!(to.0 / 2, worker.0 / 2, "it went to another pod, {later} ms later");
         } else {
--- a/tests/first_byte.rs
+++ b/tests/first_byte.rs
@@ -121,6 +121,22 @@
     assert_eq!(figures["withheld"], 1);
 }
 
+/// What its worker is told is left to the client is so when the bytes leave: the time that its connection took is over.
+#[test]
+fn a_connection_that_comes_up_late_tells_what_is_left_then() {
+    let late = Late::start();
+    let (program, _discovery) = only_late(&late, &[], |_| {});
+    let _client = hand_in(&program, &job("e0", "balance", "", "X-Time-Left-Ms: 2500\r\n"));
+    until_tried(&late.listener);
+    let tried = Instant::now();
+    until("some of its time is over", || tried.elapsed() > Duration::from_millis(500));
+    let (seen, _) = late.written(program);
+    let told = seen
+        .lines()
+        .find_map(|line| line.to_ascii_lowercase().strip_prefix("x-time-left-ms: ")?.parse::<u64>().ok());
+    assert!(told.is_some_and(|told| told > 0 && told <= 2_000), "told {told:?} of 2500 ms, 500 ms later");
+}
+
 /// An attempt may have run, and the window in which its repeat is dropped ends while the next one's connection is on its way.
 #[test]
 fn a_connection_that_comes_up_after_the_window_of_repeat_carries_nothing() {
