--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -114,8 +114,8 @@
     assert_eq!((program.figures()["connects"], wire.request()), (1, None));
 }
 
-/// However an attempt ends that its worker may have taken, it gets no other of that request, also where copies are allowed and there
-/// is no other worker.
+/// However an attempt ends that its worker may have taken, it gets no other of that request, also where copies are allowed and
+/// there is no other worker.
 #[test]
 fn what_a_worker_may_have_taken_is_not_tried_again_there() {
     // What was handed back by a call never ran, but that call may come again, when it could be taken for the next attempt's.
