Random lives of sessions send nothing to a worker that may have an attempt already

The property test of the core's answers knows now which worker may have which session: from a dispatch until its first end says that it never ran, in a way nothing repeats. Calls that hand a job back come at any time and again.

--- a/tests/core.rs
+++ b/tests/core.rs
@@ -6,7 +6,7 @@
 use mothproxy_stand_ins::site;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Micros = 1_000;
 
@@ -303,17 +303,19 @@
     assert_eq!((bench.core.ledger.failed, bench.core.ledger.open()), (5, 0));
 }
 
-/// Random lives of sessions: each gets exactly one entry and one answer at most, and nothing goes out after it.
+/// Random lives of sessions: each gets exactly one entry and one answer at most, and nothing goes out after it. Nor does anything
+/// to a worker that may have an attempt of it, whatever that says again.
 #[test]
 fn each_session_gets_exactly_one_final_answer() {
     for seed in 0..150 {
         let g = &mut Gen::from_size_and_seed(32, seed);
         let mut bench = Bench::new(3);
         let mut out: Vec<(u64, u32, WorkerId)> = Vec::new();
-        let mut answered = std::collections::BTreeMap::<u64, u32>::new();
+        let mut answered = BTreeMap::<u64, u32>::new();
         let mut gone = Vec::new();
+        let mut with = BTreeSet::new();
         for _ in 0..80 {
-            match u8::arbitrary(g) % 8 {
+            match u8::arbitrary(g) % 9 {
                 0..=2 => drop(bench.arrive(u16::from(bool::arbitrary(g)), 400 * MS)),
                 3 if bench.next > 0 => {
                     let id = u64::arbitrary(g) % bench.next;
@@ -321,13 +323,21 @@
                     gone.push(id);
                 }
                 4 | 5 if !out.is_empty() => {
-                    let (id, dispatch, _) = out[usize::arbitrary(g) % out.len()];
-                    let outcomes = [Outcome::Full, Outcome::Reset, Outcome::ConnectFailed, Outcome::Error];
+                    let (id, dispatch, worker) = out[usize::arbitrary(g) % out.len()];
+                    let free = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot];
+                    let outcomes = [&free[..], &[Outcome::Reset, Outcome::Error]].concat();
                     let fate = match g.choose(&outcomes) {
                         Some(outcome) if bool::arbitrary(g) => Fate::Without(*outcome),
                         _ => Fate::Done(Vec::new()),
                     };
-                    bench.core.ended(bench.now, id, dispatch, fate, None);
+                    let never = matches!(fate, Fate::Without(outcome) if free.contains(&outcome));
+                    if bench.core.ended(bench.now, id, dispatch, fate, None) && never {
+                        with.remove(&(id, worker));
+                    }
+                }
+                7 if !out.is_empty() => {
+                    let (id, _, worker) = out[usize::arbitrary(g) % out.len()];
+                    bench.news(&format!("job-{}", id + 1), worker, News::Returned);
                 }
                 6 if !out.is_empty() => {
                     let (id, dispatch, _) = out[usize::arbitrary(g) % out.len()];
@@ -336,10 +346,10 @@
                 _ => {}
             }
             let all = bench.pass(u64::from(u8::arbitrary(g)) * MS);
-            check(&all, &mut out, &mut answered);
+            check(&all, &mut out, &mut with, &mut answered);
         }
         let all = bench.pass(1_000 * MS);
-        check(&all, &mut out, &mut answered);
+        check(&all, &mut out, &mut with, &mut answered);
         let ledger = bench.core.ledger;
         assert_eq!((ledger.taken, ledger.open()), (bench.next, 0), "seed {seed}: {ledger:?}");
         assert!(answered.values().all(|n| *n == 1), "seed {seed}");
@@ -350,12 +360,14 @@
 fn check(
     all: &[Command],
     out: &mut Vec<(u64, u32, WorkerId)>,
-    answered: &mut std::collections::BTreeMap<u64, u32>,
+    with: &mut BTreeSet<(u64, WorkerId)>,
+    answered: &mut BTreeMap<u64, u32>,
 ) {
     for command in all {
         match command {
             Command::Send { session, dispatch, worker, .. } => {
                 assert!(!answered.contains_key(session), "sent after its final answer");
+                assert!(with.insert((*session, *worker)), "a second attempt where the first may be");
                 out.push((*session, *dispatch, *worker));
             }
             Command::Answer { session, .. } => *answered.entry(*session).or_default() += 1,
