--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -53,13 +53,15 @@
     state: State,
     /// It has carried an exchange before.
     reused: bool,
-    /// The length of its dispatch while the last byte is not written, else 0.
-    unwritten: usize,
+    /// The length of its dispatch while the last byte is not written; 0 before it is worded.
+    unwritten: Option<usize>,
     /// How long its exchange's first answer may take; a dispatch's deadline ends it in any case.
     time: Option<Micros>,
     /// When it was begun, and how long the last byte of a dispatch may be on its way.
     begun: Micros,
     way: Micros,
+    /// How long it rests before it is used again.
+    rest: Micros,
 }
 
 /// When a probe was sent.
@@ -69,9 +71,21 @@
 }
 
 impl Back {
-    /// Its worker, if it is idle.
+    /// Its worker, if it is idle and may be used.
     pub(super) fn idle_worker(&self) -> Option<WorkerId> {
-        matches!(self.state, State::Idle).then_some(self.worker)
+        (matches!(self.state, State::Idle) && self.rest == 0).then_some(self.worker)
+    }
+}
+
+/// Whether an answer may be that of an exchange. To a dispatch no success is answered but 202 and an event stream: another is what
+/// a probe or a cancel got before it, said twice.
+fn is_of(exchange: Exchange, head: &http::Response, conn: &Conn) -> bool {
+    let stream =
+        || head.fields.text(&conn.inbox, "content-type").unwrap_or("").trim_start().to_ascii_lowercase();
+    match (exchange, head.status) {
+        (Exchange::Dispatch { .. }, 200) => stream().starts_with("text/event-stream"),
+        (Exchange::Dispatch { .. }, status) => status == 202 || status >= 300,
+        _ => true,
     }
 }
 
@@ -83,10 +97,11 @@
             address: conn.stream.peer_addr().ok(),
             state: State::Idle,
             reused: true,
-            unwritten: 0,
+            unwritten: None,
             time: None,
             begun: self.now,
             way: 0,
+            rest: 0,
         };
         let Some(token) = self.add(conn, |_| Role::Back(back)) else { return };
         let Some((conn, Role::Back(back))) = self.take(token) else { return };
@@ -98,17 +113,16 @@
         }
     }
 
-    pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId, left: Micros) {
+    pub(super) fn dispatch(&mut self, session: SessionId, dispatch: u32, worker: WorkerId) {
         if self.looked.is_old(self.reading()) {
             self.client_left(session);
         }
-        let Some(raw) = self.requests.get(&session) else {
+        if !self.requests.contains_key(&session) {
             // Its client left in the meantime: nothing goes out any more, which shows nothing of the worker.
             let fate = Fate::Without(Outcome::Moot);
             self.core.ended(self.now, session, dispatch, fate, None);
             return;
-        };
-        let pieces = platform::dispatch(raw, left);
+        }
         self.counts.dispatches += 1;
         let exchange = Exchange::Dispatch { session, dispatch };
         // A session has few attempts: once a kept connection has cost it one, the others go out on new ones.
@@ -116,7 +130,8 @@
         // A worker answers as soon as it has read: one that says nothing for as long as its machine may take to answer
         // a connection has one that fell silent, and no reset comes. What could not be sent again is waited for.
         let time = self.core.take_time(session, self.config.connect_timeout);
-        if let Some(token) = self.exchange(worker, exchange, time, pieces, fresh) {
+        // It is worded at its first byte.
+        if let Some(token) = self.exchange(worker, exchange, time, Vec::new(), fresh) {
             self.dispatching.insert((session, dispatch), token);
             self.back_start(token);
         }
@@ -165,14 +180,16 @@
         let address = self.core.servers.get(worker).map(|s| s.address);
         while let Some(token) = self.pool.get_mut(&worker).filter(|_| !fresh).and_then(Vec::pop) {
             if let Some((mut conn, Role::Back(mut back))) = self.take(token) {
-                if back.address != address {
-                    self.close(token, conn, Role::Back(back)); // its worker has come back elsewhere
+                // Its worker has come back elsewhere, or has ended it, or has said what nobody asked for: whatever is here before
+                // a request cannot be its answer.
+                if back.address != address || conn.has_ended(1) || !conn.inbox.is_empty() {
+                    self.close(token, conn, Role::Back(back));
                     continue;
                 }
                 conn.outbox.push(pieces);
                 (back.state, back.reused) = (State::Awaiting(exchange), true);
                 (back.time, back.way) = (time, 0);
-                back.unwritten = if is_dispatch { conn.outbox.len() } else { 0 };
+                back.unwritten = is_dispatch.then_some(0);
                 self.put(token, conn, Role::Back(back));
                 return Some(token);
             }
@@ -183,8 +200,9 @@
         let token = conn.and_then(|mut conn| {
             conn.outbox.push(pieces);
             let (state, begun) = (State::Connecting(exchange), self.now);
-            let unwritten = if is_dispatch { conn.outbox.len() } else { 0 };
-            let back = Back { worker, address, state, reused: false, unwritten, time, begun, way: 0 };
+            let unwritten = is_dispatch.then_some(0);
+            let back =
+                Back { worker, address, state, reused: false, unwritten, time, begun, way: 0, rest: 0 };
             self.add(conn, |_| Role::Back(back))
         });
         if token.is_none() {
@@ -207,7 +225,7 @@
         self.set_timer(token, &mut conn, time.map(|t| self.now + t));
         if matches!(back.state, State::Connecting(_)) {
             // Writable once it is up; the message waits until then.
-            self.watch_for(token, &mut conn, true);
+            self.watch_both(token, &mut conn, true, true);
             return self.put(token, conn, Role::Back(back));
         }
         self.back_settle(token, conn, back);
@@ -243,7 +261,7 @@
             let end = conn.fill(most);
             let before = conn.inbox.len();
             if !self.back_read(token, &mut conn, &mut back) {
-                return self.back_broken(token, conn, back);
+                return self.back_spoilt(token, conn, back);
             }
             match end {
                 ReadEnd::Dry => return self.back_settle(token, conn, back),
@@ -264,8 +282,10 @@
                     match http::read_response(&conn.inbox) {
                         Ok(None) => return true,
                         Ok(Some(head)) if head.status == 100 => drop(conn.inbox.drain(..head.len)),
-                        Ok(Some(head)) => back.state = self.answered(conn, exchange, head),
-                        Err(_) => return false,
+                        Ok(Some(head)) if is_of(exchange, &head, conn) => {
+                            (back.state, back.rest) = self.answered(conn, exchange, head);
+                        }
+                        _ => return false,
                     }
                 }
                 State::Body { exchange, status, body, read, keep_alive } => {
@@ -302,15 +322,16 @@
         }
     }
 
-    /// The head of a worker's answer: what it says of a dispatch counts at once.
-    fn answered(&mut self, conn: &mut Conn, exchange: Exchange, head: http::Response) -> State {
+    /// The head of a worker's answer: what it says of a dispatch counts at once. With it, how long its connection is to rest: an
+    /// answer that turns a job away would turn away the next one too, were it said twice, so the second has time to come.
+    fn answered(&mut self, conn: &mut Conn, exchange: Exchange, head: http::Response) -> (State, Micros) {
         let text = |name| head.fields.text(&conn.inbox, name);
+        let mut rest = 0;
         if let Exchange::Dispatch { session, dispatch } = exchange {
-            let stream = text("content-type").unwrap_or("").trim_start().to_ascii_lowercase();
-            if head.status == 200 && stream.starts_with("text/event-stream") {
+            if head.status == 200 {
                 conn.inbox.drain(..head.len);
                 let (body, events) = (Body::new(head.framing), EventStream::default());
-                return State::Stream { session, dispatch, body, events };
+                return (State::Stream { session, dispatch, body, events }, 0);
             }
             self.dispatching.remove(&(session, dispatch));
             let unprocessed = text(names::UNPROCESSED) == Some("1");
@@ -320,6 +341,7 @@
                 _ => Some(Outcome::Error),
             };
             if let Some(outcome) = outcome {
+                rest = self.config.connect_timeout;
                 let report = platform::head_report(self.core.names(), &conn.inbox, &head.fields);
                 self.core.ended(self.now, session, dispatch, Fate::Without(outcome), report);
             }
@@ -327,7 +349,7 @@
         conn.inbox.drain(..head.len);
         let keep_alive = head.keep_alive && head.framing != Framing::Absent;
         let (status, body) = (head.status, Body::new(head.framing));
-        State::Body { exchange, status, body, read: Vec::new(), keep_alive }
+        (State::Body { exchange, status, body, read: Vec::new(), keep_alive }, rest)
     }
 
     fn echoed(&mut self, token: Token, status: u16, body: &[u8]) {
@@ -351,10 +373,10 @@
     /// Writes what it can, and counts a dispatch at its last byte. Here alone bytes of a dispatch leave, so here it is
     /// settled whether they still may. False if the connection is of no more use.
     fn back_flush(&mut self, token: Token, conn: &mut Conn, back: &mut Back) -> bool {
-        if back.unwritten > 0
+        if let Some(worded) = back.unwritten
             && let State::Awaiting(exchange @ Exchange::Dispatch { session, dispatch }) = back.state
         {
-            let begun = conn.outbox.len() < back.unwritten;
+            let begun = conn.outbox.len() < worded;
             self.clock(); // a turn may be long, and the last bytes of it late
             let server = self.core.servers.get(back.worker);
             let usable = server.is_some_and(|s| s.stopped.is_none() && back.address == Some(s.address));
@@ -363,14 +385,20 @@
                 // Its last byte has not left, so it never ran, and nobody is to blame. Nothing of it has: then the
                 // connection can carry another one.
                 conn.outbox.clear();
-                (back.state, back.unwritten) = (State::Idle, 0);
+                (back.state, back.unwritten) = (State::Idle, None);
                 self.counts.withheld += 1;
                 self.exchange_failed(Some(token), back.worker, exchange, Outcome::Moot);
                 return usable && !begun;
             }
+            if let Some(raw) = self.requests.get(&session).filter(|_| !begun) {
+                // What its worker is told is left to the client is so now; its connection may have been long in coming.
+                conn.outbox.clear();
+                conn.outbox.push(platform::dispatch(raw, self.core.left(self.now, session, dispatch)));
+                back.unwritten = Some(conn.outbox.len());
+            }
         }
         let whole = conn.flush();
-        if whole && conn.outbox.is_empty() && std::mem::take(&mut back.unwritten) > 0 {
+        if whole && conn.outbox.is_empty() && back.unwritten.take().is_some() {
             self.counts.dispatches_written += 1;
         }
         whole
@@ -389,10 +417,12 @@
         }
         if matches!(back.state, State::Idle) {
             // Workers close connections idle for this long; a request written to one then ends as a reset.
-            let until = self.now + self.config.conn_idle / 2;
+            let idle_time = self.config.conn_idle / 2;
+            let rest = back.rest.min(idle_time / 2);
+            let until = self.now + if rest > 0 { rest } else { idle_time };
             self.set_timer(token, &mut conn, Some(until));
             let idle = self.pool.entry(back.worker).or_default();
-            if !idle.contains(&token) {
+            if rest == 0 && conn.outbox.is_empty() && !idle.contains(&token) {
                 idle.push(token);
             }
         }
@@ -411,6 +441,20 @@
         self.back_broken(token, conn, back);
     }
 
+    /// The other side does not keep to the protocol. Where that was its answer to a dispatch it may have taken it, and then only
+    /// being told stops it.
+    fn back_spoilt(&mut self, token: Token, conn: Conn, back: Back) {
+        let told = match back.state {
+            State::Awaiting(Exchange::Dispatch { session, dispatch }) if conn.outbox.is_empty() => {
+                self.core.name_of(session, dispatch)
+            }
+            _ => None,
+        };
+        let worker = back.worker;
+        self.back_broken(token, conn, back);
+        told.iter().for_each(|name| self.call_off(worker, name));
+    }
+
     /// The connection is over; so is what it was used for.
     fn back_broken(&mut self, token: Token, conn: Conn, back: Back) {
         let written = conn.outbox.is_empty();
@@ -483,15 +527,21 @@
             }
         }
         match back.state {
+            State::Idle if back.rest > 0 => {
+                back.rest = 0;
+                self.back_settle(token, conn, back);
+            }
             // The worker may have read it. Closing the connection gives it up, and the session goes on elsewhere
             // instead of being waited for until its deadline. Where an answer is lost or on its way, the worker has
             // taken it: then only being told stops it.
-            State::Awaiting(exchange @ Exchange::Dispatch { session, .. }) if conn.outbox.is_empty() => {
+            State::Awaiting(exchange @ Exchange::Dispatch { session, dispatch })
+                if conn.outbox.is_empty() =>
+            {
                 // That is no fault of the worker, whose other connections serve: it is not held against it. If its
                 // machine is gone, new connections to it will not come up, which is.
                 self.counts.untaken += 1;
                 self.note_broken(session);
-                let (worker, name) = (back.worker, self.core.name(session).map(str::to_owned));
+                let (worker, name) = (back.worker, self.core.name_of(session, dispatch));
                 self.exchange_failed(Some(token), worker, exchange, Outcome::Cancelled);
                 self.close(token, conn, Role::Back(back));
                 name.iter().for_each(|name| self.call_off(worker, name));
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,10 +124,26 @@
 pub(crate) enum State {
     Out,
     Running,
+    /// It never left this node, and counts as no attempt.
+    NeverLeft,
+    /// Its worker may be tried again.
     NeverRan,
+    /// It never ran either, but the call that said so may come again, and names no attempt: its worker gets no other.
+    HandedBack,
     MayHaveRun,
 }
 
+impl State {
+    pub fn after(outcome: Outcome) -> State {
+        match outcome {
+            Outcome::Moot => State::NeverLeft,
+            Outcome::HandedBack => State::HandedBack,
+            _ if outcome.never_ran() => State::NeverRan,
+            _ => State::MayHaveRun,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub worker: WorkerId,
@@ -146,6 +162,15 @@
     pub fn is_out(&self) -> bool {
         matches!(self.state, State::Out | State::Running)
     }
+
+    pub fn never_ran(&self) -> bool {
+        matches!(self.state, State::NeverLeft | State::NeverRan | State::HandedBack)
+    }
+
+    /// Whether its worker may not have another attempt of its job.
+    pub fn bars(&self) -> bool {
+        !matches!(self.state, State::NeverLeft | State::NeverRan)
+    }
 }
 
 #[derive(Debug)]
@@ -169,8 +194,9 @@
         Job { new, arrived, work, attempts, sample, echoes_due: 0, wait_until: 0, closed: false }
     }
 
+    /// Attempts that left this node, or may.
     pub fn sent(&self) -> u32 {
-        self.attempts.len() as u32
+        self.attempts.iter().filter(|a| a.state != State::NeverLeft).count() as u32
     }
 
     pub fn out(&self) -> usize {
@@ -179,7 +205,7 @@
 
     /// Attempts that never ran.
     pub fn bounces(&self) -> usize {
-        self.attempts.iter().filter(|a| a.state == State::NeverRan).count()
+        self.attempts.iter().filter(|a| a.never_ran()).count()
     }
 
     pub fn newest_unstarted(&mut self) -> Option<&mut Attempt> {
@@ -313,7 +339,9 @@
         (sum / f64::max(all, 1.0)).max(1.0)
     }
 
-    pub fn hold(&mut self, id: JobId) {
+    /// Lets a job wait here until then, unless room shows before.
+    pub fn hold(&mut self, id: JobId, until: Micros) {
+        self.jobs.entry(id).and_modify(|job| job.wait_until = until);
         if !self.held.contains(&id) {
             self.held.push(id);
         }
@@ -327,6 +355,7 @@
             let state = match (past.out, running_since, past.never_ran) {
                 (true, None, _) => State::Out,
                 (true, Some(_), _) => State::Running,
+                (false, _, true) if past.handed_back => State::HandedBack,
                 (false, _, true) => State::NeverRan,
                 (false, _, false) => State::MayHaveRun,
             };
@@ -344,7 +373,7 @@
     pub fn never_left(&mut self, id: JobId, attempt: u32) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(this) = job.attempts.get_mut(attempt as usize) else { return };
-        this.state = State::NeverRan;
+        this.state = State::NeverLeft;
         let worker = this.worker;
         self.returned(worker, id, attempt);
     }
--- /dev/null
+++ b/tests/attempts.rs
@@ -0,0 +1,206 @@
+//! What an attempt at a worker may be mistaken for. The worker `s-1` is the test itself: it takes each connection, reads each
+//! request and says each byte when its turn has come.
+
+use mothproxy_stand_ins::*;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+const FULL: &str = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+const UP: &str = "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n";
+/// How long a worker may take for its first answer.
+const TAKE_MS: f64 = 1_000.0;
+
+struct Worker(TcpListener);
+
+impl Worker {
+    fn start(change: impl FnOnce(&mut Value)) -> (Worker, Program) {
+        let worker = Worker(TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let address = worker.0.local_addr().expect("an address").to_string();
+        let program = start_with(&[], None, false, |config| {
+            config["known"]["instances"] = json!([site::row("s-1", &address, "up")]);
+            config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(TAKE_MS);
+            change(config);
+        });
+        (worker, program)
+    }
+
+    fn wire(&self) -> Wire {
+        self.0.set_nonblocking(true).expect("a socket option");
+        let mut stream = None;
+        until("a connection of the program", || {
+            stream = self.0.accept().ok();
+            stream.is_some()
+        });
+        let (stream, _) = stream.expect("a connection");
+        stream.set_nonblocking(false).expect("a socket option");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        Wire(stream)
+    }
+}
+
+/// A connection to the worker, and the attempt on it.
+struct Wire(TcpStream);
+
+impl Wire {
+    /// The next request's method, target and id; `None` once the program has closed it.
+    fn request(&mut self) -> Option<String> {
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.0.read_exact(&mut byte).ok()?;
+            seen.push(byte[0]);
+        }
+        let head =
+            Reply { status: 0, head: String::from_utf8_lossy(&seen).into_owned(), body: String::new() };
+        let length = head.field("content-length").map_or(0, |n| n.parse().expect("a length"));
+        self.0.read_exact(&mut vec![0; length]).ok()?;
+        let line = head.head.lines().next().expect("a line").trim_end_matches(" HTTP/1.1").to_owned();
+        Some(format!("{line} {}", head.field("x-correlation-id").unwrap_or("")).trim_end().to_owned())
+    }
+
+    fn say(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).expect("the program reads");
+    }
+}
+
+fn hand_in(program: &Program, request: &str) -> TcpStream {
+    let mut client = connect(program.platform);
+    client.write_all(request.as_bytes()).expect("written");
+    client
+}
+
+/// Further clients, which the program has met.
+fn others(program: &Program, count: usize) -> Vec<TcpStream> {
+    let mut clients: Vec<TcpStream> = (0..count).map(|_| hand_in(program, UP)).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(read_reply(client).expect("an answer").status, 200));
+    clients
+}
+
+/// A client hands in a job, and the worker has read it.
+fn attempt(worker: &Worker, program: &Program, id: &str, extra: &str) -> (TcpStream, Wire) {
+    let client = hand_in(program, &job(id, "balance", "", extra));
+    let mut wire = worker.wire();
+    assert_eq!(wire.request(), Some(format!("POST /balance {id}")));
+    (client, wire)
+}
+
+/// Has all this happen in this order before the program sees any of it.
+fn in_one_turn(program: &Program, what: impl FnOnce()) {
+    program.signal("-STOP");
+    let stat = format!("/proc/{}/stat", program.pid());
+    until("it is held up", || std::fs::read_to_string(&stat).is_ok_and(|stat| stat.contains(") T ")));
+    what();
+    program.signal("-CONT");
+}
+
+/// Calls back.
+fn news(program: &Program, id: &str, state: &str) {
+    let text = json!({"id": id, "from": "s-1", "state": state, "result": "x"}).to_string();
+    let head = "POST /_jobs/news HTTP/1.1\r\nHost: n0\r\nConnection: close";
+    let call = format!("{head}\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+    assert_eq!(send(program.platform, &call).expect("an answer").status, 204);
+}
+
+/// An attempt has ended, and its connection never gets its answer: that is closed, and nothing is given up by name.
+#[test]
+fn what_has_ended_is_not_given_up() {
+    let (worker, program) = Worker::start(|_| {});
+    let (mut client, mut wire) = attempt(&worker, &program, "a0", "X-Time-Left-Ms: 1500\r\n");
+    news(&program, "a0", "returned");
+    assert_eq!(wire.request(), None, "it is closed once it has had its time");
+    assert_eq!(read_reply(&mut client).expect("an answer").status, 503);
+    assert_eq!((program.figures()["connects"], wire.request()), (1, None));
+}
+
+/// However an attempt ends that its worker may have taken, it gets no other of that request, also where copies are allowed and
+/// there is no other worker.
+#[test]
+fn what_a_worker_may_have_taken_is_not_tried_again_there() {
+    // What was handed back by a call never ran, but that call may come again, when it could be taken for the next attempt's.
+    let cases = [
+        (TAKEN, "returned"),
+        ("", "returned"),
+        ("", ""),
+        ("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", ""),
+        (TAKEN, "lost"),
+        (TAKEN, "failed"),
+        (TAKEN, ""),
+    ];
+    for (answer, state) in cases {
+        let (worker, program) =
+            Worker::start(|config| config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(300.0));
+        let (mut client, mut wire) = attempt(&worker, &program, "b0", "X-Time-Left-Ms: 900\r\n");
+        wire.say(answer);
+        if !state.is_empty() {
+            news(&program, "b0", state);
+        }
+        assert_eq!(read_reply(&mut client).expect("an answer").status / 100, 5, "{answer}{state}");
+        assert_eq!(program.figures()["dispatches"], 1, "{answer}{state}");
+    }
+}
+
+/// An answer that turned a job away is said a second time. Other clients bring so much at once that the program has not looked
+/// at that when it has the next job to send: it may not be read as the answer to that.
+#[test]
+fn bytes_that_were_there_before_a_request_are_not_its_answer() {
+    let (worker, program) = Worker::start(|_| {});
+    let (mut first, mut wire) = attempt(&worker, &program, "d0", "");
+    wire.say(TAKEN);
+    news(&program, "d0", "done");
+    assert_eq!(read_reply(&mut first).expect("an answer").status, 200);
+    let mut others = others(&program, 300);
+    in_one_turn(&program, || {
+        first.write_all(job("d1", "balance", "", "").as_bytes()).expect("written");
+        for other in &mut others {
+            other.write_all(UP.as_bytes()).expect("written");
+        }
+        wire.say(FULL);
+    });
+    assert_eq!(wire.request(), None, "it is of no more use");
+    let mut wire = worker.wire();
+    assert_eq!(wire.request().as_deref(), Some("POST /balance d1"));
+    wire.say(TAKEN);
+    news(&program, "d1", "done");
+    assert_eq!(read_reply(&mut first).expect("an answer").status, 200);
+    assert_eq!(program.figures()["dispatches"], 2);
+}
+
+/// The second answer has time to come before the connection of one that turned a job away is used again.
+#[test]
+fn a_connection_whose_answer_turned_a_job_away_rests() {
+    let (worker, program) = Worker::start(|_| {});
+    let (first, mut wire) = attempt(&worker, &program, "e0", "");
+    let mut clients = others(&program, 1);
+    clients.insert(0, first);
+    in_one_turn(&program, || {
+        clients[1].write_all(job("e1", "balance", "", "").as_bytes()).expect("written");
+        wire.say(FULL);
+    });
+    let mut other = worker.wire();
+    for n in [1, 0] {
+        assert_eq!(other.request(), Some(format!("POST /balance e{n}")));
+        other.say(TAKEN);
+        news(&program, &format!("e{n}"), "started");
+    }
+    wire.say(FULL);
+    assert_eq!(wire.request(), None, "what it said unasked ends it");
+    for (n, client) in clients.iter_mut().enumerate() {
+        news(&program, &format!("e{n}"), "done");
+        assert_eq!(read_reply(client).expect("an answer").status, 200);
+    }
+    assert_eq!(program.figures()["dispatches"], 3);
+}
+
+/// No dispatch is answered so: it is what was answered to something before it. The worker may have taken this one.
+#[test]
+fn an_answer_to_something_else_is_not_a_dispatchs() {
+    let (worker, program) = Worker::start(|_| {});
+    let (mut client, mut wire) = attempt(&worker, &program, "f0", "X-Time-Left-Ms: 1000\r\n");
+    wire.say("HTTP/1.1 204 No Content\r\n\r\n");
+    assert_eq!(wire.request(), None);
+    assert_eq!(worker.wire().request().as_deref(), Some("DELETE /jobs/f0"));
+    assert_eq!(read_reply(&mut client).expect("an answer").status, 503);
+    assert_eq!(program.figures()["dispatches"], 1);
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -6,7 +6,7 @@
 use mothproxy_stand_ins::site;
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Micros = 1_000;
 
@@ -193,6 +193,19 @@
     assert!(!bench.core.may_write(bench.now, id, second, 0), "its client has left");
 }
 
+/// The call that hands a job back may come again: its worker gets no other attempt of it, whichever process goes on.
+#[test]
+fn what_was_handed_back_is_not_tried_again_there_after_a_handover() {
+    let mut bench = Bench::new(1);
+    let id = bench.arrive(1, 5_000 * MS).expect("new");
+    let (_, _, worker) = sent(&bench.pass(5 * MS))[0];
+    assert!(bench.news("job-1", worker, News::Returned));
+    bench.core.batch(bench.now);
+    let moved = carried(&bench.core.release(id).expect("it may go"));
+    bench.core.adopt(moved, 70).expect("its worker is known");
+    assert_eq!(sent(&bench.pass(2_000 * MS)), []);
+}
+
 #[test]
 fn a_silent_worker_costs_the_session_no_more_than_its_deadline() {
     let mut bench = Bench::new(1);
@@ -290,17 +303,19 @@
     assert_eq!((bench.core.ledger.failed, bench.core.ledger.open()), (5, 0));
 }
 
-/// Random lives of sessions: each gets exactly one entry and one answer at most, and nothing goes out after it.
+/// Random lives of sessions: each gets exactly one entry and one answer at most, and nothing goes out after it. Nor does anything
+/// to a worker that may have an attempt of it, whatever that says again.
 #[test]
 fn each_session_gets_exactly_one_final_answer() {
     for seed in 0..150 {
         let g = &mut Gen::from_size_and_seed(32, seed);
         let mut bench = Bench::new(3);
         let mut out: Vec<(u64, u32, WorkerId)> = Vec::new();
-        let mut answered = std::collections::BTreeMap::<u64, u32>::new();
+        let mut answered = BTreeMap::<u64, u32>::new();
         let mut gone = Vec::new();
+        let mut with = BTreeSet::new();
         for _ in 0..80 {
-            match u8::arbitrary(g) % 8 {
+            match u8::arbitrary(g) % 9 {
                 0..=2 => drop(bench.arrive(u16::from(bool::arbitrary(g)), 400 * MS)),
                 3 if bench.next > 0 => {
                     let id = u64::arbitrary(g) % bench.next;
@@ -308,13 +323,21 @@
                     gone.push(id);
                 }
                 4 | 5 if !out.is_empty() => {
-                    let (id, dispatch, _) = out[usize::arbitrary(g) % out.len()];
-                    let outcomes = [Outcome::Full, Outcome::Reset, Outcome::ConnectFailed, Outcome::Error];
+                    let (id, dispatch, worker) = out[usize::arbitrary(g) % out.len()];
+                    let free = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot];
+                    let outcomes = [&free[..], &[Outcome::Reset, Outcome::Error]].concat();
                     let fate = match g.choose(&outcomes) {
                         Some(outcome) if bool::arbitrary(g) => Fate::Without(*outcome),
                         _ => Fate::Done(Vec::new()),
                     };
-                    bench.core.ended(bench.now, id, dispatch, fate, None);
+                    let never = matches!(fate, Fate::Without(outcome) if free.contains(&outcome));
+                    if bench.core.ended(bench.now, id, dispatch, fate, None) && never {
+                        with.remove(&(id, worker));
+                    }
+                }
+                7 if !out.is_empty() => {
+                    let (id, _, worker) = out[usize::arbitrary(g) % out.len()];
+                    bench.news(&format!("job-{}", id + 1), worker, News::Returned);
                 }
                 6 if !out.is_empty() => {
                     let (id, dispatch, _) = out[usize::arbitrary(g) % out.len()];
@@ -323,10 +346,10 @@
                 _ => {}
             }
             let all = bench.pass(u64::from(u8::arbitrary(g)) * MS);
-            check(&all, &mut out, &mut answered);
+            check(&all, &mut out, &mut with, &mut answered);
         }
         let all = bench.pass(1_000 * MS);
-        check(&all, &mut out, &mut answered);
+        check(&all, &mut out, &mut with, &mut answered);
         let ledger = bench.core.ledger;
         assert_eq!((ledger.taken, ledger.open()), (bench.next, 0), "seed {seed}: {ledger:?}");
         assert!(answered.values().all(|n| *n == 1), "seed {seed}");
@@ -337,12 +360,14 @@
 fn check(
     all: &[Command],
     out: &mut Vec<(u64, u32, WorkerId)>,
-    answered: &mut std::collections::BTreeMap<u64, u32>,
+    with: &mut BTreeSet<(u64, WorkerId)>,
+    answered: &mut BTreeMap<u64, u32>,
 ) {
     for command in all {
         match command {
             Command::Send { session, dispatch, worker, .. } => {
                 assert!(!answered.contains_key(session), "sent after its final answer");
+                assert!(with.insert((*session, *worker)), "a second attempt where the first may be");
                 out.push((*session, *dispatch, *worker));
             }
             Command::Answer { session, .. } => *answered.entry(*session).or_default() += 1,
@@ -436,7 +461,7 @@
     assert_eq!(sent(&commands), [], "it left before it was noted");
     let tickets = enter(&mut notes, &commands);
     assert_eq!(tickets.len(), 1);
-    bench.core.noted(bench.now, tickets[0], true);
+    bench.core.noted(tickets[0], true);
     let sends = sent(&bench.pass(MS));
     assert_eq!(sends.len(), 1);
     (bench, notes, sends[0].2)
@@ -457,7 +482,7 @@
     bench.core.keep_keys(bench.now, std::iter::empty(), true);
     let id = bench.arrive_keyed("r-1", "k", 5).expect("new");
     let tickets = enter(&mut BTreeMap::new(), &bench.pass(5 * MS));
-    bench.core.noted(bench.now, tickets[0], false);
+    bench.core.noted(tickets[0], false);
     let commands = bench.pass(5 * MS);
     assert_eq!(sent(&commands), []);
     // Nothing of it may have run: it may be turned away.
@@ -476,7 +501,7 @@
         let commands = next.pass(5 * MS);
         let tickets = enter(&mut notes.clone(), &commands);
         if may_go {
-            next.core.noted(next.now, tickets[0], true);
+            next.core.noted(tickets[0], true);
             let to = sent(&next.pass(MS))[0].2;
             assert_eq!(to.0 / 2, worker.0 / 2, "it went to another pod, {later} ms later");
         } else {
