A worker's new start counts however it is told: by a whole list, or after it was on none

Cause: what a worker had told, and the distrust in it, was dropped only where changes named another start of one that was on the list just then. A whole list takes all workers off first, so that the starts were never compared.

Change: its start as last listed is kept beside the line of the roster, also while it is on no list.

--- a/src/state.rs
+++ b/src/state.rs
@@ -66,6 +66,8 @@
 pub(crate) struct Worker {
     /// Its line in the roster; `None` when it is not on it.
     pub known: Option<RosterEntry>,
+    /// Its start as last listed, also while it is on no list; `None` before it was on one.
+    pub start: Option<Option<Micros>>,
     pub entry: Option<Entry>,
     /// The utilisation reported when it was last granted a job.
     pub granted_cpu: Option<f64>,
@@ -370,12 +372,13 @@
         }
         for entry in entries {
             let worker = self.worker(entry.worker);
-            if worker.known.is_some_and(|k| k.started_at != entry.started_at) {
+            let listed = entry.status != Status::Gone;
+            if listed && worker.start.replace(entry.started_at).is_some_and(|s| s != entry.started_at) {
                 (worker.entry, worker.trust) = (None, Trust::default());
             }
             // What went to it before it started did not reach what is there now; what came after counts, however late it is told.
             worker.sent.retain(|(at, _)| entry.started_at.is_none_or(|start| *at > start));
-            worker.known = (entry.status != Status::Gone).then_some(*entry);
+            worker.known = listed.then_some(*entry);
         }
     }
 
