One rule says which list may follow which; what can't be read ends its watch at once

Cause, found by reading and by plays on a scripted agent: the table took the version of whatever a watch said, so that an older list on it brought a draining worker back; an object that could not be read was skipped and its change lost until the next; a row that could not be read took its worker off the table in a whole list; a call for the whole list that was answered with changes, or with nobody, was never made again.

Change: ServerTable::refuses decides, by how a list came. The first of a watch counts if it is whole (a service that has started anew counts anew) or no older than what is held; later ones and the answer beside a watch if they are no older. First changes up to an older version: nothing is held that this service knows, and everything is asked for. A worker whose row can't be used stays as it was, and of two rows of one worker the later counts. An answer to the call for the whole list may end with its connection.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -398,7 +398,7 @@
 }
 
 /// What becomes of a call to discovery instead of its usual answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Turn {
     /// 503.
     Refuse,
@@ -406,6 +406,8 @@
     Hold,
     /// The connection ends in the middle of the list.
     Cut,
+    /// These bytes, and the connection stands.
+    Say(Vec<u8>),
 }
 
 /// Discovery: each watch first gets the whole list, then the lines that the test pushes.
@@ -458,8 +460,12 @@
                     }
                     Some(Turn::Cut) => drop(stream.write_all(&answer.as_bytes()[..answer.len() - 30])),
                     Some(Turn::Hold) => shared.held.lock().expect("a lock").push(stream),
-                    None => {
-                        let _ = stream.write_all(answer.as_bytes());
+                    said => {
+                        let answer = match said {
+                            Some(Turn::Say(bytes)) => bytes,
+                            _ => answer.into_bytes(),
+                        };
+                        let _ = stream.write_all(&answer);
                         if watch {
                             shared.watches.lock().expect("a lock").push(stream);
                         }
@@ -473,13 +479,13 @@
 
     /// What becomes of the next watches, and the list that those after them get.
     pub fn then(&self, turns: &[Turn], list: Value) {
-        self.turns.lock().expect("a lock")[1].extend(turns);
+        self.turns.lock().expect("a lock")[1].extend(turns.iter().cloned());
         *self.list.lock().expect("a lock") = list;
     }
 
     /// The same for calls without a watch.
     pub fn then_whole(&self, turns: &[Turn], whole: Value) {
-        self.turns.lock().expect("a lock")[0].extend(turns);
+        self.turns.lock().expect("a lock")[0].extend(turns.iter().cloned());
         *self.whole.lock().expect("a lock") = Some(whole);
     }
 
@@ -489,6 +495,16 @@
         asked.iter().filter(|line| !line.contains("stream=1")).count()
     }
 
+    /// The versions after which a watch was asked for so far, once the last of them has had its answer.
+    pub fn watched_after(&self) -> Vec<u64> {
+        until("an answer", || {
+            self.calls.load(Ordering::SeqCst) == self.asked.lock().expect("a lock").len() as u64
+        });
+        let asked = self.asked.lock().expect("a lock");
+        let after = |line: &String| line.split_once("index=")?.1.split_once(' ')?.0.parse().ok();
+        asked.iter().filter_map(after).collect()
+    }
+
     /// Answers the calls for the whole list that are held.
     pub fn release(&self, list: &Value) {
         for mut stream in self.held.lock().expect("a lock").drain(..) {
@@ -499,9 +515,13 @@
     /// Tells all watches of a change; later calls get `list`.
     pub fn push(&self, change: &str, list: Value) {
         *self.list.lock().expect("a lock") = list;
-        let text = format!("{change}\n");
+        self.say(chunk(&format!("{change}\n")).as_bytes());
+    }
+
+    /// Sends all watches these bytes.
+    pub fn say(&self, bytes: &[u8]) {
         for watch in self.watches.lock().expect("a lock").iter_mut() {
-            let _ = watch.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+            let _ = watch.write_all(bytes);
         }
     }
 
@@ -513,12 +533,20 @@
     }
 }
 
+/// What a watch's answer begins with.
+pub const WATCHED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A chunk of a chunked answer.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
 fn watched(list: &Value) -> String {
-    let text = format!("{list}\n");
-    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
+    format!("{WATCHED}{}", chunk(&format!("{list}\n")))
 }
 
-fn answered(list: &Value) -> String {
+/// A call's answer with this list.
+pub fn answered(list: &Value) -> String {
     let text = list.to_string();
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -105,22 +105,37 @@
     pub reset: bool,
     /// Its rows.
     pub rows: Vec<ServerRow>,
-    /// Rows that could not be read and were dropped.
+    /// Workers that it names in rows which could not be read.
+    #[serde(default)]
+    pub unread: Vec<String>,
+    /// Rows that could not be read, or were worded anew further on, and were dropped.
     pub bad_rows: u64,
 }
 
 impl ServerList {
-    /// Reads one object of discovery's; bad rows are dropped and counted, a bad object is `None`.
+    /// Reads one object of discovery's; bad rows are dropped and counted, a bad object is `None`. Of two rows of one worker
+    /// the later one counts.
     pub fn read(value: &Value) -> Option<ServerList> {
-        let (mut rows, mut bad_rows) = (Vec::new(), 0);
-        for row in value.get("instances")?.as_array()? {
-            match ServerRow::deserialize(row) {
-                Ok(row) if !row.instance_id.is_empty() => rows.push(row),
-                _ => bad_rows += 1,
+        let (generation, reset) = (value.get("generation")?.as_u64()?, value.get("reset")?.as_bool()?);
+        let mut list = ServerList { generation, reset, rows: Vec::new(), unread: Vec::new(), bad_rows: 0 };
+        let mut places = HashMap::new();
+        for value in value.get("instances")?.as_array()? {
+            let Some(row) = ServerRow::deserialize(value).ok().filter(|row| !row.instance_id.is_empty())
+            else {
+                list.bad_rows += 1;
+                list.unread.extend(value.get("instanceId").and_then(Value::as_str).map(str::to_owned));
+                continue;
+            };
+            match places.insert(row.instance_id.clone(), list.rows.len()) {
+                Some(place) => {
+                    places.insert(row.instance_id.clone(), place);
+                    list.rows[place] = row;
+                    list.bad_rows += 1;
+                }
+                None => list.rows.push(row),
             }
         }
-        let generation = value.get("generation")?.as_u64()?;
-        Some(ServerList { generation, reset: value.get("reset")?.as_bool()?, rows, bad_rows })
+        Some(list)
     }
 }
 
--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -3,7 +3,7 @@
 use crate::config::{Lifecycle, ServerList, ServerRow};
 use crate::interface::*;
 use crate::wire::{Names, tag};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// A worker as the table holds it. Its number is never given to another.
@@ -19,6 +19,31 @@
     pub removed: bool,
 }
 
+/// How a list came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The first list of a watch: the changes since the version that is held, or the whole list.
+    First,
+    /// A later one.
+    Later,
+    /// The answer to a call for the whole list, which travels beside a watch.
+    Beside,
+}
+
+/// Why a list is not taken in. Nothing of it counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// A whole list names nobody though some are known: discovery has lost its table, not the fleet its workers.
+    Empty,
+    /// It is older than what is held: late, or said twice.
+    Stale,
+    /// A new call was answered with changes up to an older version than the one asked after: the service counts anew. From now
+    /// on its versions mean nothing beside the one that was held.
+    Recounted,
+    /// Changes came where the whole list was asked for.
+    Partial,
+}
+
 /// The table, and what discovery said that could not be read.
 #[derive(Debug, Default)]
 pub struct ServerTable {
@@ -28,6 +53,8 @@
     pub generation: u64,
     /// Rows dropped since the start.
     pub bad_rows: u64,
+    /// Lists that were older than what was held, and not taken in.
+    pub stale_lists: u64,
 }
 
 impl ServerTable {
@@ -87,9 +114,24 @@
         self.servers.iter().enumerate().map(|(n, s)| (WorkerId(n as u32), s))
     }
 
-    /// Whether a whole list names nobody though some are known: discovery has lost its table, not the fleet its workers.
-    pub(crate) fn emptied_by(&self, list: &ServerList) -> bool {
-        list.reset && list.rows.is_empty() && self.listed() > 0
+    /// Whether a list that came in this way is not to be taken in, and why. This is the one place that says which version may
+    /// follow which: nothing takes the table back but a whole list with which a service answers a new call, for one that has
+    /// started anew counts anew.
+    pub(crate) fn refuses(&mut self, list: &ServerList, source: Source) -> Option<Refusal> {
+        let older = list.generation < self.generation;
+        let why = match source {
+            _ if list.reset && list.rows.is_empty() && self.listed() > 0 => Refusal::Empty,
+            Source::Beside if !list.reset => Refusal::Partial,
+            Source::First if list.reset => return None,
+            Source::First if older => Refusal::Recounted,
+            _ if older => Refusal::Stale,
+            _ => return None,
+        };
+        self.stale_lists += u64::from(matches!(why, Refusal::Stale | Refusal::Recounted));
+        if why == Refusal::Recounted {
+            self.generation = 0; // the next call asks for everything
+        }
+        Some(why)
     }
 
     /// Takes a list in that counts as told since `now`, and words it for the module. `since_unix` turns Unix time in milliseconds into the
@@ -103,17 +145,20 @@
     ) -> Vec<RosterEntry> {
         self.generation = list.generation;
         self.bad_rows += list.bad_rows;
-        let mut entries = Vec::with_capacity(list.rows.len());
         if list.reset {
             // Whoever a whole list does not name is gone.
-            for server in &mut self.servers {
+            let rows = list.rows.iter().map(|row| &row.instance_id);
+            let named: HashSet<&String> = rows.chain(&list.unread).collect();
+            for server in self.servers.iter_mut().filter(|s| !named.contains(&s.row.instance_id)) {
                 server.stopped.get_or_insert(now);
                 server.removed = true;
             }
         }
+        let mut workers = Vec::with_capacity(list.rows.len());
         for row in &list.rows {
             let Some(worker) = self.enter(row) else {
                 self.bad_rows += 1;
+                workers.extend(self.find(&row.instance_id));
                 continue;
             };
             let server = &mut self.servers[worker.0 as usize];
@@ -122,22 +167,29 @@
                 Lifecycle::Up => None,
                 _ => server.stopped.or(Some(now)),
             };
-            entries.push(RosterEntry {
+            workers.push(worker);
+        }
+        // A row that cannot be used changes nothing: its worker stays as it is held.
+        workers.extend(list.unread.iter().filter_map(|name| self.find(name)));
+        let mut entry = |worker: WorkerId| {
+            let Server { row, removed, .. } = &self.servers[worker.0 as usize];
+            RosterEntry {
                 worker,
                 tag: tag(&row.instance_id),
                 zone: ZoneId(names.zones.id(&row.zone) as u16),
                 kind: KindId(names.kinds.id(&row.machine_type) as u16),
                 cell: CellId(row.cell),
                 status: match row.lifecycle {
+                    _ if *removed => Status::Gone,
                     Lifecycle::Up => Status::Ready,
                     Lifecycle::Draining => Status::Draining,
                     Lifecycle::Removed => Status::Gone,
                 },
                 weight: row.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
                 started_at: Some(row.started_at_ms).filter(|ms| *ms > 0.0).and_then(&since_unix),
-            });
-        }
-        entries
+            }
+        };
+        workers.into_iter().map(&mut entry).collect()
     }
 
     /// The number of a row's worker; a known one may have a new address. None where the row names no address
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,6 +4,7 @@
 use super::conn::{Conn, ReadEnd};
 use super::{Role, Server, Token, WATCH_TIMER, WHOLE_TIMER};
 use crate::config::ServerList;
+use crate::core::servers::{Refusal, Source};
 use crate::core::silence::{ANSWER, Broken, CONNECT, Objects, Terms, WatchClock};
 use crate::front::platform;
 use crate::http::{self, Body, MAX_HEAD};
@@ -203,9 +204,12 @@
         body.feed(&mut conn.inbox, &mut read).map_err(|_| "broken chunks")?;
         let done = body.is_done();
         call.text.feed(&read);
-        let mut said = false;
-        while let Some(object) = call.text.next_object() {
-            said |= self.listed(call, &object);
+        let (mut said, mut taken) = (false, Ok(()));
+        while taken.is_ok()
+            && let Some(object) = call.text.next_object()
+        {
+            taken = self.listed(call, &object);
+            said |= taken.is_ok();
         }
         said |= call.text.took_empty_line();
         // Only lists and empty lines show that it lives. An object that has begun must be whole in the time it was given when
@@ -220,32 +224,49 @@
             let due = self.lists.clock.heard(self.now, true);
             self.set_timer(token, conn, due);
         }
-        if !call.watch && done {
-            return if call.answered { Ok(true) } else { Err("no list in it") };
-        }
-        match (call.text.len() > MOST, done) {
-            (true, _) => Err("list too long"),
-            (_, true) => Err("ended"),
-            _ => Ok(false),
-        }
+        taken?;
+        let why = match call.watch {
+            false if call.answered => return Ok(true),
+            _ if call.text.len() > MOST => "list too long",
+            false if done => "no list in it",
+            true if done => return Err("ended"),
+            _ => return Ok(false),
+        };
+        self.counts.bad_lists += 1;
+        Err(why)
     }
 
-    /// Takes an object in; whether it is a list.
-    fn listed(&mut self, call: &mut Call, object: &[u8]) -> bool {
+    /// Takes an object in. One that is refused, or cannot be read, may have told a change that no later one tells again: then
+    /// the call is over, and the next one asks for what came after the list that is held.
+    fn listed(&mut self, call: &mut Call, object: &[u8]) -> Result<(), &'static str> {
         let list = serde_json::from_slice(object).ok().and_then(|value| ServerList::read(&value));
         let Some(list) = list else {
             self.counts.bad_lists += 1;
-            return false;
+            return Err("not a list");
+        };
+        let source = match (call.watch, call.answered) {
+            (false, _) => Source::Beside,
+            (true, false) => Source::First,
+            (true, true) => Source::Later,
         };
-        if !call.watch && list.generation < self.core.servers.generation {
-            return false; // the watch has told more meanwhile: this would take it back
+        let refusal = self.core.servers.refuses(&list, source);
+        self.counts.bad_lists += u64::from(matches!(refusal, Some(Refusal::Empty | Refusal::Partial)));
+        match refusal {
+            Some(Refusal::Recounted) if self.lists.whole == Whole::Known => self.lists.whole = Whole::Due,
+            Some(Refusal::Empty) if call.watch => {
+                self.lists.clock.told(self.now);
+                return Ok(());
+            }
+            _ => {}
+        }
+        if let Some(why) = refusal {
+            return Err(match why {
+                Refusal::Stale | Refusal::Recounted => "list out of date",
+                Refusal::Empty | Refusal::Partial => "no whole list",
+            });
         }
         call.answered = true;
         let told = self.lists.clock.told(self.now);
-        if self.core.servers.emptied_by(&list) {
-            self.counts.bad_lists += 1;
-            return true;
-        }
         self.core.listed(told, &list, false);
         if call.watch {
             self.ask_listed(list.generation);
@@ -256,7 +277,7 @@
             self.lists.whole = Whole::Known;
         }
         self.ask_whole();
-        true
+        Ok(())
     }
 
     pub(super) fn call_failed(&mut self, token: Token, conn: Conn, call: Call, why: &str) {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -360,6 +360,7 @@
             generation: self.core.servers.generation,
             reset: true,
             rows: self.core.servers.rows(),
+            unread: Vec::new(),
             bad_rows: 0,
         };
         let lesson = serde_json::to_value(self.core.lesson()).unwrap_or_default();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -665,7 +665,7 @@
         let (c, l) = state;
         tracing::info!(
             "figures taken={} served={} denied={} failed={} gone={} moved={} open={} dispatches={} written={} withheld={} connects={} \
-             connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} \
+             connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} stale_lists={} \
              bad_datagrams={} accept_pauses={} reloads={} bad_reloads={} connections={} workers={} broken_invariants={}",
             l.taken,
             l.served,
@@ -685,6 +685,7 @@
             self.core.stale_news,
             self.core.servers.bad_rows,
             c.bad_lists,
+            self.core.servers.stale_lists,
             c.bad_datagrams,
             c.accept_pauses,
             c.reloads,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,6 +1,8 @@
 //! The core without sockets: exactly one final answer, call-backs in any order, drains, deadlines.
 
+use mothproxy::config::ServerList;
 use mothproxy::core::keys::Token;
+use mothproxy::core::silence::Objects;
 use mothproxy::core::{Answer, Arrival, Command, Core, Fate, News};
 use mothproxy::*;
 use mothproxy_stand_ins::site;
@@ -263,6 +265,39 @@
     assert_eq!(bench.core.servers.bad_rows, 4);
 }
 
+/// Wherever what a watch sends is cut, the table is that of the last whole list and never between two.
+#[test]
+fn no_part_of_a_list_is_in_the_table_before_all_of_it_has_come() {
+    let row = |n: u64, state| site::row(&format!("s-{n}"), &format!("127.0.0.1:910{n}"), state);
+    let lists = [
+        json!({"generation": 2, "reset": false, "instances": [row(0, "draining"), row(2, "up")]}),
+        json!({"generation": 3, "reset": true, "instances": [row(1, "draining"), row(3, "up")]}),
+        json!({"generation": 4, "reset": false, "instances": [row(3, "removed"), row(0, "up")]}),
+    ];
+    let texts = [format!("{}\n\n", lists[0]), format!("{:#}\r\n", lists[1]), format!("{:#}\n", lists[2])];
+    let text = texts.concat();
+    let ends = [texts[0].len() - 2, texts[0].len() + texts[1].len() - 2, text.len() - 1];
+    let feed = |bench: &mut Bench, objects: &mut Objects, bytes: &[u8]| {
+        objects.feed(bytes);
+        while let Some(object) = objects.next_object() {
+            let value = serde_json::from_slice(&object).expect("JSON");
+            bench.core.listed(bench.now, &ServerList::read(&value).expect("a list"), false);
+        }
+        bench.core.servers.rows()
+    };
+    let mut sound = vec![Bench::new(2).core.servers.rows()];
+    sound.extend(
+        (0..3).map(|n| feed(&mut Bench::new(2), &mut Objects::default(), texts[..=n].concat().as_bytes())),
+    );
+    for cut in 0..=text.len() {
+        let (mut bench, mut objects) = (Bench::new(2), Objects::default());
+        let (before, after) = text.as_bytes().split_at(cut);
+        let whole = ends.iter().filter(|end| **end <= cut).count();
+        assert_eq!(feed(&mut bench, &mut objects, before), sound[whole], "cut at {cut}");
+        assert_eq!(feed(&mut bench, &mut objects, after), sound[3], "cut at {cut}");
+    }
+}
+
 #[test]
 fn the_batch_waits_for_the_tick_and_deadlines_do_not() {
     let mut bench = Bench::new(1);
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -2,6 +2,7 @@
 
 use mothproxy_stand_ins::*;
 use serde_json::{Value, json};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 fn list(generation: u64, reset: bool, rows: &[Value]) -> Value {
@@ -75,15 +76,15 @@
         (false, [Turn::Hold, Turn::Hold]),
         (false, [Turn::Hold, Turn::Cut]),
     ] {
-        let discovery = Discovery::start(before.clone());
+        let (turns, discovery) = (&turns, Discovery::start(before.clone()));
         if !had_watch {
-            discovery.then(&turns, after.clone());
+            discovery.then(turns, after.clone());
         }
         let program = start_with(std::slice::from_ref(&old), Some(discovery.address), false, patient);
         new.calls_back_to(program.platform);
         until("a call", || discovery.calls.load(Ordering::SeqCst) > 0);
         if had_watch {
-            discovery.then(&turns, after.clone());
+            discovery.then(turns, after.clone());
             discovery.cut();
         }
         until_used(&program, &new, "a");
@@ -112,21 +113,29 @@
     used
 }
 
-/// A new service that tells changes was asked for its whole list once. Cut in the middle it was never asked for again, and a
-/// worker that the service does not know stayed in the table for good.
+/// A new service that tells changes was asked for its whole list once. Cut in the middle, or answered with changes or a list of
+/// nobody, it was never asked for again, and a worker that the service does not know stayed in the table for good. An answer may
+/// end with its connection.
 #[test]
-fn a_whole_list_cut_in_the_middle_is_asked_for_again() {
+fn a_whole_list_that_is_cut_or_none_is_asked_for_again() {
     let (old, new) = (Node::start("s-1"), Node::start("s-2"));
-    let first = Discovery::start(list(1, true, &[old.row("up")]));
+    let first = Discovery::start(list(100, true, &[old.row("up")])); // its versions mean nothing at the other
     let second = Discovery::start(list(9, false, &[new.row("up")]));
-    let mut program = start_with(std::slice::from_ref(&old), Some(first.address), false, patient);
+    let mut program = start(std::slice::from_ref(&old), Some(first.address), false);
     new.calls_back_to(program.platform);
     until("a watch", || first.calls.load(Ordering::SeqCst) > 0);
-    second.then_whole(&[Turn::Cut], list(9, true, &[new.row("up")]));
+    let whole = list(9, true, &[new.row("up")]);
+    let to_the_end = format!("HTTP/1.1 200 OK\r\n\r\n{whole}");
+    let [changes, nobody, busy] = [list(9, false, &[new.row("up")]), list(9, true, &[]), json!("busy")]
+        .map(|value| Turn::Say(answered(&value).into_bytes()));
+    let turns = [Turn::Cut, changes, nobody, busy, Turn::Refuse, Turn::Say(to_the_end.into_bytes())];
+    second.then_whole(&turns, whole);
     move_to(&mut program, &second);
-    until("the whole list is asked for again", || second.whole_calls() == 2);
+    until("the whole list is asked for again", || second.whole_calls() == turns.len());
     until_unused(&program, &old, &new); // its answer has been read
-    assert_eq!(program.figures()["workers"], 1, "the old one is not of this service");
+    let figures = program.figures();
+    assert_eq!(figures["workers"], 1, "the old one is not of this service");
+    assert_eq!((figures["bad_lists"], second.whole_calls()), (3, turns.len()));
 }
 
 /// The whole list travels beside the watch, and may be older than what that has told meanwhile: it took back a drain.
@@ -175,3 +184,182 @@
         });
     }
 }
+
+/// The workers of the table below: s-1 to s-3, and where s-2 has gone.
+struct Site {
+    nodes: [Arc<Node>; 4],
+    discovery: Arc<Discovery>,
+    program: Program,
+}
+
+/// Where this worker is among them.
+fn place(word: &str) -> usize {
+    if word.ends_with('m') { 3 } else { word[..1].parse::<usize>().expect("a number") - 1 }
+}
+
+/// A worker as a row words it: `2u` is s-2 and up, `2m` the same at its other address; `d` drains, `?` is in a state that nobody
+/// knows, `x` up and without an address.
+fn worded(nodes: &[Arc<Node>; 4], word: &str) -> Value {
+    let mut row = nodes[place(word)].row(match &word[1..] {
+        "d" => "draining",
+        "?" => "resting",
+        _ => "up",
+    });
+    if word.ends_with('x') {
+        row["hostPort"] = json!("");
+    }
+    row
+}
+
+impl Site {
+    fn start() -> Site {
+        let nodes = ["s-1", "s-2", "s-3", "s-2"].map(Node::start);
+        let discovery = Discovery::start(list(1, true, &[nodes[1].row("up")]));
+        let program = start_with(&nodes[1..2], Some(discovery.address), false, |config| {
+            config["settings"]["Discovery"] = json!("pushed"); // an agent is asked again at once
+        });
+        nodes.iter().for_each(|node| node.calls_back_to(program.platform));
+        Site { nodes, discovery, program }
+    }
+
+    /// A list such as `+1 whole 1d 2u`: its version beside the one that is held, and its rows.
+    fn list(&self, held: u64, text: &str) -> Value {
+        let mut words = text.split(' ').filter(|word| !word.is_empty());
+        let version = words.next().and_then(|word| word.parse::<i64>().ok()).expect("a version");
+        let whole = words.next() == Some("whole");
+        let rows: Vec<Value> = words.map(|word| worded(&self.nodes, word)).collect();
+        list(held.checked_add_signed(version).expect("above 0"), whole, &rows)
+    }
+
+    /// The bytes of what a row says is sent, its parts apart by `|`.
+    fn bytes(&self, held: u64, sent: &str) -> Vec<u8> {
+        let part = |part: &str| match part.trim().split_once(' ').unwrap_or((part.trim(), "")) {
+            ("watch", _) => WATCHED.to_owned(),
+            ("indented", text) => chunk(&format!("{:#}\r\n\n", self.list(held, text))),
+            ("half", text) => {
+                let text = self.list(held, text).to_string();
+                chunk(&text[..text.len() / 2])
+            }
+            ("bytes", text) => {
+                let pieces = self.list(held, text).to_string().into_bytes();
+                pieces.iter().map(|byte| chunk(&char::from(*byte).to_string())).collect::<String>()
+                    + &chunk("\n")
+            }
+            ("long", _) => chunk(&format!("{{\"instances\":[{}", " ".repeat(5 * 1024 * 1024))),
+            ("deep", _) => chunk(&("[".repeat(10_000) + &"]".repeat(10_000) + "\n")),
+            ("raw", text) => text.replace("\\n", "\r\n"),
+            ("text", text) => chunk(&format!("{text}\n")),
+            _ => chunk(&format!("{}\n", self.list(held, part))),
+        };
+        sent.split('|').map(part).collect::<String>().into_bytes()
+    }
+
+    /// Waits until a watch is asked for once more than this often, and returns after which version. An open one is kept alive
+    /// meanwhile by these bytes.
+    fn asked_after(&self, calls: usize, alive: &str, what: &str) -> u64 {
+        until(what, || {
+            self.discovery.say(alive.as_bytes());
+            self.discovery.watched_after().len() > calls
+        });
+        self.discovery.watched_after()[calls]
+    }
+
+    /// Each of these, and nobody else, gets jobs.
+    fn check_takers(&self, takers: &str, held: u64, row: &str) {
+        let jobs = || self.nodes.each_ref().map(|node| node.jobs.load(Ordering::SeqCst));
+        let before = jobs();
+        for (n, word) in takers.split(' ').cycle().take(6).enumerate() {
+            until_used(&self.program, &self.nodes[place(word)], &format!("t{held}-{n}-"));
+        }
+        let used = (0..4).filter(|place| jobs()[*place] > before[*place]);
+        let used: Vec<&str> = used.map(|place| ["1", "2", "3", "2m"][place]).collect();
+        assert_eq!(used.join(" "), takers, "{row}");
+    }
+}
+
+/// What a watch says, and what comes of it, where a list with s-1 draining and s-2 up is held. Each line: whether it is what a new
+/// call is answered, or comes later on the open watch; after which version beside that of the list the next watch is asked for, or
+/// that this one goes on; who takes work then; lists that are bad, lists that are out of date and rows that are bad, as counted;
+/// what is said; and what the next watch is told, if that is not that nothing has changed.
+const CASES: &str = r#"
+later; +0; 2; 0 1 0; -1 change 1u
+later; +0; 2; 0 1 0; -1 whole 1u 2u
+later; +2; 2 3; 0 1 0; +2 change 3u | -1 change 1u | +3 change 1u
+later; goes on; 2 3; 0 0 0; +1 change 3u | +1 change 3u
+later; +0; 2; 1 0 0; text {"generation":]} | +1 change 1u
+later; +0; 2; 1 0 0; text {"error":"busy"}
+later; +0; 2; 1 0 0; text {"generation":-1,"reset":false,"instances":[]}
+later; +0; 2; 1 0 0; text busy
+later; +0; 2; 1 0 0; deep
+later; +0; 2; 1 0 0; long
+later; goes on; 2 3; 0 0 1; +1 whole 1d 2? 3u
+later; goes on; 2 3; 0 0 1; +1 whole 1d 2x 3u
+later; goes on; 2 3; 0 0 1; +1 change 2? 3u
+later; goes on; 3; 0 0 0; +1 change 3u | +2 change 2d
+later; goes on; 2; 0 0 1; +1 change 3u 3d
+later; goes on; 2 3; 0 0 1; +1 change 3d 3u
+later; goes on; 2; 1 0 0; +1 whole
+later; goes on; 2; 1 0 0; +1 whole 1? 2?
+later; goes on; 3; 0 0 0; +1 change 3u | text | +2 change 2d | +3 change 1u | +4 change 1d
+later; goes on; 3; 0 0 0; indented +1 change 3u | indented +2 whole 1d 3u
+later; goes on; 3; 0 0 0; bytes +1 whole 1d 3u
+later; +0; 2; 0 0 0; half +1 whole 1u | raw 0\n\n
+later; +0; 2; 0 0 0; half +1 whole 1u | raw no chunk\n
+later; +0; 2; 0 0 0; half +1 whole 1u
+later; goes on; 3 2m; 0 0 0; +1 whole 1d 3u | +2 change 2m
+first; goes on; 1 2; 0 0 0; watch | -90 whole 1u 2u
+first; all; 2 3; 0 1 0; watch | -90 change 1u; -90 whole 1d 2u 3u
+first; goes on; 2 3; 0 0 0; watch | +1 change 3u
+first; +1; 2 3; 0 1 0; watch | +1 change 3u | +0 change 1u
+first; +0; 2; 1 0 0; watch | text {}
+first; +0; 2; 0 0 0; raw HTTP/1.1 503 No\nContent-Length: 0\n\n
+first; +0; 2; 0 0 0; raw nothing\n\n
+first; +0; 2; 0 0 0; raw HTTP/1.1 200 O
+first; +0; 2; 0 0 0; watch
+first; +0; 2; 0 0 0; watch | half +1 whole 1u
+first; +0; 2; 0 0 0; raw HTTP/1.1 200 OK\nContent-Length: 0\n\n
+"#;
+
+/// Whatever a watch says: what is refused is counted and changes nothing, no worker of another row is touched, and the next
+/// call asks for what came after the list that is held.
+#[test]
+fn whatever_a_watch_says_the_table_goes_from_one_sound_list_to_the_next() {
+    let site = Site::start();
+    until("a watch", || !site.discovery.watched_after().is_empty());
+    let (mut held, mut counted) = (0, vec![0; 3]);
+    for case in CASES.trim().lines() {
+        let fields: Vec<&str> = case.split("; ").collect();
+        let [when, after, takers, counts, sent, then @ ..] = &fields[..] else { panic!("{case}") };
+        let (first, goes_on) = (*when == "first", *after == "goes on");
+        held += 100;
+        let calls = site.discovery.watched_after().len();
+        site.discovery.then(&[], site.list(held, "+0 whole 1d 2u"));
+        site.discovery.cut();
+        site.asked_after(calls, "", case);
+        let mut said = site.bytes(held, sent);
+        if goes_on {
+            said.extend(site.bytes(held, "+50 change")); // heard on this watch, or not at all
+        }
+        let index = if goes_on { held + 50 } else { after.parse().map_or(0, |after: u64| held + after) };
+        let told = then.first().map_or_else(|| site.list(index, "+0 change"), |then| site.list(held, then));
+        if first {
+            site.discovery.then(&[Turn::Say(said)], told);
+            site.discovery.cut();
+            assert_eq!(site.asked_after(calls + 1, "", case), held, "before {case}");
+        } else {
+            site.discovery.then(&[], told);
+            site.discovery.say(&said);
+        }
+        if goes_on {
+            site.discovery.cut();
+        }
+        let (calls, alive) = if first { (calls + 2, "") } else { (calls + 1, "1\r\n\n\r\n") };
+        assert_eq!(site.asked_after(calls, alive, case), index, "{case}");
+        site.check_takers(takers, held, case);
+        let counts = counts.split(' ').map(|count| count.parse::<u64>().expect("a count"));
+        counted.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+    }
+    let figures = site.program.figures();
+    let names = ["bad_lists", "stale_lists", "bad_rows"];
+    assert_eq!(names.map(|name| figures[name]).to_vec(), counted, "{figures:?}");
+}
