The lingering bound has a test: a flood of clients that never end holds no more than its share

Need: connections that this side has ended are waited for, but only a sixth of all; nothing held that.

Forty clients send what is no request, read 400 and keep their connections; the process's descriptors grow by 11 at most, and a usual client is served after it. With the bound taken out of net/linger.rs it fails at the twelfth.

--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -115,3 +115,34 @@
     });
     assert!(spared);
 }
+
+/// Clients that were told the end, and make none themselves, are waited for in a share of their own: a sixth of all connections,
+/// here 10 of 60, and one that is just being told.
+#[test]
+fn a_flood_of_clients_that_never_end_holds_no_more_than_its_share() {
+    let node = Node::start("s-1");
+    let few = |config: &mut Value| config["limits"]["sockets"] = json!(100);
+    let program = start_with(std::slice::from_ref(&node), None, false, few);
+    let open = || std::fs::read_dir(format!("/proc/{}/fd", program.pid())).expect("its descriptors").count();
+    let mut usual = connect(program.platform);
+    let mut serve = |n| {
+        let request = job(&format!("u{n}"), "balance", "take started done=x", "");
+        usual.write_all(request.as_bytes()).expect("written");
+        assert_eq!(read_reply(&mut usual).expect("an answer").status, 200);
+    };
+    serve(0);
+    let before = open();
+    let mut flood = Vec::new();
+    for n in 1..=40 {
+        let mut stream = connect(program.platform);
+        stream.write_all(b"nonsense\r\n\r\nand more of it").expect("written");
+        assert_eq!(read_reply(&mut stream).expect("an answer").status, 400);
+        flood.push(stream);
+        let held = open().saturating_sub(before);
+        assert!(held <= 11, "{held} of {n}");
+    }
+    serve(1);
+    drop(flood);
+    let figures = program.figures();
+    assert_eq!((figures["served"], figures["open"], figures["broken_invariants"]), (2, 0, 0));
+}
