--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run ci build-proof proof-store proof-sse proof-membership proof-coldstart proof-ramp proof-runtimes proof-fairshare demo bench-decision
+.PHONY: build test lint run ci build-proof proof-store proof-sse proof-membership proof-coldstart proof-ramp proof-runtimes proof-fairshare proof-lists demo bench-decision
 
 build:
 	cargo build --locked --release
@@ -45,6 +45,9 @@
 proof-fairshare: build-proof
 	target/release/examples/proof_fairshare
 
+proof-lists: build-proof
+	target/release/examples/proof_lists
+
 # A stand-in fleet, the dispatcher and a small load on loopback, with a page that follows a job.
 demo: build
 	cargo run --locked --release -q -p mothproxy-stand-ins --bin demo
