A call to discovery keeps its place in a slow service's queue, and no dispatcher is starved

With more than ten dispatchers calls began up to 4.5 s apart (Terms::period), so no refusal was made good in 6 s.

Change: up to ten dispatchers as before. More of them give a call up when the next is due (4.5 s at most), or later where the service has answered or refused later; after a silence or a move in time for one more. A call that failed at once is made again within 2.5 s. Calls in vain in a row come as seldom as before, spread, and ever less often beyond 12 s. Watches that ended together are spread over up to 1.5 s.

--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -16,14 +16,16 @@
 const MOVED_TOLD_AFTER: Micros = 4_000_000;
 /// From the moment at which discovery can be reached again, [`TOLD_AFTER`] has to hold the rest of a call or wait under way, two
 /// tries that are refused, and one that is answered: a quarter each. A call of a few dispatchers begins at the latest so long
-/// after the one before it.
+/// after the one before it, and is given up so long after it began.
 const PERIOD: Micros = TOLD_AFTER / 4;
 /// So many dispatchers may ask in one period. More of them take turns, or a service that is slow would be kept from answering any
 /// by those that ask again; at the most they leave time for one call, which is answered, within [`TOLD_AFTER`].
 const FEW: Micros = 10;
-/// Its own quarter is all that a call is given, its connection included: discovery itself gives up one that has waited for
-/// a second, and a call in the place of one that is lost comes no later than after one that was refused.
-pub const ANSWER: Micros = PERIOD;
+/// A last call, which is answered, is given so much of [`TOLD_AFTER`]: services are known that let none wait for longer.
+const LAST: Micros = 1_000_000;
+/// However many there are, a refusal is made good within [`TOLD_AFTER`]: the rest of a wait under way, one call that is refused,
+/// and the last.
+const MADE_GOOD: Micros = (TOLD_AFTER - LAST) / 2;
 /// The connection for a call, of a watch or for the whole list, must be up by then.
 pub const CONNECT: Micros = 500_000;
 /// What the service is taken to need for a call, as where the operators' file says nothing else: it handles calls in turn, so
@@ -68,13 +70,23 @@
     /// The longest time between the beginnings of two calls. A dispatcher that has not asked for as long as the settings say
     /// counts as told then, if that is sooner: both a call that failed and the next one lie within it.
     fn period(&self) -> Micros {
-        let fair = (PERIOD * Micros::from(self.nodes) / FEW).clamp(PERIOD, TOLD_AFTER - ANSWER);
+        let fair = self.slow_turn().clamp(PERIOD, TOLD_AFTER - PERIOD);
         self.ask_within.map_or(fair, |within| fair.min(within / 2))
     }
 
-    /// All watches may end at once: their dispatchers call within this, which leaves half a period for more of them than that.
+    /// How long all take whose calls are handled in turn, by a service that is very slow.
+    fn slow_turn(&self) -> Micros {
+        PERIOD * Micros::from(self.nodes) / FEW
+    }
+
+    /// All watches may end at once: their dispatchers call within this, a period at most.
     fn spread(&self) -> Micros {
-        (CALL * Micros::from(self.nodes)).min(self.period().min(PERIOD) / 2)
+        (CALL * Micros::from(self.nodes)).min(self.period().min(PERIOD))
+    }
+
+    /// What was missed has a time by which it counts: then half a period is left for more dispatchers than that.
+    fn hurried_spread(&self) -> Micros {
+        self.spread().min(self.period().min(PERIOD) / 2)
     }
 
     /// A process that has just started waits for a period at most: many may start together.
@@ -96,12 +108,21 @@
     Connecting,
     /// It is asked for.
     Asked,
-    /// Its first object has begun; it has told nothing else.
+    /// The service has begun to answer; it has told nothing yet.
     Partly,
     /// It has told something, last at this time.
     Heard(Micros),
 }
 
+/// Calls that waited in the service's queue, as it seems, and were not answered.
+#[derive(Clone, Copy, Debug)]
+struct Overload {
+    /// When the first of them had failed.
+    since: Micros,
+    /// How many.
+    calls: u32,
+}
+
 /// One dispatcher's watch, as time passes over it.
 #[derive(Debug)]
 pub struct WatchClock {
@@ -113,6 +134,10 @@
     behind: Option<Micros>,
     /// Another service counts, and has told no list yet.
     moved: bool,
+    /// The longest that the service has let a call wait before it answered or refused it.
+    longest_wait: Micros,
+    /// Its calls have waited in vain, one after another: perhaps the service is overloaded.
+    overload: Option<Overload>,
     rng: fastrand::Rng,
 }
 
@@ -120,7 +145,16 @@
     /// No watch yet; `seed` settles the random waits.
     pub fn new(terms: Terms, seed: u64) -> WatchClock {
         let rng = fastrand::Rng::with_seed(seed);
-        WatchClock { terms, phase: Phase::Closed, called: None, behind: None, moved: false, rng }
+        WatchClock {
+            terms,
+            phase: Phase::Closed,
+            called: None,
+            behind: None,
+            moved: false,
+            longest_wait: 0,
+            overload: None,
+            rng,
+        }
     }
 
     /// The program begins. Returns when the first watch is to be opened: where lists are pushed at once.
@@ -138,7 +172,8 @@
     /// be opened.
     pub fn moved(&mut self, now: Micros) -> Micros {
         (self.phase, self.behind, self.moved) = (Phase::Closed, Some(now + MOVED_TOLD_AFTER), true);
-        now + if self.terms.pushed { 0 } else { self.rng.u64(0..=self.terms.spread()) }
+        (self.longest_wait, self.overload) = (0, None);
+        now + if self.terms.pushed { 0 } else { self.rng.u64(0..=self.terms.hurried_spread()) }
     }
 
     /// A watch is called for. Returns when its connection must be up.
@@ -153,14 +188,46 @@
         if self.terms.pushed { now + AGENT_ANSWER } else { self.answer_by(now) }
     }
 
+    /// A call for the whole list begins. Returns when it must be answered.
+    pub fn whole_called(&self, now: Micros) -> Micros {
+        now + self.answer_timeout(now)
+    }
+
     fn answer_by(&self, now: Micros) -> Micros {
-        self.called.unwrap_or(now) + ANSWER
+        let called = self.called.unwrap_or(now);
+        called + self.answer_timeout(called)
+    }
+
+    /// How long a call that began then may wait for its answer, once its connection is up. Given up it would lose its place in
+    /// the service's queue, and many services would answer it though nobody reads it. So it is given up only once the next one
+    /// is due, and later where the service has let a call wait for longer; but while what was missed can still be told in time,
+    /// there must be time for another.
+    fn answer_timeout(&self, called: Micros) -> Micros {
+        let longest = self.backoff(called).clamp(PERIOD, 2 * TOLD_AFTER);
+        let own = match self.behind {
+            Some(by) if called < by => by.saturating_sub(called + AGAIN + LAST).clamp(PERIOD, longest),
+            _ => longest,
+        };
+        own.max(self.longest_wait + self.longest_wait / 4)
+    }
+
+    /// The longest time from one call to the next while the service may be overloaded. For two bounds it is held that all can be
+    /// told within one; beyond that the wait grows with the time that was in vain, until it would do for a very slow service.
+    fn backoff(&self, now: Micros) -> Micros {
+        let in_vain = self.overload.map_or(0, |o| now.saturating_sub(o.since));
+        // After a call that failed the list is held to for four times the asking time; the next call has the last of them.
+        let held = self.terms.ask_within.map_or(Micros::MAX, |within| 3 * within);
+        let most = self.terms.slow_turn().min(held);
+        in_vain.saturating_sub(2 * TOLD_AFTER).min(most).max(self.terms.period())
     }
 
     /// It said something: whole lists (taken in before, by [`WatchClock::told`]) or empty lines, or the beginning of an object
     /// (`partly`). Returns when it must say more, unless an object began earlier: that one's time stands. `None` leaves the
     /// time that it has.
     pub fn heard(&mut self, now: Micros, partly: bool) -> Option<Micros> {
+        if let (Phase::Asked, Some(called)) = (self.phase, self.called) {
+            (self.longest_wait, self.overload) = (self.longest_wait.max(now.saturating_sub(called)), None);
+        }
         if partly {
             if let Phase::Heard(_) = self.phase {
                 return Some(now + OBJECT);
@@ -170,6 +237,7 @@
             return Some(self.answer_by(now).max(now + OBJECT / 2).min(now + OBJECT));
         }
         if self.moved {
+            self.phase = Phase::Partly;
             return None; // a service that has told no list yet cannot say by an empty line that nothing was missed
         }
         (self.phase, self.behind) = (Phase::Heard(now), None);
@@ -194,18 +262,38 @@
             return now + if why == Broken::Silent { 0 } else { AGAIN };
         }
         let called = self.called.unwrap_or(now);
+        let waited = now.saturating_sub(called);
+        match (was, why) {
+            (Phase::Asked, Broken::Ended) if waited >= APART => {
+                self.longest_wait = self.longest_wait.max(waited);
+                self.waited_in_vain(now);
+            }
+            (Phase::Asked, Broken::Silent) => self.waited_in_vain(now),
+            _ => self.overload = None,
+        }
         // Until what was missed counts, and after a watch that held, turns are not waited for.
         let hurries = self.behind.is_some_and(|by| now < by) || matches!(was, Phase::Heard(_));
-        let period = self.terms.period();
-        let next = called + if hurries { period.min(PERIOD) } else { period };
+        let period = match self.overload {
+            _ if hurries => self.terms.period().min(PERIOD),
+            Some(Overload { calls: 2.., .. }) => self.backoff(now),
+            _ => self.terms.period().min(MADE_GOOD),
+        };
+        let next = called + period;
         let (mut from, mut to) = match was {
             // One that held: all may have lost theirs. One that did not is like a call that failed.
+            Phase::Heard(_) if next <= now && why == Broken::Silent => {
+                (now, now + self.terms.hurried_spread())
+            }
             Phase::Heard(_) if next <= now => (now, now + self.terms.spread()),
             _ if next <= now + AGAIN => return now + AGAIN,
-            _ => (next - (next - now) / if self.terms.are_few() { 8 } else { 2 }, next),
+            // Those that wait for a slow service in vain are spread, or they would come together again.
+            _ => {
+                let slow = self.overload.is_some() && !self.terms.are_few();
+                (next - (next - now) / if slow { 2 } else { 8 }, next)
+            }
         };
         // While what was missed can still be told in time, there is time for another try after this one.
-        if let Some(room) = self.behind.and_then(|by| by.checked_sub(now + ANSWER)) {
+        if let Some(room) = self.behind.and_then(|by| by.checked_sub(now + PERIOD)) {
             let soon = (now + room / 2).max(called + APART);
             if soon < to {
                 (from, to) = (now.max(called + APART).min(soon), soon);
@@ -214,6 +302,11 @@
         self.rng.u64(from..=to)
     }
 
+    fn waited_in_vain(&mut self, now: Micros) {
+        let before = self.overload.unwrap_or(Overload { since: now, calls: 0 });
+        self.overload = Some(Overload { calls: before.calls.saturating_add(1), ..before });
+    }
+
     /// A call for the whole list, which a new service must be asked for, failed. Returns when it is asked for again.
     pub fn whole_failed(&mut self, now: Micros) -> Micros {
         now + self.terms.period()
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,7 @@
 use super::conn::{Conn, ReadEnd};
 use super::{Role, Server, Token, WATCH_TIMER, WHOLE_TIMER};
 use crate::config::ServerList;
-use crate::core::silence::{ANSWER, Broken, CONNECT, Objects, Terms, WatchClock};
+use crate::core::silence::{Broken, CONNECT, Objects, Terms, WatchClock};
 use crate::front::platform;
 use crate::http::{self, Body, MAX_HEAD};
 use crate::interface::Micros;
@@ -155,7 +155,10 @@
                 return self.call_failed(token, conn, call, "no connection");
             }
             call.connecting = false;
-            let due = if call.watch { self.lists.clock.connected(self.now) } else { self.now + ANSWER };
+            let due = match call.watch {
+                true => self.lists.clock.connected(self.now),
+                false => self.lists.clock.whole_called(self.now),
+            };
             self.set_timer(token, &mut conn, Some(due));
         }
         if !conn.flush() {
