--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -69,6 +69,8 @@
 
     /// A call is made and its fate met. Returns when the next is due, or None: a list was told.
     fn call(&mut self, fate: Fate) -> Option<Micros> {
+        let floor = self.calls.last().map_or(0, |last| last + 200 * MS);
+        assert!(self.now >= floor, "sooner after the one before than anybody may ask");
         self.calls.push(self.now);
         self.lost = None;
         self.kept = match fate {
@@ -111,6 +113,12 @@
         Some(self.broke(due, Broken::Silent))
     }
 
+    /// Another service counts, which was never called.
+    fn moves(&mut self) -> Micros {
+        self.calls.clear();
+        self.clock.moved(self.now)
+    }
+
     fn broke(&mut self, at: Micros, why: Broken) -> Micros {
         self.now = at;
         let next = self.clock.broke(at, why);
@@ -149,7 +157,7 @@
         let back = play.now + rng.u64(0..=12 * S);
         loop {
             if rng.u8(0..12) == 0 {
-                play.now = play.clock.moved(play.now);
+                play.now = play.moves();
             }
             if play.now >= back {
                 break;
@@ -200,7 +208,7 @@
         play.call(Fate::List(0));
         let from = play.now;
         play.now = match moves {
-            true => play.clock.moved(from),
+            true => play.moves(),
             false => play.broke(from + 2_500 * MS, Broken::Silent),
         };
         let fate = play.bad(QUEUE);
