Where no copies are allowed, the next attempt waits until the last has been given up

An attempt without an answer is given up by closing its connection and by DELETE, as the worker may have taken it and its 202 been lost. The next attempt left with the following batch, while the DELETE's own connection might still be on its way: two attempts out where Limits.SecondCopies forbids it.

There the attempt ends, for the core, when its DELETE has been written, or cannot be. Sites that allow copies go on at once as before.

Without the change the test fails: the other worker has the job while the DELETE's connection is held back by a full accept queue.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -19,8 +19,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Exchange {
-    Dispatch { session: SessionId, dispatch: u32 },
-    Cancel,
+    Dispatch {
+        session: SessionId,
+        dispatch: u32,
+    },
+    /// With the dispatch that counts as ended only once its worker has been told.
+    Cancel {
+        ends: Option<(SessionId, u32)>,
+    },
     Probe,
 }
 
@@ -141,21 +147,22 @@
         match self.dispatching.remove(&(session, dispatch)) {
             // Not taken yet, or streaming: closing the connection says it all.
             Some(token) => self.close_token(token),
-            None => self.call_off(worker, name),
+            None => self.call_off(worker, name, None),
         }
     }
 
-    /// Tells a worker to give a job up, where that is allowed.
-    fn call_off(&mut self, worker: WorkerId, name: &str) {
+    /// Tells a worker to give a job up, where that is allowed; the dispatch that `ends` with that has ended then.
+    fn call_off(&mut self, worker: WorkerId, name: &str, ends: Option<(SessionId, u32)>) {
+        let cancel = Exchange::Cancel { ends };
         match self.core.servers.get(worker) {
             Some(server) if !server.removed && self.config.settings.may_cancel => {
-                if let Some(token) =
-                    self.exchange(worker, Exchange::Cancel, Some(SIDE_TIME), platform::give_up(name), false)
-                {
+                let pieces = platform::give_up(name);
+                if let Some(token) = self.exchange(worker, cancel, Some(SIDE_TIME), pieces, false) {
+                    self.dispatching.extend(ends.map(|dispatch| (dispatch, token)));
                     self.back_start(token);
                 }
             }
-            _ => {}
+            _ => self.exchange_failed(None, worker, cancel, Outcome::Cancelled),
         }
     }
 
@@ -398,8 +405,12 @@
             }
         }
         let whole = conn.flush();
-        if whole && conn.outbox.is_empty() && back.unwritten.take().is_some() {
-            self.counts.dispatches_written += 1;
+        if whole && conn.outbox.is_empty() {
+            self.counts.dispatches_written += u64::from(back.unwritten.take().is_some());
+            if let State::Awaiting(cancel @ Exchange::Cancel { ends: Some(_) }) = back.state {
+                back.state = State::Awaiting(Exchange::Cancel { ends: None });
+                self.exchange_failed(None, back.worker, cancel, Outcome::Cancelled);
+            }
         }
         whole
     }
@@ -452,7 +463,7 @@
         };
         let worker = back.worker;
         self.back_broken(token, conn, back);
-        told.iter().for_each(|name| self.call_off(worker, name));
+        told.iter().for_each(|name| self.call_off(worker, name, None));
     }
 
     /// The connection is over; so is what it was used for.
@@ -509,7 +520,13 @@
                     self.core.probed(worker, outcome, self.now.saturating_sub(at), None);
                 }
             }
-            Exchange::Cancel => {}
+            // Told or not, its connection is closed and its time over.
+            Exchange::Cancel { ends } => {
+                if let Some((session, dispatch)) = ends {
+                    self.dispatching.remove(&(session, dispatch));
+                    self.core.ended(self.now, session, dispatch, Fate::Without(Outcome::Cancelled), None);
+                }
+            }
         }
     }
 
@@ -541,10 +558,15 @@
                 // machine is gone, new connections to it will not come up, which is.
                 self.counts.untaken += 1;
                 self.note_broken(session);
+                // Where no two attempts may be out, the next one leaves only after it was told.
                 let (worker, name) = (back.worker, self.core.name_of(session, dispatch));
-                self.exchange_failed(Some(token), worker, exchange, Outcome::Cancelled);
+                let ends = Some((session, dispatch)).filter(|_| !self.config.settings.second_copies);
+                self.dispatching.remove(&(session, dispatch));
                 self.close(token, conn, Role::Back(back));
-                name.iter().for_each(|name| self.call_off(worker, name));
+                if ends.is_none() || name.is_none() {
+                    self.exchange_failed(None, worker, exchange, Outcome::Cancelled);
+                }
+                name.iter().for_each(|name| self.call_off(worker, name, ends));
             }
             _ => self.back_broken(token, conn, back),
         }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -5,6 +5,8 @@
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 const FULL: &str = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -26,17 +28,21 @@
         (worker, program)
     }
 
-    fn wire(&self) -> Wire {
+    fn accept(&self) -> Option<Wire> {
         self.0.set_nonblocking(true).expect("a socket option");
-        let mut stream = None;
-        until("a connection of the program", || {
-            stream = self.0.accept().ok();
-            stream.is_some()
-        });
-        let (stream, _) = stream.expect("a connection");
+        let (stream, _) = self.0.accept().ok()?;
         stream.set_nonblocking(false).expect("a socket option");
         stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
-        Wire(stream)
+        Some(Wire(stream))
+    }
+
+    fn wire(&self) -> Wire {
+        let mut wire = None;
+        until("a connection of the program", || {
+            wire = self.accept();
+            wire.is_some()
+        });
+        wire.expect("a connection")
     }
 }
 
@@ -141,6 +147,43 @@
     }
 }
 
+/// An attempt gets no answer. Its worker may have taken it all the same: where no two may be out, the next one leaves only once
+/// that was told to give it up, which the test holds up.
+#[test]
+fn where_no_copies_are_allowed_the_next_attempt_waits_until_the_last_is_given_up() {
+    let other = Node::start("s-2");
+    let (worker, program) = Worker::start(|config| {
+        config["settings"]["Limits"]["SecondCopies"] = json!(false);
+        config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(3_000.0);
+        config["known"]["instances"].as_array_mut().expect("a list").push(other.row("up"));
+    });
+    other.calls_back_to(program.platform);
+    rustix::net::listen(&worker.0, 0).expect("a shorter queue");
+    // The other worker serves what it gets; the first job that comes here is the one.
+    let (mut taken, mut wire) = (0, None);
+    let (id, mut client) = loop {
+        let id = format!("c{taken}");
+        let mut client = hand_in(&program, &job(&id, "balance", "take started done=x", ""));
+        until("an attempt", || {
+            wire = worker.accept();
+            wire.is_some() || other.jobs.load(Ordering::SeqCst) > taken
+        });
+        if wire.is_some() {
+            break (id, client);
+        }
+        assert_eq!(read_reply(&mut client).expect("an answer").status, 200);
+        taken += 1;
+    };
+    let filler = connect(worker.0.local_addr().expect("an address"));
+    until_tried(&worker.0);
+    let tried = Instant::now();
+    until("another attempt has had its time", || tried.elapsed() > Duration::from_millis(300));
+    assert_eq!(other.jobs.load(Ordering::SeqCst), taken);
+    drop((worker.wire(), filler));
+    assert_eq!(worker.wire().request(), Some(format!("DELETE /jobs/{id}")));
+    assert_eq!(read_reply(&mut client).expect("an answer").status, 200);
+}
+
 /// An answer that turned a job away is said a second time. Other clients bring so much at once that the program has not looked
 /// at that when it has the next job to send: it may not be read as the answer to that.
 #[test]
