A list of a moment ago is used at a start until what it lacks may count

Change: the latest start of a worker on the list known before the start says how old that list is at most. What it lacks counts as told 6 s after that at the soonest, so until then it is used as it is; then nothing is sent by it until discovery has told one, cannot be reached, or has had its time (`WatchClock::revalidate`, `Core::withhold_stale`; the first byte asks too). Not where lists are pushed: there what the agent has counts from the first moment on.

Tests: a_list_of_a_moment_ago_is_used_until_what_it_lacks_may_count, and rows of the clause "revalidated".

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -516,6 +516,15 @@
         }
     }
 
+    /// Answers the calls for a watch that are held.
+    pub fn release_watches(&self, list: &Value) {
+        let mut watches = self.watches.lock().expect("a lock");
+        for mut stream in self.held.lock().expect("a lock").drain(..) {
+            let _ = stream.write_all(watched(list).as_bytes());
+            watches.push(stream);
+        }
+    }
+
     /// Tells all watches of a change; later calls get `list`.
     pub fn push(&self, change: &str, list: Value) {
         *self.list.lock().expect("a lock") = list;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -513,23 +513,41 @@
     }
 
     /// What was known before the start, perhaps long before: its workers have their numbers, its version is what discovery is
-    /// asked with, and nothing is sent by it before discovery has told a list, or [`Core::use_stale`].
-    pub fn remembered(&mut self, now: Micros, list: &ServerList) {
+    /// asked with, and nothing is sent by it before discovery has told a list, or [`Core::use_stale`]. Returns when the last of
+    /// its workers started.
+    pub fn remembered(&mut self, now: Micros, list: &ServerList) -> Option<Micros> {
         self.servers.take(now, list);
         self.servers.stale = true;
+        let since_unix = self.since_unix();
+        list.rows.iter().filter_map(|row| since_unix(row.started_at_ms)).max()
     }
 
-    /// Discovery cannot be reached: what was known before the start is used as it is, if that is still to be revalidated.
+    /// What was known before the start is used as it is, if that is still to be revalidated.
     pub fn use_stale(&mut self) {
         if std::mem::take(&mut self.servers.stale) {
-            let all = self.servers.iter().map(|(worker, _)| worker).collect();
-            self.tell_roster(RosterKind::Cached, all);
+            self.tell_all(RosterKind::Cached);
         }
     }
 
-    fn tell_roster(&mut self, kind: RosterKind, workers: Vec<WorkerId>) {
+    /// Nothing more is sent by what was known before the start until discovery has told a list, or [`Core::use_stale`].
+    pub fn withhold_stale(&mut self) {
+        self.servers.stale = true;
+        self.tell_all(RosterKind::Changes);
+    }
+
+    fn tell_all(&mut self, kind: RosterKind) {
+        let all = self.servers.iter().map(|(worker, _)| worker).collect();
+        self.tell_roster(kind, all);
+    }
+
+    /// Unix time in milliseconds as the module's time.
+    fn since_unix(&self) -> impl Fn(f64) -> Option<Micros> + Copy + use<> {
         let offset = self.unix_offset;
-        let since_unix = |ms: f64| Micros::try_from((ms * 1000.0) as i128 + offset).ok().filter(|t| *t > 0);
+        move |ms: f64| Micros::try_from((ms * 1000.0) as i128 + offset).ok().filter(|t| *t > 0 && ms > 0.0)
+    }
+
+    fn tell_roster(&mut self, kind: RosterKind, workers: Vec<WorkerId>) {
+        let since_unix = self.since_unix();
         let (servers, names) = (&self.servers, &mut self.names.0);
         let entries = workers.into_iter().filter_map(|worker| servers.entry(worker, names, since_unix));
         self.events.push(Event::Roster(kind, entries.collect()));
--- a/src/core/servers.rs
+++ b/src/core/servers.rs
@@ -55,7 +55,7 @@
     pub bad_rows: u64,
     /// Lists that were older than what was held, and not taken in.
     pub stale_lists: u64,
-    /// Its rows were known before the start and are still to be revalidated: the module knows none of them, so nothing is sent.
+    /// Its rows were known before the start and are still to be revalidated: for the module none of them takes work.
     pub stale: bool,
 }
 
@@ -185,6 +185,7 @@
             cell: CellId(row.cell),
             status: match row.lifecycle {
                 _ if *removed => Status::Gone,
+                Lifecycle::Up if self.stale => Status::Draining,
                 Lifecycle::Up => Status::Ready,
                 Lifecycle::Draining => Status::Draining,
                 Lifecycle::Removed => Status::Gone,
--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -3,6 +3,7 @@
 //! program started with is still to be revalidated. It has no clock and no socket of its own. From every state something is due: a dispatcher is never without a watch and without a time for its next call.
 
 use crate::interface::{Micros, Settings};
+use std::ops::Range;
 
 /// As long as nothing changes, a watch sends an empty line this often (PROTOCOL, "Discovery").
 const HEARTBEAT: Micros = 2_000_000;
@@ -86,7 +87,7 @@
         PERIOD * Micros::from(self.nodes) / FEW
     }
 
-    /// All watches may end at once: their dispatchers call within this, a period at most.
+    /// All watches may end at once, and all may start at once: their dispatchers call within this, a period at most.
     fn spread(&self) -> Micros {
         (CALL * Micros::from(self.nodes)).min(self.period().min(PERIOD))
     }
@@ -96,12 +97,6 @@
         self.spread().min(self.period().min(PERIOD) / 2)
     }
 
-    /// A process that has just started waits for a period at most: many may start together.
-    fn first(&self) -> Micros {
-        self.ask_within
-            .map_or(PERIOD, |within| self.period().min(within / if self.are_few() { 8 } else { 4 }))
-    }
-
     fn are_few(&self) -> bool {
         Micros::from(self.nodes) <= FEW
     }
@@ -141,8 +136,8 @@
     behind: Option<Micros>,
     /// Another service counts, and has told no list yet.
     moved: bool,
-    /// What the program started with is still to be revalidated, until then at the latest.
-    stale: Option<Micros>,
+    /// What the program started with is still to be revalidated: in this span it may lack what counts as told.
+    stale: Option<Range<Micros>>,
     /// The longest that the service has let a call wait before it answered or refused it.
     longest_wait: Micros,
     /// Its calls have waited in vain, one after another: perhaps the service is overloaded.
@@ -169,19 +164,22 @@
 
     /// The program begins. Returns when the first watch is to be opened: where lists are pushed at once.
     pub fn begin(&mut self, now: Micros) -> Micros {
-        now + if self.terms.pushed { 0 } else { self.rng.u64(0..=self.terms.first()) }
+        now + if self.terms.pushed { 0 } else { self.rng.u64(0..=self.terms.spread()) }
     }
 
-    /// The list that the program starts with is to be revalidated: it may lack changes that count as told by now (a process
-    /// that comes back after a while knows what its predecessor knew). Returns until when at the latest.
-    pub fn revalidate(&mut self, now: Micros) -> Micros {
-        *self.stale.insert(now + REVALIDATE)
+    /// The list that the program starts with is to be revalidated: it may lack changes that count as told (a process that comes
+    /// back after a while knows what its predecessor knew). `newest` is the latest start of a worker on it: the list is no older,
+    /// so what it lacks counts as told [`TOLD_AFTER`] that at the soonest. Returns from when on, and until when at the latest,
+    /// nothing may be sent by it.
+    pub fn revalidate(&mut self, now: Micros, newest: Option<Micros>) -> Range<Micros> {
+        let from = newest.filter(|_| !self.terms.pushed).map_or(now, |start| start.min(now) + TOLD_AFTER);
+        self.stale.insert(from.max(now)..now + REVALIDATE).clone()
     }
 
-    /// Whether that list is still to be revalidated: discovery has told none, and nothing shows that it cannot be reached (an
-    /// agent of the own machine says nothing as long as that is so).
+    /// Whether nothing may be sent by that list: discovery has told none, what it would tell may count as told, and nothing shows
+    /// that it cannot be reached (an agent of the own machine says nothing as long as that is so).
     pub fn is_stale(&self, now: Micros) -> bool {
-        self.stale.is_some_and(|until| now < until)
+        self.stale.as_ref().is_some_and(|span| span.contains(&now))
     }
 
     /// Other settings count. True if a watch is to be opened now: where lists are pushed one always is.
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -2,7 +2,7 @@
 
 use super::conn::{Conn, ReadEnd};
 use super::{Role, Server, Token};
-use crate::core::{Fate, SessionId};
+use crate::core::{Fate, SessionId, servers};
 use crate::front::{names, platform};
 use crate::http::{self, Body, EventStream, Framing, MAX_BODY, MAX_HEAD, Piece, StreamEvent};
 use crate::interface::{Micros, Outcome, WorkerId};
@@ -386,7 +386,8 @@
             let begun = conn.outbox.len() < worded;
             self.clock(); // a turn may be long, and the last bytes of it late
             let server = self.core.servers.get(back.worker);
-            let usable = server.is_some_and(|s| s.stopped.is_none() && back.address == Some(s.address));
+            let takes = |s: &servers::Server| s.stopped.is_none() && back.address == Some(s.address);
+            let usable = !self.core.servers.stale && server.is_some_and(takes);
             let may = self.core.may_write(self.now, session, dispatch, back.way);
             if !may || !(usable || begun) {
                 // Its last byte has not left, so it never ran, and nobody is to blame. Nothing of it has: then the
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -69,21 +69,32 @@
 
 impl Server {
     /// The program begins: from now on the clock of silence says when a watch is opened.
-    pub(super) fn watch_begins(&mut self) {
+    /// `newest` is when the last worker started of the list that is known so far.
+    pub(super) fn watch_begins(&mut self, newest: Option<Micros>) {
         let at = self.lists.clock.begin(self.now);
         self.watch_at(at);
         if self.core.servers.stale {
-            let until = self.lists.clock.revalidate(self.now);
-            self.core.remind(until, STALE_TIMER);
+            let span = self.lists.clock.revalidate(self.now, newest);
+            self.core.remind(span.end, STALE_TIMER);
+            if span.start > self.now {
+                self.core.remind(span.start, STALE_TIMER);
+                self.core.use_stale();
+            }
         }
     }
 
-    /// Where discovery has not revalidated the list that the program started with, and cannot be reached or has had its time
-    /// for it, that list is used as it is.
-    pub(super) fn use_stale(&mut self) {
-        if self.core.servers.stale && !self.lists.clock.is_stale(self.now) {
-            tracing::warn!("discovery: not heard since the start; the list known before it is used as it is");
-            self.core.use_stale();
+    /// As long as the list that the program started with is to be revalidated, and discovery has not told one, nothing is sent by
+    /// it. Where discovery cannot be reached, or has had its time, it is used as it is.
+    pub(super) fn check_stale(&mut self) {
+        match (self.core.servers.stale, self.lists.clock.is_stale(self.now)) {
+            (true, false) => {
+                tracing::warn!(
+                    "discovery: not heard since the start; the list known before it is used as it is"
+                );
+                self.core.use_stale();
+            }
+            (false, true) => self.core.withhold_stale(),
+            _ => {}
         }
     }
 
@@ -272,7 +283,7 @@
             Some(Refusal::Recounted) if self.lists.whole == Whole::Known => self.lists.whole = Whole::Due,
             Some(Refusal::Empty) if call.watch => {
                 self.lists.clock.told(self.now);
-                self.use_stale();
+                self.check_stale();
                 return Ok(());
             }
             _ => {}
@@ -348,7 +359,7 @@
                 (_, true) => self.ask_over(end),
                 (again, false) => self.watch_at(again),
             }
-            self.use_stale();
+            self.check_stale();
         } else if self.lists.whole == Whole::Asked {
             self.lists.whole = Whole::Again;
             self.core.remind(self.lists.clock.whole_failed(self.now), WHOLE_TIMER);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -347,10 +347,11 @@
         }
         let now = Core::clock_start();
         // What the elder was last told is newer than what this file holds.
+        let mut newest = None;
         match &inherited {
             Some(from) if !from.stale => core.listed(now, &from.table, true),
-            Some(from) => core.remembered(now, &from.table),
-            None => core.remembered(now, &config.known),
+            Some(from) => drop(core.remembered(now, &from.table)),
+            None => newest = core.remembered(now, &config.known),
         }
         if let Some(lesson) = inherited.as_mut().and_then(|from| from.lesson.take()) {
             core.recall(lesson);
@@ -410,7 +411,7 @@
             server.open_notes(dir)?;
         }
         server.settle_in(path, inherited);
-        server.watch_begins();
+        server.watch_begins(newest);
         Ok(server)
     }
 
@@ -513,7 +514,7 @@
                 Command::Watch => self.watch_wanted(),
                 Command::Due(WATCH_TIMER) => self.watch_due(),
                 Command::Due(WHOLE_TIMER) => self.whole_due(),
-                Command::Due(STALE_TIMER) => self.use_stale(),
+                Command::Due(STALE_TIMER) => self.check_stale(),
                 Command::Fetch => self.call(false),
                 Command::Due(SUMMARY_TIMER) => {
                     self.summary();
--- a/tests/conformance/silence.rs
+++ b/tests/conformance/silence.rs
@@ -53,8 +53,10 @@
         pushed: bool,
     },
     Moved {},
-    /// What was known before the start is to be revalidated, and whether it still is.
-    Revalidate {},
+    /// What was known before the start is to be revalidated, its newest worker so many milliseconds old; and whether it still is.
+    Revalidate {
+        newest: Option<u64>,
+    },
     IsStale {},
     /// Bytes of the watch, as they come.
     Bytes(String),
@@ -129,8 +131,8 @@
                 vec![if self.clock.retune(terms) { "open" } else { "as it is" }.to_owned()]
             }
             Verb::Moved {} => again(self.clock.moved(now)),
-            Verb::Revalidate {} => {
-                self.clock.revalidate(now);
+            Verb::Revalidate { newest } => {
+                self.clock.revalidate(now, newest.map(|ms| now - ms * 1_000));
                 stale(&self.clock)
             }
             Verb::IsStale {} => stale(&self.clock),
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -2,6 +2,7 @@
 
 use mothproxy_stand_ins::*;
 use serde_json::{Value, json};
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -41,6 +42,32 @@
     assert_eq!(ready(&program), 200);
 }
 
+/// On a release day most dispatchers are killed and come back within a second: while each waited for discovery, those that were left
+/// turned a seventh of all jobs away. A list with a worker that started just now is as new as that, and what it lacks does not count yet;
+/// once it does, nothing more is sent by it until discovery speaks.
+#[test]
+fn a_list_of_a_moment_ago_is_used_until_what_it_lacks_may_count() {
+    let (old, new) = (Node::start("s-1"), Node::start("s-2"));
+    let list = json!({"generation": 2, "reset": true, "instances": [old.row("draining"), new.row("up")]});
+    let discovery = Discovery::start(list.clone());
+    discovery.then(&vec![Turn::Hold; 50], list.clone());
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    let program = start_with(std::slice::from_ref(&old), Some(discovery.address), false, |config| {
+        // 2 s of the 6 are left.
+        config["known"]["instances"][0]["startedAtMs"] = json!((unix.as_millis() - 4_000) as u64);
+        config["settings"]["Obligations"]["AskWithinMs"] = json!(80_000.0);
+    });
+    new.calls_back_to(program.platform);
+    assert_eq!((ready(&program), serve(&program, "a")), (200, 200));
+    until("it counts by now", || ready(&program) == 503);
+    let before = old.jobs.load(Ordering::SeqCst);
+    let mut client = connect(program.platform);
+    client.write_all(job("b", "balance", "take started done=x", "").as_bytes()).expect("written");
+    discovery.release_watches(&list);
+    assert_eq!(read_reply(&mut client).expect("an answer").status, 200);
+    assert_eq!((old.jobs.load(Ordering::SeqCst), new.jobs.load(Ordering::SeqCst)), (before, 1));
+}
+
 /// Discovery that can't be reached, or has had its time, keeps nobody from serving: the list of before is used as it is.
 #[test]
 fn a_process_serves_by_the_list_of_before_where_discovery_cannot_be_reached() {
