A list that breaks off is counted as a bad one

Cause: beside four busy processes on one core the row of tests/lists.rs with more than a list may take failed once in 15 runs: it was given up as silent before it was too long, and only the latter was counted.

Change: an object that has begun when its call fails, however that is, counts in bad_lists. The rows with half a list say so, and the test of the whole list that is cut.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -233,7 +233,7 @@
             true if done => return Err("ended"),
             _ => return Ok(false),
         };
-        self.counts.bad_lists += 1;
+        self.counts.bad_lists += u64::from(!call.text.partly()); // one that has begun is counted at the call's end
         Err(why)
     }
 
@@ -308,8 +308,10 @@
         self.watch_over(true, CallEnd::Silent);
     }
 
-    /// A line for each call that failed; of those that told nothing, one in so long: an agent is asked again at once.
+    /// A line for each call that failed; of those that told nothing, one in so long: an agent is asked again at once. A list that
+    /// broke off is a bad one.
     fn log_failed(&mut self, call: &Call, why: &str) {
+        self.counts.bad_lists += u64::from(call.text.partly());
         if call.answered || self.now >= self.lists.quiet_until {
             self.lists.quiet_until = self.now + QUIET;
             let what = if call.watch { "watch" } else { "list" };
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -136,7 +136,7 @@
     until_unused(&program, &old, &new); // its answer has been read
     let figures = program.figures();
     assert_eq!(figures["workers"], 1, "the old one is not of this service");
-    assert_eq!((figures["bad_lists"], second.whole_calls()), (3, turns.len()));
+    assert_eq!((figures["bad_lists"], second.whole_calls()), (4, turns.len()));
 }
 
 /// The whole list travels beside the watch, and may be older than what that has told meanwhile: it took back a drain.
@@ -320,10 +320,10 @@
 later; goes on; 3; 0 0 0; +1 change 3u | text | +2 change 2d | +3 change 1u | +4 change 1d
 later; goes on; 3; 0 0 0; indented +1 change 3u | indented +2 whole 1d 3u
 later; goes on; 3; 0 0 0; bytes +1 whole 1d 3u
-later; +0; 2; 0 0 0; half +1 whole 1u | raw 0\n\n
-later; +0; 2; 0 0 0; half +1 whole 1u | raw no chunk\n
+later; +0; 2; 1 0 0; half +1 whole 1u | raw 0\n\n
+later; +0; 2; 1 0 0; half +1 whole 1u | raw no chunk\n
 later; +1; 2 3; 0 0 0; +1 change 3u | raw no chunk\n
-later; +0; 2; 0 0 0; half +1 whole 1u
+later; +0; 2; 1 0 0; half +1 whole 1u
 later; goes on; 3 2m; 0 0 0; +1 whole 1d 3u | +2 change 2m
 first; goes on; 1 2; 0 0 0; watch | -90 whole 1u 2u
 first; all; 2 3; 0 1 0; watch | -90 change 1u; -90 whole 1d 2u 3u
@@ -334,7 +334,7 @@
 first; +0; 2; 0 0 0; raw nothing\n\n
 first; +0; 2; 0 0 0; raw HTTP/1.1 200 O
 first; +0; 2; 0 0 0; watch
-first; +0; 2; 0 0 0; watch | half +1 whole 1u
+first; +0; 2; 1 0 0; watch | half +1 whole 1u
 first; +0; 2; 0 0 0; raw HTTP/1.1 200 OK\nContent-Length: 0\n\n
 "#;
 
