--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -89,6 +89,7 @@
 fn a_bad_or_missing_configuration_changes_nothing() {
     let node = Node::start("s-1");
     let discovery = Discovery::start(whole(&[&node]));
+    discovery.keep_alive(); // else the watch is silent after 2.5 s, and asked for again
     let mut program = start(std::slice::from_ref(&node), Some(discovery.address), false);
     until("a watch", || discovery.calls.load(Ordering::SeqCst) > 0);
     let good = program.config.clone();
