Others that heard of a process's work say whether its successor's list may be used

Seen: their list names no worker that started lately, so all of them wait for discovery, which takes 10 ms a call; they are ready evenly over 2.5 s, which is its own time for 225 calls, and 7 % of the jobs from 10 s to 20 s are turned away meanwhile.

Change: one that has just started and may not use its list says `U` to its group too; whoever heard of the work of the process before it answers how long ago that was (`H` and four bytes). That process kept its list in step, but for what it had not noticed to miss (2.5 s), so what the list lacks counts 3.5 s after that at the soonest, and until then it is used (`WatchClock::in_step`).

Test: others_that_heard_of_the_process_before_say_whether_the_list_may_be_used, both ways, with words cut short and too long; it cannot pass before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -824,6 +824,11 @@
         sums
     }
 
+    /// The other dispatchers of this one's group, which tell each other of their work.
+    pub fn mates(&self) -> &[u32] {
+        &self.dispatcher.m.share.mates
+    }
+
     /// How many listed workers the module is avoiding.
     pub fn avoided(&self, now: Micros) -> usize {
         self.dispatcher.avoided(now)
--- a/src/core/silence.rs
+++ b/src/core/silence.rs
@@ -176,6 +176,15 @@
         self.stale.insert(from.max(now)..now + REVALIDATE).clone()
     }
 
+    /// The process before this one was heard of by another dispatcher at this time. What it knew then lacked no more than what it
+    /// had not noticed to miss, within [`SILENCE`], and that counts [`TOLD_AFTER`] after. Returns from when on, now, nothing may be
+    /// sent by that list, if it is still to be revalidated; what an agent has counts at once.
+    pub fn in_step(&mut self, at: Micros) -> Option<Micros> {
+        let span = self.stale.as_mut().filter(|_| !self.terms.pushed)?;
+        span.start = span.start.max(at + TOLD_AFTER - SILENCE);
+        Some(span.start)
+    }
+
     /// Whether nothing may be sent by that list: discovery has told none, what it would tell may count as told, and nothing shows
     /// that it cannot be reached (an agent of the own machine says nothing as long as that is so).
     pub fn is_stale(&self, now: Micros) -> bool {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Another dispatcher heard of this one's work at this time, before it started: until some time after that the list that it
+    /// started with lacks nothing that counts.
+    pub(super) fn was_heard(&mut self, at: Micros) {
+        let from = self.lists.clock.in_step(at.min(self.now)).filter(|from| *from > self.now);
+        if let Some(from) = from.filter(|_| self.core.servers.stale) {
+            self.core.remind(from, STALE_TIMER);
+            self.core.use_stale();
+        }
+    }
+
     /// As long as the list that the program started with is to be revalidated, and discovery has not told one, nothing is sent by
     /// it. Where discovery cannot be reached, or has had its time, it is used as it is.
     pub(super) fn check_stale(&mut self) {
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -13,6 +13,8 @@
 const SERVING: u8 = b'U';
 /// ... or that it takes its leave. All others belong to the module.
 const STOPPING: u8 = b'S';
+/// To one that says it serves: how many milliseconds ago its work was heard of last, four bytes, the highest first.
+const HEARD: u8 = b'H';
 /// Datagrams get lost, now and then all for a while: serving is said again so often, stopping until the end, and each
 /// time so long after.
 const REPEATS: u32 = 4;
@@ -22,6 +24,8 @@
 pub(super) struct Standing {
     places: HashMap<SocketAddr, u32>,
     states: PeerStates,
+    /// When each other last spoke of its work.
+    heard: HashMap<u32, Micros>,
     /// How often this one's own state is still to be said.
     repeats: u32,
 }
@@ -29,7 +33,7 @@
 impl Standing {
     pub fn of(config: &Config) -> Standing {
         let states = PeerStates::new(config.settings.me, config.peers.len());
-        Standing { places: places(&config.peers), states, repeats: 0 }
+        Standing { places: places(&config.peers), states, heard: HashMap::new(), repeats: 0 }
     }
 
     /// The dispatchers of another configuration: what was said counts for whoever has the same address there.
@@ -37,6 +41,8 @@
         self.places = places(&config.peers);
         let place = |n: u32| old.get(n as usize).and_then(|at| self.places.get(at)).copied();
         self.states.renumber(config.settings.me, config.peers.len(), place);
+        let heard = std::mem::take(&mut self.heard).into_iter();
+        self.heard = heard.filter_map(|(n, at)| Some((place(n)?, at))).collect();
     }
 }
 
@@ -78,6 +84,10 @@
 
     fn tell_state_once(&mut self) {
         self.tell_peers(if self.takes_leave() { STOPPING } else { SERVING });
+        // One that has just started, and may not use the list it knows, asks those for it that heard of the process before it.
+        if self.core.servers.stale && !self.standing.states.is_small() {
+            self.core.mates().iter().for_each(|to| self.tell_peer(*to, &[SERVING]));
+        }
         self.core.remind(self.now + REPEAT_AFTER, PEER_TIMER);
     }
 
@@ -110,10 +120,21 @@
                     if self.takes_leave() {
                         self.tell_peer(peer, &[STOPPING]);
                     }
+                    if let Some(at) = self.standing.heard.get(&peer) {
+                        let ago = u32::try_from(self.now.saturating_sub(*at) / 1_000).unwrap_or(u32::MAX);
+                        self.tell_peer(peer, &[&[HEARD][..], &ago.to_be_bytes()].concat());
+                    }
+                }
+                [HEARD, a, b, c, d] => {
+                    let ago = Micros::from(u32::from_be_bytes([a, b, c, d])) * 1_000;
+                    self.was_heard(self.now.saturating_sub(ago));
                 }
                 [STOPPING] => self.standing.states.heard(peer, true),
                 _ if self.fleet_hears(peer, &buf[..len]) => {}
-                _ => self.core.mail(peer, buf[..len].to_vec()),
+                _ => {
+                    self.standing.heard.insert(peer, self.now);
+                    self.core.mail(peer, buf[..len].to_vec());
+                }
             }
         }
     }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -3,6 +3,7 @@
 use mothproxy_stand_ins::*;
 use serde_json::{Value, json};
 use std::io::Write;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -68,6 +69,49 @@
     assert_eq!((old.jobs.load(Ordering::SeqCst), new.jobs.load(Ordering::SeqCst)), (before, 1));
 }
 
+/// The list says nothing of its age where no worker has started lately. Others that heard of the process before this one's work do:
+/// what the list lacks does not count yet where that was a moment ago, and may where it was longer.
+#[test]
+fn others_that_heard_of_the_process_before_say_whether_the_list_may_be_used() {
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    peer.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    let old = Node::start("s-1");
+    let list = json!({"generation": 2, "reset": true, "instances": [old.row("up")]});
+    let discovery = Discovery::start(list.clone());
+    discovery.then(&vec![Turn::Hold; 50], list.clone());
+    let program = start_with(std::slice::from_ref(&old), Some(discovery.address), false, |config| {
+        config["settings"]["Obligations"]["AskWithinMs"] = json!(80_000.0);
+        config["settings"]["Siblings"] = json!(2);
+        config["settings"]["Limits"]["Peers"] = json!(true);
+        config["settings"]["Limits"]["Probing"] = json!(true);
+        config["peer_listen"] = json!("127.0.0.1:0");
+        config["peers"] = json!(["127.8.0.1:9", peer.local_addr().expect("an address").to_string()]);
+    });
+    let mut buf = [0; 256];
+    let mut hears = |what: &dyn Fn(&[u8]) -> bool| loop {
+        let (len, from) = peer.recv_from(&mut buf).expect("a datagram");
+        if what(&buf[..len]) {
+            return (from, buf[..len].to_vec());
+        }
+    };
+    let (program_at, _) = hears(&|word| word == b"U");
+    // So long ago that what it lacks may count; a word cut short, and one too long.
+    for word in [&b"H\0\0\x0e\x10"[..], b"H\0\0\0", b"H\0\0\0\0\0"] {
+        peer.send_to(word, program_at).expect("sent");
+    }
+    hears(&|word| word == b"U"); // they came before this was said again
+    assert_eq!(ready(&program), 503, "3.6 s ago");
+    peer.send_to(b"H\0\0\x03\xe8", program_at).expect("sent");
+    until("it serves: 1 s ago", || ready(&program) == 200);
+    assert_eq!(serve(&program, "a"), 200);
+    // The program says so as well: of a peer that spoke of its work, and none that only said that it serves.
+    peer.send_to(b"U", program_at).expect("sent");
+    peer.send_to(&[b'W', 0, 1, 2], program_at).expect("sent");
+    peer.send_to(b"U", program_at).expect("sent");
+    let (_, word) = hears(&|word| word.first() == Some(&b'H'));
+    assert!(matches!(word[..], [b'H', 0, 0, _, _]), "{word:?}");
+}
+
 /// Discovery that can't be reached, or has had its time, keeps nobody from serving: the list of before is used as it is.
 #[test]
 fn a_process_serves_by_the_list_of_before_where_discovery_cannot_be_reached() {
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -79,7 +79,7 @@
         let mut due = self.clock.connected(began + self.rng.u64(0..=MS));
         // In its queue the service keeps as many calls as there are dispatchers: more have as long as a turn of all takes; and each
         // that was in vain says that a turn may take twice as long.
-        let patient = if before == 0 { 2 * S } else { (1_500 * MS << before.min(2)).min(4_500 * MS) };
+        let patient = if before == 0 { 2 * S } else { ((1_500 * MS) << before.min(2)).min(4_500 * MS) };
         assert!(
             due > began && due <= began + self.longest.max(patient),
             "an answer is waited for without end"
