The word of others counts only while the list may not be used

Now such a word counts while the list is withheld, and not after. tests/restart.rs passes as before; it does not reach the case.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -84,10 +84,12 @@
     }
 
     /// Another dispatcher heard of this one's work at this time, before it started: until some time after that the list that it
-    /// started with lacks nothing that counts.
+    /// started with lacks nothing that counts. Once that is used the work heard of may be this process's own.
     pub(super) fn was_heard(&mut self, at: Micros) {
-        let from = self.lists.clock.in_step(at.min(self.now)).filter(|from| *from > self.now);
-        if let Some(from) = from.filter(|_| self.core.servers.stale) {
+        if !self.core.servers.stale {
+            return;
+        }
+        if let Some(from) = self.lists.clock.in_step(at.min(self.now)).filter(|from| *from > self.now) {
             self.core.remind(from, STALE_TIMER);
             self.core.use_stale();
         }
