The story of the pacer waits for watches to end, not for calls that ended before

Its wait for the ends of all watches took any line "watch failed: ended", and since processes wait up to 4.5 s for discovery before jobs are served, all five have such a line from the outage at the start: in the log of the failure n0 at 3.789 s, n1 at 4.521 s. So discovery was up again before any watch had ended, and no process had reason to ask a third time. The test was wrong; it now waits until each process has one more such line than before the outage, which is stricter.

--- a/tests/coldstart.rs
+++ b/tests/coldstart.rs
@@ -123,10 +123,11 @@
     });
     fleet.lists.set_mode(ListMode::Up);
     fleet.until("all hold a list again", || answered(2));
+    // Calls may have ended so before, while it was down at the start.
+    let ended = |i| fleet.log(i).iter().filter(|line| line.text.contains("watch failed: ended")).count();
+    let before: Vec<usize> = (0..5).map(ended).collect();
     fleet.lists.set_mode(ListMode::Down);
-    fleet.until("watches end", || {
-        (0..5).all(|i| fleet.log(i).iter().any(|line| line.text.contains("watch failed: ended")))
-    });
+    fleet.until("watches end", || (0..5).all(|i| ended(i) > before[i]));
     fleet.lists.set_mode(ListMode::Up);
     fleet.until("all hold a list once more", || answered(3));
     let report = load.stop();
