--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -499,17 +499,18 @@
 
     /// A list of discovery's, which counts as told since `told`; `cached` where a process that held a watch handed it over.
     pub fn listed(&mut self, told: Micros, list: &ServerList, cached: bool) {
-        let mut named = self.servers.take(told, list);
-        let all = std::mem::take(&mut self.servers.stale);
-        let kind = match (cached, list.reset || all) {
-            (true, _) => RosterKind::Cached,
-            (_, true) => RosterKind::Whole,
-            _ => RosterKind::Changes,
-        };
-        if all {
-            named = self.servers.iter().map(|(worker, _)| worker).collect(); // so far the module knows none of them
+        let named = self.servers.take(told, list);
+        if std::mem::take(&mut self.servers.stale) {
+            return self.tell_all(RosterKind::Whole); // so far none of them took work for the module
         }
-        self.tell_roster(kind, named);
+        self.tell_roster(
+            match (cached, list.reset) {
+                (true, _) => RosterKind::Cached,
+                (_, true) => RosterKind::Whole,
+                _ => RosterKind::Changes,
+            },
+            named,
+        );
     }
 
     /// What was known before the start, perhaps long before: its workers have their numbers, its version is what discovery is
