Upstream: count and log responses of workers that no request awaits

Change: the figure `unsolicited`, and at most one line a second with the worker, the status, and the status and age of the last response on that connection.

--- a/src/server/upstream/connection.rs
+++ b/src/server/upstream/connection.rs
@@ -70,6 +70,14 @@
     pub events: EventStream,
 }
 
+/// The last response on a connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LastResponse {
+    pub status: u16,
+    /// When it was read completely, in microseconds.
+    pub read_at: Micros,
+}
+
 /// The progress of establishing a connection.
 pub(super) enum ConnectProgress {
     /// The connection had been established before.
@@ -101,6 +109,8 @@
     pub(super) transit_allowance: Micros,
     /// How long the connection must stay unused before its next exchange, in microseconds; 0 if it may be used at once.
     pub(super) cooldown: Micros,
+    /// The last response that this process has read completely; `None` if there was none.
+    pub(super) last_response: Option<LastResponse>,
 }
 
 impl UpstreamConnection {
@@ -122,6 +132,7 @@
             connect_started: now,
             transit_allowance: 0,
             cooldown: 0,
+            last_response: None,
         }
     }
 
@@ -137,6 +148,7 @@
             connect_started: now,
             transit_allowance: 0,
             cooldown: 0,
+            last_response: None,
         }
     }
 
--- a/src/server/upstream/mod.rs
+++ b/src/server/upstream/mod.rs
@@ -11,6 +11,7 @@
 mod end;
 mod read;
 mod start;
+mod unsolicited;
 mod write;
 
 pub(in crate::server) use connection::UpstreamConnection;
@@ -49,6 +50,8 @@
     attempts: HashMap<AttemptId, Token>,
     /// Connections on which the response to a load probe is awaited.
     probes: HashMap<Token, PendingProbe>,
+    /// The earliest time at which the next unsolicited response is logged.
+    next_unsolicited_log: Micros,
 }
 
 impl UpstreamPool {
--- a/src/server/upstream/read.rs
+++ b/src/server/upstream/read.rs
@@ -3,7 +3,7 @@
 use super::PendingProbe;
 use super::UpstreamPool;
 use super::connection::{
-    CancelRequest, Exchange, ResponseBody, StatusStream, UpstreamConnection, UpstreamState,
+    CancelRequest, Exchange, LastResponse, ResponseBody, StatusStream, UpstreamConnection, UpstreamState,
 };
 use crate::core::{AttemptId, AttemptOutcome};
 use crate::http::{self, Body, EventStream, Framing, MAX_BODY, MAX_HEAD, StreamEvent};
@@ -101,7 +101,10 @@
             let result = match &mut upstream.state {
                 UpstreamState::Connecting(_) => StepResult::Wait,
                 UpstreamState::Idle if connection.read_buffer.is_empty() => StepResult::Wait,
-                UpstreamState::Idle => StepResult::Unusable,
+                UpstreamState::Idle => {
+                    self.record_unsolicited(context, connection, upstream);
+                    StepResult::Unusable
+                }
                 UpstreamState::AwaitingResponse(exchange) => {
                     let exchange = *exchange;
                     self.read_response_head(context, connection, upstream, exchange)
@@ -133,7 +136,11 @@
             Ok(Some(head)) if is_response_to(exchange, &head, connection) => {
                 self.on_response_head(context, connection, upstream, exchange, &head);
             }
-            _ => return StepResult::Unusable,
+            Ok(Some(_)) => {
+                self.record_unsolicited(context, connection, upstream);
+                return StepResult::Unusable;
+            }
+            Err(_) => return StepResult::Unusable,
         }
         StepResult::Continue
     }
@@ -161,6 +168,7 @@
         if !response.keep_alive {
             return StepResult::Unusable;
         }
+        upstream.last_response = Some(LastResponse { status: response.status, read_at: context.now() });
         upstream.state = UpstreamState::Idle;
         StepResult::Continue
     }
--- a/src/server/upstream/start.rs
+++ b/src/server/upstream/start.rs
@@ -183,7 +183,12 @@
             };
             // Unusable: the worker has another address now, has ended the connection, or has sent unsolicited bytes.
             // Bytes that arrive before a request is sent cannot be the response to it.
-            if upstream.address != address || connection.has_ended(1) || !connection.read_buffer.is_empty() {
+            let is_unusable = upstream.address != address || connection.has_ended(1);
+            let has_unsolicited_bytes = !connection.read_buffer.is_empty();
+            if has_unsolicited_bytes {
+                self.record_unsolicited(context, &connection, &upstream);
+            }
+            if is_unusable || has_unsolicited_bytes {
                 context.reactor.close(context.core, token, connection, Role::Upstream(upstream));
                 continue;
             }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -258,7 +258,8 @@
         send_status_callback(&program, &format!("e{n}"), "done");
         assert_eq!(read_reply(client).expect("no complete response").status, 200);
     }
-    assert_eq!(program.shut_down_for_metrics()["dispatches"], 3);
+    let metrics = program.shut_down_for_metrics();
+    assert_eq!((metrics["dispatches"], metrics["unsolicited"]), (3, 1));
 }
 
 /// A worker never responds to an attempt with 204, so such a response belongs to an earlier exchange. The worker may have
