A late second 202 no longer makes a running job count as never run

Cause: a 202 left its connection free at once.

Change: `Attribution` keeps for each connection whether a response may be a copy of one before. After such a 202 the connection carries nothing for a copy window (ConnectTimeoutMs), or until the worker reports the start of that job; a further response in that time counts as the response to that job. So a request is written only where responses still due can only be acceptances, and a refusal belongs to the request that it refuses. The same for cancels and load probes answered by no success, connections handed over at a hot restart, and requests with an uncertain 202, which stay with the predecessor. The rest moved from a timer to the pool of idle connections (`IdlePool`), which may close resting ones where descriptors are short.

The log line has the count instead.

The three new tests fail on the untouched code: "g3 was sent on a connection that may still owe a response", "g1 was sent on a connection that may still owe a response", "not logged within 20s: response that no request awaits".

--- a/src/core/engine/attempts.rs
+++ b/src/core/engine/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts in flight: reports on them from workers and upstream connections, and the check whether they may still be written.
 
 use super::Core;
-use crate::core::attempt::{AttemptEnd, AttemptId};
+use crate::core::attempt::{Attempt, AttemptEnd, AttemptId};
 use crate::core::commands::{AttemptOutcome, Command, FinalResponse, JobStatus};
 use crate::core::job_labels::job_labels;
 use crate::core::ledger::Completion;
@@ -24,6 +24,17 @@
         request.in_flight(id.number).map(|_| request.name().to_owned())
     }
 
+    /// Whether the worker has reported the start of an attempt of a known request.
+    pub fn has_started(&self, id: AttemptId) -> bool {
+        self.requests.attempt(id).is_some_and(|attempt| attempt.started_at().is_some())
+    }
+
+    /// Whether an attempt is in flight and its worker has not reported its start.
+    pub fn is_awaiting_start(&self, id: AttemptId) -> bool {
+        let is_in_flight = self.requests.attempt(id).is_some_and(Attempt::is_in_flight);
+        is_in_flight && !self.has_started(id)
+    }
+
     /// How long to wait for an attempt's response from now on, in microseconds.
     pub fn time_left(&self, now: Micros, id: AttemptId) -> Micros {
         let Some(request) = self.requests.get(id.request_id) else { return 0 };
--- a/src/server/downstream/event_streams/transfer.rs
+++ b/src/server/downstream/event_streams/transfer.rs
@@ -35,7 +35,7 @@
         let mut raw = None;
         let mut exchange = None;
         if let Some(request_id) = request_id {
-            if self.upstream.has_attempt_of(request_id) {
+            if self.upstream.has_attempt_of(request_id, self.clock.now()) {
                 return None; // an attempt awaits its first response, reads an event stream, or is ending by a cancel
             }
             let request = self.pending.get(request_id).cloned()?;
--- a/src/server/lifecycle/hot_restart/sender.rs
+++ b/src/server/lifecycle/hot_restart/sender.rs
@@ -111,7 +111,8 @@
     /// to a request that has no attempt in flight. Otherwise this process keeps the connection.
     fn transfer_client(&mut self, token: Token, connection: Connection, mut client: ClientConnection) {
         let awaited = client.awaited_request();
-        let is_in_flight = awaited.is_some_and(|request_id| self.upstream.has_attempt_of(request_id));
+        let now = self.clock.now();
+        let is_in_flight = awaited.is_some_and(|request_id| self.upstream.has_attempt_of(request_id, now));
         let is_transferable = client.is_reading() || awaited.is_some();
         if is_in_flight || !connection.write_queue.is_empty() || !is_transferable {
             return self.reactor.put(token, connection, Role::Client(client));
@@ -165,10 +166,10 @@
         Some(ReleasedRequest { exchange, raw })
     }
 
-    /// Hands over a connection to a worker if the connection is idle. Otherwise this process keeps it.
+    /// Hands over a connection to a worker if the connection is idle and may carry an exchange. Otherwise this process keeps it.
     fn transfer_upstream(&mut self, token: Token, connection: Connection, upstream: UpstreamConnection) {
         let is_unused = connection.read_buffer.is_empty() && connection.write_queue.is_empty();
-        let worker = upstream.idle_worker().filter(|_| is_unused);
+        let worker = upstream.rested_worker(self.clock.now()).filter(|_| is_unused);
         let endpoint = worker.and_then(|worker| Some((worker, self.core.endpoints().get(worker)?)));
         let Some((worker, endpoint)) = endpoint else {
             return self.reactor.put(token, connection, Role::Upstream(upstream));
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -28,8 +28,6 @@
     pub resets: u64,
     /// Attempts that were written and got no response from the worker in time.
     pub attempts_unanswered: u64,
-    /// Connections to workers on which bytes arrived that no exchange awaited.
-    pub unsolicited_responses: u64,
     /// Requests and messages that were rejected.
     pub rejects: u64,
     /// Datagrams from unknown addresses, and datagrams that were too long.
@@ -60,8 +58,7 @@
         tracing::info!(
             "figures taken={} served={} denied={} failed={} gone={} moved={} open={} dispatches={} written={} withheld={} connects={} \
              connect_failures={} resets={} untaken={} rejects={} stale_news={} bad_rows={} bad_lists={} stale_lists={} \
-             bad_datagrams={} accept_pauses={} reloads={} bad_reloads={} unsolicited={} connections={} workers={} \
-             broken_invariants={}",
+             bad_datagrams={} accept_pauses={} reloads={} bad_reloads={} connections={} workers={} broken_invariants={}",
             ledger.accepted(),
             ledger.served(),
             ledger.rejected(),
@@ -85,7 +82,6 @@
             network.accept_pauses,
             network.reloads,
             network.bad_reloads,
-            network.unsolicited_responses,
             context.reactor.connections().open_connections(),
             core.endpoints().ready_count(),
             mothproxy_invariant::violations(env!("CARGO_PKG_NAME")),
--- a/src/server/upstream/connection.rs
+++ b/src/server/upstream/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a worker, and the exchange on it.
 
+use super::attribution::Attribution;
 use crate::core::AttemptId;
 use crate::http::{Body, EventStream};
 use crate::policy::interface::{Micros, WorkerId};
@@ -70,14 +71,6 @@
     pub events: EventStream,
 }
 
-/// The last response on a connection.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LastResponse {
-    pub status: u16,
-    /// When it was read completely, in microseconds.
-    pub read_at: Micros,
-}
-
 /// The progress of establishing a connection.
 pub(super) enum ConnectProgress {
     /// The connection had been established before.
@@ -107,10 +100,12 @@
     pub(super) connect_started: Micros,
     /// How long the last byte of an attempt may be in transit, in microseconds.
     pub(super) transit_allowance: Micros,
-    /// How long the connection must stay unused before its next exchange, in microseconds; 0 if it may be used at once.
-    pub(super) cooldown: Micros,
-    /// The last response that this process has read completely; `None` if there was none.
-    pub(super) last_response: Option<LastResponse>,
+    pub(super) attribution: Attribution,
+    /// The attempt whose acceptance is the last response, if that response may be a copy of an earlier one. The attempt's own
+    /// response may still arrive.
+    pub(super) uncertain_attempt: Option<AttemptId>,
+    /// Whether more responses have arrived than requests were written. Such a connection is not used again.
+    pub(super) has_surplus_response: bool,
 }
 
 impl UpstreamConnection {
@@ -131,13 +126,19 @@
             response_timeout,
             connect_started: now,
             transit_allowance: 0,
-            cooldown: 0,
-            last_response: None,
+            attribution: Attribution::default(),
+            uncertain_attempt: None,
+            has_surplus_response: false,
         }
     }
 
     /// Creates the state of an idle connection that another process has handed over.
-    pub(super) fn adopted(worker: WorkerId, address: Option<SocketAddr>, now: Micros) -> UpstreamConnection {
+    pub(super) fn adopted(
+        worker: WorkerId,
+        address: Option<SocketAddr>,
+        now: Micros,
+        attribution: Attribution,
+    ) -> UpstreamConnection {
         UpstreamConnection {
             worker,
             address,
@@ -147,18 +148,21 @@
             response_timeout: None,
             connect_started: now,
             transit_allowance: 0,
-            cooldown: 0,
-            last_response: None,
+            attribution,
+            uncertain_attempt: None,
+            has_surplus_response: false,
         }
     }
 
-    /// Uses an idle connection for an exchange.
-    pub(super) fn reuse(&mut self, exchange: Exchange, response_timeout: Option<Micros>) {
+    /// Uses an idle connection for an exchange that starts at `now`.
+    pub(super) fn reuse(&mut self, exchange: Exchange, response_timeout: Option<Micros>, now: Micros) {
         self.state = UpstreamState::AwaitingResponse(exchange);
         self.is_reused = true;
         self.unwritten_length = exchange.is_attempt().then_some(0);
         self.response_timeout = response_timeout;
         self.transit_allowance = 0;
+        self.attribution.on_exchange_started(now);
+        self.uncertain_attempt = None;
     }
 
     /// Determines from an event's flags and the socket's error whether the connection is established.
@@ -183,8 +187,9 @@
         self.response_timeout.map(|timeout| now + timeout)
     }
 
-    /// The worker, if the connection is idle and not in its cooldown.
-    pub(in crate::server) fn idle_worker(&self) -> Option<WorkerId> {
-        (matches!(self.state, UpstreamState::Idle) && self.cooldown == 0).then_some(self.worker)
+    /// The worker, if the connection is idle and may carry an exchange.
+    pub(in crate::server) fn rested_worker(&self, now: Micros) -> Option<WorkerId> {
+        let is_rested = matches!(self.state, UpstreamState::Idle) && self.attribution.rested_at() <= now;
+        is_rested.then_some(self.worker)
     }
 }
--- a/src/server/upstream/end.rs
+++ b/src/server/upstream/end.rs
@@ -164,10 +164,6 @@
             }
         }
         match upstream.state {
-            UpstreamState::Idle if upstream.cooldown > 0 => {
-                upstream.cooldown = 0;
-                self.finish_event(context, pending, token, connection, upstream);
-            }
             UpstreamState::AwaitingResponse(Exchange::Attempt(attempt)) if is_written => {
                 return self.on_attempt_unanswered(context, pending, token, connection, upstream, attempt);
             }
--- a/src/server/upstream/mod.rs
+++ b/src/server/upstream/mod.rs
@@ -7,8 +7,10 @@
 //!
 //! [`Context`]: crate::server::context::Context
 
+mod attribution;
 mod connection;
 mod end;
+mod idle_pool;
 mod read;
 mod start;
 mod unsolicited;
@@ -27,8 +29,10 @@
 use crate::server::reactor::Reactor;
 use crate::server::tokens::Token;
 use connection::{ConnectProgress, Exchange};
+use idle_pool::IdlePool;
 use rustix::event::epoll::EventFlags;
 use std::collections::HashMap;
+use unsolicited::UnsolicitedLog;
 
 /// How long the response to a cancel or a load probe may take, in microseconds. The body of a response that has no other
 /// deadline may take as long.
@@ -43,53 +47,42 @@
 /// The idle connections to workers, and the connections of the exchanges in progress.
 #[derive(Default)]
 pub(in crate::server) struct UpstreamPool {
-    /// Idle connections by worker, the most recently added last.
-    idle: HashMap<WorkerId, Vec<Token>>,
+    idle: IdlePool,
     /// Connections on which an attempt awaits its first response, or reads an event stream, and those on which the cancel of
     /// an attempt that is ending is sent.
     attempts: HashMap<AttemptId, Token>,
+    /// Accepted attempts whose own response may still arrive, with the time by which it has arrived.
+    uncertain: HashMap<AttemptId, Micros>,
     /// Connections on which the response to a load probe is awaited.
     probes: HashMap<Token, PendingProbe>,
-    /// The earliest time at which the next unsolicited response is logged.
-    next_unsolicited_log: Micros,
+    unsolicited: UnsolicitedLog,
 }
 
 impl UpstreamPool {
-    /// Whether an attempt of a request awaits its first response, reads an event stream, or is ending by a cancel.
-    pub fn has_attempt_of(&self, request_id: RequestId) -> bool {
+    /// Whether an attempt of a request awaits its first response or one that is certain, reads an event stream, or is ending by a
+    /// cancel.
+    pub fn has_attempt_of(&self, request_id: RequestId, now: Micros) -> bool {
+        let mut uncertain = self.uncertain.iter().filter(|(_, until)| **until > now);
         self.attempts.keys().any(|attempt| attempt.request_id == request_id)
+            || uncertain.any(|(attempt, _)| attempt.request_id == request_id)
     }
 
-    /// Adds an idle connection to a worker, unless the pool has it already.
-    fn add_idle(&mut self, worker: WorkerId, token: Token) {
-        let idle = self.idle.entry(worker).or_default();
-        if !idle.contains(&token) {
-            idle.push(token);
-        }
-    }
-
-    /// Removes the most recently added idle connection to a worker, and returns it.
-    fn pop_idle(&mut self, worker: WorkerId) -> Option<Token> {
-        self.idle.get_mut(&worker)?.pop()
+    /// Records that the response by which a worker accepted an attempt may be a copy of an earlier one. The attempt's own response
+    /// arrives before `until` then.
+    fn record_uncertain(&mut self, attempt: AttemptId, until: Micros, now: Micros) {
+        self.uncertain.retain(|_, until| *until > now);
+        self.uncertain.insert(attempt, until);
     }
 
     /// Removes an idle connection that is over or is handed over.
     pub fn remove_idle(&mut self, worker: WorkerId, token: Token) {
-        if let Some(idle) = self.idle.get_mut(&worker) {
-            idle.retain(|other| *other != token);
-        }
-    }
-
-    /// Removes an idle connection and returns it: the one that has been idle for longest, of the worker with the most idle ones.
-    fn pop_oldest_idle(&mut self) -> Option<Token> {
-        let largest = self.idle.values_mut().max_by_key(|idle| idle.len())?;
-        if largest.is_empty() { None } else { Some(largest.remove(0)) }
+        self.idle.remove(worker, token);
     }
 
     /// Closes one idle connection: the one that has been idle for longest, of the worker with the most idle ones. Returns false
     /// if none is idle.
     pub fn close_idle(&mut self, core: &mut Core, reactor: &mut Reactor) -> bool {
-        let Some(token) = self.pop_oldest_idle() else { return false };
+        let Some(token) = self.idle.take_oldest() else { return false };
         reactor.close_token(core, token);
         true
     }
@@ -101,6 +94,12 @@
     config.idle_timeout / 2
 }
 
+/// How late a copy of a response may arrive, and how late the own response of a request whose first response was a copy, in
+/// microseconds: as long as a response is waited for. At most half of [`max_idle_time`], so that as much time is left for use.
+fn copy_window(config: &Config) -> Micros {
+    config.connect_timeout.min(max_idle_time(config) / 2)
+}
+
 /// Methods of the server, since they involve clients too: the client of an attempt may have disconnected, and a cancel needs a
 /// connection.
 impl Server {
--- a/src/server/upstream/read.rs
+++ b/src/server/upstream/read.rs
@@ -3,8 +3,9 @@
 use super::PendingProbe;
 use super::UpstreamPool;
 use super::connection::{
-    CancelRequest, Exchange, LastResponse, ResponseBody, StatusStream, UpstreamConnection, UpstreamState,
+    CancelRequest, Exchange, ResponseBody, StatusStream, UpstreamConnection, UpstreamState,
 };
+use super::copy_window;
 use crate::core::{AttemptId, AttemptOutcome};
 use crate::http::{self, Body, EventStream, Framing, MAX_BODY, MAX_HEAD, StreamEvent};
 use crate::policy::interface::Outcome;
@@ -101,10 +102,7 @@
             let result = match &mut upstream.state {
                 UpstreamState::Connecting(_) => StepResult::Wait,
                 UpstreamState::Idle if connection.read_buffer.is_empty() => StepResult::Wait,
-                UpstreamState::Idle => {
-                    self.record_unsolicited(context, connection, upstream);
-                    StepResult::Unusable
-                }
+                UpstreamState::Idle => self.read_surplus_response(context, token, connection, upstream),
                 UpstreamState::AwaitingResponse(exchange) => {
                     let exchange = *exchange;
                     self.read_response_head(context, connection, upstream, exchange)
@@ -122,6 +120,37 @@
         }
     }
 
+    /// Handles bytes on an idle connection. If the last response was uncertain and its attempt is under way, one of the two
+    /// responses is a copy, and both say what the worker decided: a second 202 changes nothing, and after any other response the
+    /// first one was the copy. Otherwise no request awaits the bytes. The connection is not used again in either case.
+    fn read_surplus_response(
+        &mut self,
+        context: &mut Context<'_>,
+        token: Token,
+        connection: &mut Connection,
+        upstream: &mut UpstreamConnection,
+    ) -> StepResult {
+        let head = match http::read_response(&connection.read_buffer) {
+            Ok(None) if upstream.uncertain_attempt.is_some() => return StepResult::Wait,
+            Ok(head) => head,
+            Err(_) => None,
+        };
+        self.unsolicited.record(context, connection, upstream);
+        self.idle.remove(upstream.worker, token);
+        let attempt = upstream.uncertain_attempt.take();
+        let attempt = attempt.filter(|attempt| context.core.is_awaiting_start(*attempt));
+        let Some((head, attempt)) = head.zip(attempt) else { return StepResult::Unusable };
+        let exchange = Exchange::Attempt(attempt);
+        if !is_response_to(exchange, &head, connection) {
+            return StepResult::Unusable;
+        }
+        self.uncertain.remove(&attempt);
+        upstream.has_surplus_response = true;
+        self.attempts.insert(attempt, token);
+        self.on_response_head(context, connection, upstream, exchange, &head);
+        StepResult::Continue
+    }
+
     /// Processes the head of a response once it is complete. An interim response with status 100 is skipped.
     fn read_response_head(
         &mut self,
@@ -137,7 +166,7 @@
                 self.on_response_head(context, connection, upstream, exchange, &head);
             }
             Ok(Some(_)) => {
-                self.record_unsolicited(context, connection, upstream);
+                self.unsolicited.record(context, connection, upstream);
                 return StepResult::Unusable;
             }
             Err(_) => return StepResult::Unusable,
@@ -165,18 +194,15 @@
             let body = std::mem::take(&mut response.decoded);
             self.on_load_probe_response(context, token, response.status, &body);
         }
-        if !response.keep_alive {
+        if !response.keep_alive || upstream.has_surplus_response {
             return StepResult::Unusable;
         }
-        upstream.last_response = Some(LastResponse { status: response.status, read_at: context.now() });
+        upstream.attribution.on_response(response.status, context.now(), copy_window(context.config));
         upstream.state = UpstreamState::Idle;
         StepResult::Continue
     }
 
     /// Handles the head of a worker's response. The refusal of an attempt is reported at once, before the body is read.
-    ///
-    /// A duplicate of a response that refuses a job would refuse the next job on this connection too. So after a refusal the
-    /// connection is not used until a duplicate has had time to arrive.
     fn on_response_head(
         &mut self,
         context: &mut Context<'_>,
@@ -185,7 +211,6 @@
         exchange: Exchange,
         head: &http::ResponseHead,
     ) {
-        upstream.cooldown = 0;
         if let Exchange::Attempt(attempt) = exchange {
             if head.status == 200 {
                 connection.read_buffer.drain(..head.len);
@@ -195,7 +220,6 @@
             }
             self.attempts.remove(&attempt);
             if let Some(outcome) = refusal_outcome(connection, head) {
-                upstream.cooldown = context.config.connect_timeout;
                 let report = platform::load_report_from_head(
                     context.core.names(),
                     &connection.read_buffer,
@@ -203,6 +227,10 @@
                 );
                 let outcome = AttemptOutcome::Unserved(outcome);
                 context.core.on_attempt_ended(context.now(), attempt, outcome, report);
+            } else if upstream.attribution.is_uncertain() && !upstream.has_surplus_response {
+                upstream.uncertain_attempt = Some(attempt);
+                let until = context.now() + copy_window(context.config);
+                self.record_uncertain(attempt, until, context.now());
             }
         }
         connection.read_buffer.drain(..head.len);
--- a/src/server/upstream/start.rs
+++ b/src/server/upstream/start.rs
@@ -1,9 +1,10 @@
 //! Starting exchanges: each attempt, cancel or load probe gets an idle connection to its worker, or a new one.
 
 use super::UpstreamPool;
+use super::attribution::Attribution;
 use super::connection::{CancelRequest, Exchange, UpstreamConnection, UpstreamState};
 use super::end::end_attempt;
-use super::{CANCEL_OR_PROBE_TIMEOUT, PendingProbe, max_idle_time};
+use super::{CANCEL_OR_PROBE_TIMEOUT, PendingProbe, copy_window, max_idle_time};
 use crate::core::AttemptId;
 use crate::core::endpoint_table::Endpoint;
 use crate::http::Piece;
@@ -126,7 +127,7 @@
         if !outgoing.needs_new_connection
             && let Some(idle) = self.upstream.take_idle(&mut context!(self), outgoing.worker, address)
         {
-            return Some(idle.reuse(&mut self.reactor, outgoing));
+            return Some(idle.reuse(&mut self.reactor, outgoing, self.clock.now()));
         }
         if address.is_some() && !self.ensure_descriptor(0) {
             self.upstream.on_no_descriptor(&mut context!(self), &outgoing);
@@ -138,10 +139,10 @@
 
 impl IdleUpstream {
     /// Uses the connection for an exchange.
-    fn reuse(self, reactor: &mut Reactor, outgoing: OutgoingExchange) -> Token {
+    fn reuse(self, reactor: &mut Reactor, outgoing: OutgoingExchange, now: Micros) -> Token {
         let IdleUpstream { token, mut connection, mut upstream } = self;
         connection.write_queue.push(outgoing.message);
-        upstream.reuse(outgoing.exchange, outgoing.response_timeout);
+        upstream.reuse(outgoing.exchange, outgoing.response_timeout, now);
         reactor.put(token, connection, Role::Upstream(upstream));
         token
     }
@@ -158,7 +159,13 @@
         connection: Connection,
         idle_time_left: Micros,
     ) {
-        let upstream = UpstreamConnection::adopted(worker, connection.stream.peer_addr().ok(), context.now());
+        let (address, now) = (connection.stream.peer_addr().ok(), context.now());
+        let upstream = UpstreamConnection::adopted(
+            worker,
+            address,
+            now,
+            Attribution::adopted(now, copy_window(context.config)),
+        );
         let Some(token) = context.reactor.add(connection, Role::Upstream(upstream)) else { return };
         let Some((connection, Role::Upstream(upstream))) = context.reactor.take(token) else { return };
         self.finish_event(context, pending, token, connection, upstream);
@@ -169,26 +176,33 @@
         }
     }
 
-    /// Takes the most recently added idle connection to a worker that is still usable, and closes the unusable ones
-    /// that were added after it.
+    /// Takes an idle connection to a worker that an exchange may use, and closes the unusable ones that it finds before.
     fn take_idle(
         &mut self,
         context: &mut Context<'_>,
         worker: WorkerId,
         address: Option<SocketAddr>,
     ) -> Option<IdleUpstream> {
-        while let Some(token) = self.pop_idle(worker) {
+        let now = context.now();
+        while let Some(token) =
+            self.idle.take_rested(worker, now, |attempt| context.core.has_started(attempt))
+        {
             let Some((mut connection, Role::Upstream(upstream))) = context.reactor.take(token) else {
                 continue;
             };
             // Unusable: the worker has another address now, has ended the connection, or has sent unsolicited bytes.
             // Bytes that arrive before a request is sent cannot be the response to it.
             let is_unusable = upstream.address != address || connection.has_ended(1);
-            let has_unsolicited_bytes = !connection.read_buffer.is_empty();
-            if has_unsolicited_bytes {
-                self.record_unsolicited(context, &connection, &upstream);
+            let has_bytes = !connection.read_buffer.is_empty();
+            if has_bytes && upstream.uncertain_attempt.is_some() {
+                // The event for these bytes, which is still to come, reads the response to the attempt.
+                context.reactor.put(token, connection, Role::Upstream(upstream));
+                continue;
+            }
+            if has_bytes {
+                self.unsolicited.record(context, &connection, &upstream);
             }
-            if is_unusable || has_unsolicited_bytes {
+            if is_unusable || has_bytes {
                 context.reactor.close(context.core, token, connection, Role::Upstream(upstream));
                 continue;
             }
--- a/src/server/upstream/unsolicited.rs
+++ b/src/server/upstream/unsolicited.rs
@@ -1,7 +1,6 @@
-//! Responses that no exchange awaits. They are counted, and some of them are logged: a worker or a proxy before it that
-//! responds twice shows here.
+//! Responses that no exchange awaits. Some of them are logged, with their count: a worker, or a proxy before it, that responds
+//! twice shows here.
 
-use super::UpstreamPool;
 use super::connection::UpstreamConnection;
 use crate::http;
 use crate::policy::interface::Micros;
@@ -12,32 +11,38 @@
 const LOG_INTERVAL: Micros = 1_000_000;
 const MICROS_PER_MILLISECOND: f64 = 1e3;
 
-impl UpstreamPool {
+/// The log of unsolicited responses.
+#[derive(Default)]
+pub(super) struct UnsolicitedLog {
+    /// The number of unsolicited responses since the start.
+    count: u64,
+    /// The earliest time of the next log line.
+    next_line: Micros,
+}
+
+impl UnsolicitedLog {
     /// Records that the read buffer of a connection begins with bytes that are not the response to its exchange. Logs it unless
     /// a line was logged less than [`LOG_INTERVAL`] ago.
-    pub(super) fn record_unsolicited(
-        &mut self,
-        context: &mut Context<'_>,
-        connection: &Connection,
-        upstream: &UpstreamConnection,
-    ) {
-        context.metrics.unsolicited_responses += 1;
+    pub fn record(&mut self, context: &Context<'_>, connection: &Connection, upstream: &UpstreamConnection) {
+        self.count += 1;
         let now = context.now();
-        if now < self.next_unsolicited_log {
+        if now < self.next_line {
             return;
         }
-        self.next_unsolicited_log = now + LOG_INTERVAL;
+        self.next_line = now + LOG_INTERVAL;
         let endpoint = context.core.endpoints().get(upstream.worker);
         let worker = endpoint.map_or("unknown", |endpoint| endpoint.instance_id());
         let status = http::read_response(&connection.read_buffer).ok().flatten().map(|head| head.status);
-        let last = upstream.last_response;
-        let last_status = last.map(|last| last.status);
+        let last = upstream.attribution.last_response();
+        let last_status = last.and_then(|last| last.status);
         let after_ms = last.map(|last| now.saturating_sub(last.read_at) as f64 / MICROS_PER_MILLISECOND);
+        let count = self.count;
         tracing::warn!(
             worker,
             status,
             last_status,
             after_ms,
+            count,
             "response that no request awaits, connection closed"
         );
     }
--- a/src/server/upstream/write.rs
+++ b/src/server/upstream/write.rs
@@ -105,8 +105,7 @@
         context.reactor.put(token, connection, Role::Upstream(upstream));
     }
 
-    /// Keeps an idle connection: in the pool, or outside it during its cooldown. Its timer ends the cooldown, or closes the
-    /// connection once it has been idle for too long.
+    /// Keeps an idle connection in the pool. Its timer closes the connection once it has been idle for too long.
     fn keep_idle(
         &mut self,
         context: &mut Context<'_>,
@@ -114,12 +113,10 @@
         connection: &mut Connection,
         upstream: &UpstreamConnection,
     ) {
-        let max_idle = max_idle_time(context.config);
-        let cooldown = upstream.cooldown.min(max_idle / 2);
-        let until = context.now() + if cooldown > 0 { cooldown } else { max_idle };
+        let until = context.now() + max_idle_time(context.config);
         connection.set_timer(context.core, token, Some(until));
-        if cooldown == 0 && connection.write_queue.is_empty() {
-            self.add_idle(upstream.worker, token);
+        if connection.write_queue.is_empty() {
+            self.idle.add(token, upstream);
         }
     }
 }
--- a/tests/attempts/main.rs
+++ b/tests/attempts/main.rs
@@ -1,90 +1,18 @@
 //! How attempts end, and which bytes from a worker count as the response to an attempt. The worker `s-1` is the test itself: it
 //! accepts each connection, reads each request and writes each byte at the moment that the test chooses.
 
+mod manual_worker;
+mod response_copies;
+
+use manual_worker::*;
 use mothproxy_testkit::*;
-use serde_json::{Value, json};
-use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use serde_json::json;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-const REFUSED: &str = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 const READY_REQUEST: &str = "GET /up HTTP/1.1\r\nHost: n0\r\n\r\n";
-/// How long a worker may take for its first response, in milliseconds.
-const CONNECT_TIMEOUT_MS: f64 = 1_000.0;
-
-/// A worker whose connections are served step by step by the test.
-struct ManualWorker(TcpListener);
-
-impl ManualWorker {
-    /// Starts the worker, and a dispatcher that knows only this worker. `change` changes the dispatcher's configuration.
-    fn start(change: impl FnOnce(&mut Value)) -> (ManualWorker, DispatcherProcess) {
-        let worker = ManualWorker(TcpListener::bind("127.0.0.1:0").expect("cannot bind a loopback port"));
-        let address = worker.0.local_addr().expect("no local address").to_string();
-        let program = DispatcherProcess::builder(&[])
-            .configure(|config| {
-                config["known"]["instances"] = json!([site::endpoint_entry("s-1", &address, "up")]);
-                config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(CONNECT_TIMEOUT_MS);
-                change(config);
-            })
-            .start();
-        (worker, program)
-    }
-
-    /// Accepts a connection of the dispatcher; `None` if none is waiting.
-    fn accept(&self) -> Option<WorkerConnection> {
-        self.0.set_nonblocking(true).expect("cannot set socket option");
-        let (stream, _) = self.0.accept().ok()?;
-        stream.set_nonblocking(false).expect("cannot set socket option");
-        stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("cannot set socket option");
-        Some(WorkerConnection(stream))
-    }
-
-    /// Waits for a connection of the dispatcher, and accepts it.
-    fn connection(&self) -> WorkerConnection {
-        let mut connection = None;
-        wait_until("the dispatcher connects", || {
-            connection = self.accept();
-            connection.is_some()
-        });
-        connection.expect("no connection of the dispatcher")
-    }
-}
-
-/// A connection to the worker, and the attempt on it.
-struct WorkerConnection(TcpStream);
-
-impl WorkerConnection {
-    /// Reads the next request, and returns its method, target and id; `None` if the dispatcher has closed the connection.
-    fn request(&mut self) -> Option<String> {
-        let mut seen = Vec::new();
-        while !seen.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            self.0.read_exact(&mut byte).ok()?;
-            seen.push(byte[0]);
-        }
-        let head =
-            HttpReply { status: 0, head: String::from_utf8_lossy(&seen).into_owned(), body: String::new() };
-        let length =
-            head.header("content-length").map_or(0, |n| n.parse().expect("Content-Length is not a number"));
-        self.0.read_exact(&mut vec![0; length]).ok()?;
-        let line =
-            head.head.lines().next().expect("no request line").trim_end_matches(" HTTP/1.1").to_owned();
-        Some(format!("{line} {}", head.header("x-correlation-id").unwrap_or("")).trim_end().to_owned())
-    }
-
-    fn write(&mut self, text: &str) {
-        self.0.write_all(text.as_bytes()).expect("write failed");
-    }
-}
-
-/// Sends a request on a new connection, and returns the connection.
-fn submit(program: &DispatcherProcess, request: &str) -> TcpStream {
-    let mut client = connect(program.platform);
-    client.write_all(request.as_bytes()).expect("write failed");
-    client
-}
 
 /// Connects further clients, and waits until the dispatcher has accepted all of them.
 fn connect_clients(program: &DispatcherProcess, count: usize) -> Vec<TcpStream> {
@@ -95,19 +23,6 @@
     clients
 }
 
-/// Submits a job, and waits until the worker has read the attempt. Returns both connections.
-fn start_attempt(
-    worker: &ManualWorker,
-    program: &DispatcherProcess,
-    id: &str,
-    extra: &str,
-) -> (TcpStream, WorkerConnection) {
-    let client = submit(program, &job_request(id, "balance", "", extra));
-    let mut connection = worker.connection();
-    assert_eq!(connection.request(), Some(format!("POST /balance {id}")));
-    (client, connection)
-}
-
 /// Runs `actions` while the dispatcher is suspended, so that it finds all their effects in one turn of its event loop.
 fn within_one_turn(program: &DispatcherProcess, actions: impl FnOnce()) {
     program.suspend();
@@ -115,15 +30,6 @@
     program.resume();
 }
 
-/// Sends a status callback of the worker `s-1`.
-fn send_status_callback(program: &DispatcherProcess, id: &str, state: &str) {
-    let callback = json!({"id": id, "from": "s-1", "state": state, "result": "x"});
-    assert_eq!(
-        send(program.platform, &status_callback_request(&callback)).expect("no complete response").status,
-        204
-    );
-}
-
 /// An attempt ends by a status callback, and no response arrives on its connection. The connection is closed at its timeout, and
 /// no cancel is sent.
 #[test]
@@ -234,7 +140,7 @@
 /// After a refusal, a connection is not used again until a duplicate of the refusal has had time to arrive.
 #[test]
 fn does_not_reuse_connection_at_once_after_rejection() {
-    let (worker, program) = ManualWorker::start(|config| {
+    let (worker, mut program) = ManualWorker::start(|config| {
         // The first job must not become overdue at the worker, however long the dispatcher is suspended.
         config["settings"]["Domain"]["TellsStart"] = json!(false);
         config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(5_000.0);
@@ -258,8 +164,8 @@
         send_status_callback(&program, &format!("e{n}"), "done");
         assert_eq!(read_reply(client).expect("no complete response").status, 200);
     }
-    let metrics = program.shut_down_for_metrics();
-    assert_eq!((metrics["dispatches"], metrics["unsolicited"]), (3, 1));
+    program.wait_for_log(UNSOLICITED);
+    assert_eq!(program.shut_down_for_metrics()["dispatches"], 3);
 }
 
 /// A worker never responds to an attempt with 204, so such a response belongs to an earlier exchange. The worker may have
