Tests: copies of responses across a hot restart

Seen failing with the mechanism taken out (adopted connections settled; uncertain requests handed over): "g2 was sent on a connection that may still owe a response", and DELETE /jobs/g1 where POST /balance g1 was awaited.

--- a/tests/attempts/manual_worker.rs
+++ b/tests/attempts/manual_worker.rs
@@ -4,6 +4,7 @@
 use serde_json::{Value, json};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::Path;
 
 pub const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 pub const REFUSED: &str = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -18,9 +19,18 @@
 impl ManualWorker {
     /// Starts the worker, and a dispatcher that knows only this worker. `change` changes the dispatcher's configuration.
     pub fn start(change: impl FnOnce(&mut Value)) -> (ManualWorker, DispatcherProcess) {
+        ManualWorker::start_in(None, change)
+    }
+
+    /// The same, with this directory as `$TMPDIR` of the dispatcher.
+    pub fn start_in(
+        temp_dir: Option<&Path>,
+        change: impl FnOnce(&mut Value),
+    ) -> (ManualWorker, DispatcherProcess) {
         let worker = ManualWorker(TcpListener::bind("127.0.0.1:0").expect("cannot bind a loopback port"));
         let address = worker.0.local_addr().expect("no local address").to_string();
         let program = DispatcherProcess::builder(&[])
+            .temp_dir(temp_dir)
             .configure(|config| {
                 config["known"]["instances"] = json!([site::endpoint_entry("s-1", &address, "up")]);
                 config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(CONNECT_TIMEOUT_MS);
--- a/tests/attempts/response_copies.rs
+++ b/tests/attempts/response_copies.rs
@@ -4,16 +4,25 @@
 use mothproxy_testkit::*;
 use serde_json::json;
 use std::net::TcpStream;
+use std::path::Path;
 
 /// How late a copy of a response may be, in milliseconds. The tests take much less time.
-const COPY_WINDOW_MS: f64 = 5_000.0;
+const COPY_WINDOW_MS: f64 = 20_000.0;
+/// How long clients wait, in milliseconds.
+const DEADLINE_MS: f64 = 60_000.0;
 
 /// Starts a worker, and a dispatcher that expects copies of responses for [`COPY_WINDOW_MS`].
 fn start() -> (ManualWorker, DispatcherProcess) {
-    ManualWorker::start(|config| {
+    start_in(None)
+}
+
+/// The same, with this directory as `$TMPDIR` of the dispatcher.
+fn start_in(temp_dir: Option<&Path>) -> (ManualWorker, DispatcherProcess) {
+    ManualWorker::start_in(temp_dir, |config| {
         // No job becomes overdue at the worker before its start is reported.
         config["settings"]["Domain"]["TellsStart"] = json!(false);
         config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(COPY_WINDOW_MS);
+        config["settings"]["Grades"][0]["DeadlineMs"] = json!(DEADLINE_MS);
         config["settings"]["Limits"]["ConnIdleMs"] = json!(4.0 * COPY_WINDOW_MS);
     })
 }
@@ -126,3 +135,47 @@
     finish_jobs(&program, &mut [("g1", client)]);
     assert_eq!(program.shut_down_for_metrics()["failed"], 0);
 }
+
+/// Starts the successor of a dispatcher, with the same configuration.
+fn start_successor(directory: &Path, predecessor: &DispatcherProcess) -> DispatcherProcess {
+    let mut config = predecessor.config.clone();
+    config["listen"] = json!(predecessor.platform.to_string());
+    DispatcherProcess::builder(&[]).temp_dir(directory).configure(|fresh| *fresh = config).start()
+}
+
+/// Guards against copies on connections that a successor takes over: its predecessor may have read the 202 to `g0` just before.
+#[test]
+fn successor_expects_copies_on_connections_that_it_takes_over() {
+    let directory = tempfile::tempdir().expect("cannot create the temporary directory");
+    let (worker, predecessor) = start_in(Some(directory.path()));
+    let mut connection = serve_first_job(&worker, &predecessor);
+    let successor = start_successor(directory.path(), &predecessor);
+    predecessor.terminate();
+    predecessor.wait_for_complete_shutdown();
+    let first = submit_on(&successor, &mut connection, "g1");
+    connection.write(ACCEPTED); // the copy
+    let (second, mut other) = submit_on_new_connection(&worker, &successor, &connection, "g2");
+    other.write(ACCEPTED);
+    send_status_callback(&successor, "g2", "started");
+    connection.write(REFUSED); // the response to g1
+    assert_eq!(other.request().as_deref(), Some("POST /balance g1"), "the refused job is sent again");
+    other.write(ACCEPTED);
+    finish_jobs(&successor, &mut [("g1", first), ("g2", second)]);
+}
+
+/// Guards against losing the response to a job that is handed over while its 202 may be a copy: the job stays until it is certain.
+#[test]
+fn job_with_uncertain_acceptance_is_sent_again_during_hot_restart() {
+    let directory = tempfile::tempdir().expect("cannot create the temporary directory");
+    let (worker, predecessor) = start_in(Some(directory.path()));
+    let mut connection = serve_first_job(&worker, &predecessor);
+    let mut client = submit_on(&predecessor, &mut connection, "g1");
+    connection.write(ACCEPTED); // the copy
+    let successor = start_successor(directory.path(), &predecessor);
+    connection.write(REFUSED); // the response to g1
+    let mut other = worker.connection();
+    assert_eq!(other.request().as_deref(), Some("POST /balance g1"), "the refused job is sent again");
+    other.write(ACCEPTED);
+    send_status_callback(&successor, "g1", "done");
+    assert_eq!(read_reply(&mut client).expect("no complete response").status, 200);
+}
