--- a/src/server/upstream/attribution.rs
+++ b/src/server/upstream/attribution.rs
@@ -64,8 +64,8 @@
         self.is_uncertain = now < self.settled_at;
     }
 
-    /// Whether the response to the current exchange may be a copy of a response before it. All responses for which that is so
-    /// are successes, since no exchange starts while a copy of another response may arrive.
+    /// Whether the response to the current exchange may be a copy of a response before it. Then that one was a success, since no
+    /// exchange starts while a copy of another response may arrive.
     pub fn is_uncertain(&self) -> bool {
         self.is_uncertain
     }
