Tests about copies: long jobs, so that no worker becomes overdue under load

Cause: the first job of these tests is served in a millisecond, so the module takes the next ones for as short, and a worker whose job has not started after a few milliseconds gets no other. Where test or dispatcher is held up between two jobs, the third waits: beside 16 busy loops on eight cores 3 of 10 runs failed with "not within 20s: the attempt arrives". With 0.8 s between the jobs and no load the same two tests fail in every run (1 of 1).

Change: the jobs state 20 s of work, and progress is expected after 60 s. No check was touched.

Measured: with the same 0.8 s between, 5 of 5 tests pass; without it, beside 16 busy loops, 25 of 25 runs.

--- a/tests/attempts/response_copies.rs
+++ b/tests/attempts/response_copies.rs
@@ -10,6 +10,8 @@
 const COPY_WINDOW_MS: f64 = 20_000.0;
 /// How long clients wait, in milliseconds.
 const DEADLINE_MS: f64 = 60_000.0;
+/// Marks jobs as long, so that none becomes overdue at the worker, however long the dispatcher or the test is held up.
+const LONG_JOB: &str = "X-Facts: hint=20000\r\n";
 
 /// Starts a worker, and a dispatcher that expects copies of responses for [`COPY_WINDOW_MS`].
 fn start() -> (ManualWorker, DispatcherProcess) {
@@ -19,8 +21,8 @@
 /// The same, with this directory as `$TMPDIR` of the dispatcher.
 fn start_in(temp_dir: Option<&Path>) -> (ManualWorker, DispatcherProcess) {
     ManualWorker::start_in(temp_dir, |config| {
-        // No job becomes overdue at the worker before its start is reported.
         config["settings"]["Domain"]["TellsStart"] = json!(false);
+        config["settings"]["Domain"]["ProgressMs"] = json!(DEADLINE_MS);
         config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(COPY_WINDOW_MS);
         config["settings"]["Grades"][0]["DeadlineMs"] = json!(DEADLINE_MS);
         config["settings"]["Limits"]["ConnIdleMs"] = json!(4.0 * COPY_WINDOW_MS);
@@ -40,7 +42,7 @@
 
 /// Submits a job whose attempt must arrive on this connection.
 fn submit_on(program: &DispatcherProcess, connection: &mut WorkerConnection, id: &str) -> TcpStream {
-    let client = submit(program, &job_request(id, "balance", "", ""));
+    let client = submit(program, &job_request(id, "balance", "", LONG_JOB));
     assert_eq!(connection.request(), Some(format!("POST /balance {id}")));
     client
 }
@@ -52,7 +54,7 @@
     used: &WorkerConnection,
     id: &str,
 ) -> (TcpStream, WorkerConnection) {
-    let client = submit(program, &job_request(id, "balance", "", ""));
+    let client = submit(program, &job_request(id, "balance", "", LONG_JOB));
     let mut accepted = None;
     wait_until("the attempt arrives", || {
         accepted = worker.accept();
