--- a/review/7/play.rs
+++ b/review/7/play.rs
@@ -1,52 +1,89 @@
-//! Case 7: where the new version of an upgrade dies, redeems that it had sent run a second time in another pod. See claim.txt.
+//! Case 7: after a crash, redeems that were under way run a second time in another pod. See claim.txt.
 #[path = "../stand_ins_2/kit.rs"]
 mod kit;
 
 use kit::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
 
-/// Redeems that are under way when the new process is killed.
-const JOBS: usize = 24;
-/// How long each of them runs, in milliseconds.
-const RUN_MS: u64 = 3_000;
-/// When the new process is killed, in milliseconds after the redeems were sent.
-const KILL_AFTER_MS: u64 = 1_000;
+/// Redeems that were served before the crash. `EARLIER=0` leaves them out.
+const EARLIER_JOBS: usize = 1_200;
+/// The length of each of their results, in bytes. The limit of a body is 64 KiB.
+const RESULT_BYTES: usize = 60_000;
+/// Clients that send them, one at a time each.
+const CLIENTS: usize = 6;
+/// Redeems that are under way at the crash.
+const OPEN_JOBS: usize = 24;
 
 fn main() {
     run_case(play);
 }
 
-/// Sends these jobs at once and waits for all answers, which are returned by id. A client that cannot connect tries again.
-fn send_all(listen: SocketAddr, jobs: &[Job], log: &Log) -> BTreeMap<String, Answer> {
-    let answers = Arc::new(Mutex::new(BTreeMap::new()));
-    let clients: Vec<_> = jobs
-        .iter()
-        .cloned()
-        .map(|job| {
-            let (answers, log) = (answers.clone(), log.clone());
+fn redeem(id: &str, key: &str, body: &str) -> Job {
+    let (id, key) = (id.to_owned(), Some(key.to_owned()));
+    Job { id, class: "redeem", key, time_left_ms: 25_000, body: body.to_owned() }
+}
+
+/// Sends the earlier redeems and waits for their answers. Returns how many were served.
+fn play_earlier(listen: SocketAddr, rng: &mut Rng, log: &Log) -> usize {
+    let count = std::env::var("EARLIER").ok().and_then(|text| text.parse().ok()).unwrap_or(EARLIER_JOBS);
+    let keys: Arc<Vec<(String, String)>> = Arc::new((0..count).map(|_| (rng.id(), rng.key())).collect());
+    let (next, served) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let (keys, next, served, log) = (keys.clone(), next.clone(), served.clone(), log.clone());
             thread::spawn(move || {
-                let mut answer = Answer::Unreachable;
-                for _ in 0..20 {
-                    answer = send_job(listen, &job, 26_000);
-                    if answer != Answer::Unreachable {
-                        break;
+                while let Some((id, key)) = keys.get(next.fetch_add(1, Ordering::SeqCst)) {
+                    let job = redeem(id, key, &format!("ms=5 size={RESULT_BYTES}"));
+                    match send_job(listen, &job, 26_000) {
+                        Answer::Whole(200, _) => drop(served.fetch_add(1, Ordering::SeqCst)),
+                        other => log.line(&format!("client: {id} {other:?}")),
                     }
-                    sleep_ms(50);
                 }
-                log.line(&format!("client: {} key {} {answer:?}", job.id, job.key.as_deref().unwrap_or("")));
-                answers.lock().unwrap().insert(job.id, answer);
             })
         })
         .collect();
     for client in clients {
         let _ = client.join();
     }
-    let answers = answers.lock().unwrap();
-    answers.clone()
+    let served = served.load(Ordering::SeqCst);
+    log.line(&format!("{served} of {count} earlier redeems served"));
+    served
+}
+
+/// Sends these redeems at once. Returns a handle whose result is the answers, by id.
+fn send_all(listen: SocketAddr, jobs: Vec<Job>, log: &Log) -> thread::JoinHandle<BTreeMap<String, Answer>> {
+    let log = log.clone();
+    thread::spawn(move || {
+        let answers = Arc::new(Mutex::new(BTreeMap::new()));
+        let clients: Vec<_> = jobs
+            .into_iter()
+            .map(|job| {
+                let (answers, log) = (answers.clone(), log.clone());
+                thread::spawn(move || {
+                    let answer = send_job(listen, &job, 26_000);
+                    log.line(&format!(
+                        "client: {} key {} {answer:?}",
+                        job.id,
+                        job.key.as_deref().unwrap_or("")
+                    ));
+                    answers.lock().unwrap().insert(job.id, answer);
+                })
+            })
+            .collect();
+        for client in clients {
+            let _ = client.join();
+        }
+        let answers = answers.lock().unwrap();
+        answers.clone()
+    })
+}
+
+fn is_open(open: &[(String, String)], taken: &Taken) -> bool {
+    open.iter().any(|(_, key)| *key == taken.key)
 }
 
 fn play(log: &Log) -> i32 {
@@ -57,59 +94,45 @@
     let discovery = Discovery::start("discovery", 1, table(&workers), log.clone());
     let config = temp.path("config.json");
     let known = list(1, &rows(&workers));
-    let write_config = |admin: SocketAddr| {
-        let extra = format!("\"admin_addr\":\"{admin}\",");
-        let text = configuration(listen, discovery.address, &known, "on_request", 400, &extra);
-        std::fs::write(&config, text).unwrap();
-    };
-    write_config(free_address());
+    std::fs::write(&config, configuration(listen, discovery.address, &known, "on_request", 400, "")).unwrap();
     let arguments = format!("--state {}", temp.path("state").display());
-    let first = Dispatcher::start(&config, listen, &temp, "first", &arguments);
-    if !first.wait_ready(10_000) {
-        log.line(&format!("not ready: {}", first.log_text()));
+    let mut dispatcher = Dispatcher::start(&config, listen, &temp, "first", &arguments);
+    if !dispatcher.wait_ready(10_000) {
+        log.line(&format!("not ready: {}", dispatcher.log_text()));
         return NOT_RUN;
     }
-    let admin = free_address();
-    write_config(admin);
-    log.line("the program is started a second time, with a new second address and the same $TMPDIR");
-    let mut second = Dispatcher::start_again(&config, listen, &temp, "first", "second", &arguments);
-    let end = Instant::now() + Duration::from_secs(6);
-    while admin_call(admin, "GET /control/ready") != 200 {
-        if Instant::now() > end {
-            log.line(&format!("not ready: {}", second.log_text()));
-            return NOT_RUN;
-        }
-        sleep_ms(20);
-    }
-    log.line("the new process says yes");
 
     let mut rng = Rng(0x5DEE_CE66_D1CE_4E5B);
-    let redeem = |id, key| Job {
-        id,
-        class: "redeem",
-        key: Some(key),
-        time_left_ms: 25_000,
-        body: format!("ms={RUN_MS}"),
-    };
-    let jobs: Vec<Job> = (0..JOBS).map(|_| redeem(rng.id(), rng.key())).collect();
-    let clients = {
-        let (jobs, log) = (jobs.clone(), log.clone());
-        thread::spawn(move || send_all(listen, &jobs, &log))
-    };
-    sleep_ms(KILL_AFTER_MS);
+    play_earlier(listen, &mut rng, log);
+    // Each job runs for 3 s; the crash comes 1.2 s after the last of them was sent.
+    let open: Vec<(String, String)> = (0..OPEN_JOBS).map(|_| (rng.id(), rng.key())).collect();
+    let jobs = open.iter().map(|(id, key)| redeem(id, key, "ms=3000")).collect();
+    let clients = send_all(listen, jobs, log);
+    sleep_ms(1200);
     if has_trouble() {
-        let under_way = cells.taken.lock().unwrap().len();
-        log.line(&format!("SIGKILL to the new process, with {under_way} redeems at workers"));
-        second.kill();
+        let under_way = cells.taken.lock().unwrap().iter().filter(|taken| is_open(&open, taken)).count();
+        log.line(&format!(
+            "SIGKILL with {under_way} redeems at workers; a new process with the same state directory"
+        ));
+        dispatcher.kill();
+        dispatcher = Dispatcher::start(&config, listen, &temp, "second", &arguments);
+        if !dispatcher.wait_ready(20_000) {
+            log.line(&format!("not ready: {}", dispatcher.log_text()));
+            return NOT_RUN;
+        }
+        log.line("the new process is ready");
     }
     let answers = clients.join().unwrap_or_default();
 
     // A client whose connection broke sends its redeem again: the same key and body under a fresh id.
-    let is_unanswered = |job: &&Job| !matches!(answers.get(&job.id), Some(Answer::Whole(..)));
-    let again: Vec<Job> =
-        jobs.iter().filter(is_unanswered).map(|job| Job { id: rng.id(), ..job.clone() }).collect();
+    let is_unanswered = |id: &String| !matches!(answers.get(id), Some(Answer::Whole(..)));
+    let again: Vec<Job> = open
+        .iter()
+        .filter(|(id, _)| is_unanswered(id))
+        .map(|(_, key)| redeem(&rng.id(), key, "ms=3000"))
+        .collect();
     log.line(&format!("{} redeems are sent again", again.len()));
-    let _ = send_all(listen, &again, log);
+    let _ = send_all(listen, again, log).join();
 
     let mut runs: BTreeMap<String, Vec<Taken>> = BTreeMap::new();
     for taken in cells.taken.lock().unwrap().iter().filter(|taken| !taken.is_dropped) {
@@ -122,10 +145,8 @@
             log.line(&format!("    at {at} ms on {worker} of cell {cell}, request {id}"));
         }
     }
-    for line in first.log_text().lines() {
-        log.line(&format!("old process: {line}"));
-    }
-    let result = format!("{} of {} redeems ran more than once", twice.len(), runs.len());
+    let (count, taken) = (twice.len(), open.iter().filter(|(_, key)| runs.contains_key(key)).count());
+    let result = format!("{count} of {taken} redeems ran more than once");
     log.line(&result);
     println!("{result}");
     if twice.is_empty() { HELD } else { BROKEN }
