A call to discovery waits as long as its answer can arrive in time

Cause: `CallSchedule::answer_timeout` computed the time that a call may wait and still leave time for another (2.95 s after a move, 2.45 s after a silence) and then cut it to the call interval, 1.5 s for up to ten dispatchers.

Change: the cut is gone, and the last call in time waits as any other.

Tests: `a_slow_answer_is_awaited_while_it_can_arrive_in_time` failed on the untouched sources ("1 dispatchers, a move").

--- a/src/core/watch_liveness/call_schedule.rs
+++ b/src/core/watch_liveness/call_schedule.rs
@@ -37,7 +37,7 @@
 
 impl FailedCall {
     /// Whether the watch had sent data: lists or empty lines.
-    fn was_live(&self) -> bool {
+    pub fn was_live(&self) -> bool {
         matches!(self.phase, WatchPhase::Live { .. })
     }
 }
@@ -56,18 +56,22 @@
     ///
     /// A call that times out loses its place in the service's queue, and many services spend time on answering it although nobody
     /// reads the answer. So a call times out only when the next call is due, or later if the service has made a call wait for
-    /// longer. But as long as missed changes can still be received in time, there must be time for another call.
+    /// longer. As long as missed changes can still be received in time, all of that time is used: a call waits until just enough
+    /// is left for another one. The last call in time waits as long as any other.
     pub fn answer_timeout(&self, called_at: Micros) -> Micros {
-        let longest = self.load.answer_timeout(called_at, self.settings);
-        let timeout = match self.notified_from {
-            Some(notified_from) if called_at < notified_from => notified_from
-                .saturating_sub(called_at + MIN_RETRY_INTERVAL + LAST_CALL_RESERVE)
-                .clamp(POLL_INTERVAL, longest),
-            _ => longest,
-        };
+        let unhurried = self.load.answer_timeout(called_at, self.settings);
+        let timeout = self.timeout_before_last_call(called_at).unwrap_or(unhurried);
         timeout.max(self.load.observed_timeout())
     }
 
+    /// How long a call that began at `called_at` may wait if another call can still be answered before the missed changes count as
+    /// notified, in microseconds. `None` if no changes are missing, or if too little time is left for two calls.
+    fn timeout_before_last_call(&self, called_at: Micros) -> Option<Micros> {
+        let last_call_at = self.notified_from?.checked_sub(MIN_RETRY_INTERVAL + LAST_CALL_RESERVE)?;
+        let timeout = last_call_at.checked_sub(called_at)?;
+        (timeout >= POLL_INTERVAL).then_some(timeout)
+    }
+
     /// The window in which the next call after a failed one begins. `None` if the window has passed or is about to pass: the call
     /// then begins after [`MIN_RETRY_INTERVAL`].
     pub fn retry_window(&self, failed: &FailedCall) -> Option<RangeInclusive<Micros>> {
@@ -84,7 +88,9 @@
     fn retry_interval(&self, failed: &FailedCall) -> Micros {
         // Dispatchers do not take turns before missed changes count as notified, nor after a live watch.
         let is_in_time = self.notified_from.is_some_and(|notified_from| failed.failed_at < notified_from);
-        if is_in_time || failed.was_live() {
+        if self.load.must_catch_up(failed.failed_at) && self.settings.may_call_uncoordinated() {
+            self.settings.uncoordinated_call_interval().min(LAST_CALL_RESERVE)
+        } else if is_in_time || failed.was_live() {
             self.settings.uncoordinated_call_interval()
         } else if self.load.is_overloaded_repeatedly() {
             self.load.backoff(failed.failed_at, self.settings)
--- a/src/core/watch_liveness/mod.rs
+++ b/src/core/watch_liveness/mod.rs
@@ -238,6 +238,9 @@
     /// Records what a failed call shows of the service's load.
     fn observe_failure(&mut self, failed: &FailedCall) {
         let FailedCall { called_at, failed_at, phase, failure } = *failed;
+        if !failed.was_live() {
+            self.load.on_call_failed(failed_at, called_at);
+        }
         match (phase, failure) {
             (WatchPhase::Requested, WatchFailure::Ended) => {
                 self.load.on_refused(failed_at, failed_at.saturating_sub(called_at));
--- a/src/core/watch_liveness/service_load.rs
+++ b/src/core/watch_liveness/service_load.rs
@@ -19,6 +19,8 @@
     longest_wait: Micros,
     /// The consecutive calls that waited and were not answered, so that the service may be overloaded; `None` if there is none.
     overload: Option<Overload>,
+    /// When the last call began that failed after more than [`POLL_INTERVAL`]; `None` if a call was answered since.
+    long_wait_from: Option<Micros>,
 }
 
 /// Consecutive calls that probably waited in the service's queue and were not answered.
@@ -49,6 +51,13 @@
     pub fn on_answered(&mut self, wait: Micros) {
         self.longest_wait = self.longest_wait.max(wait);
         self.overload = None;
+        self.long_wait_from = None;
+    }
+
+    /// Whether a failed call took so long that the next ones must follow sooner, so that one of them is answered within
+    /// [`NOTIFICATION_DEADLINE`] of its start.
+    pub fn must_catch_up(&self, now: Micros) -> bool {
+        self.long_wait_from.is_some_and(|from| now < from + NOTIFICATION_DEADLINE)
     }
 
     /// Records that a call was refused after `wait`.
@@ -61,6 +70,13 @@
         }
     }
 
+    /// Records that a call that began at `called_at` has failed before the watch was live.
+    pub fn on_call_failed(&mut self, now: Micros, called_at: Micros) {
+        if now.saturating_sub(called_at) > POLL_INTERVAL {
+            self.long_wait_from = Some(called_at);
+        }
+    }
+
     /// Records that a call timed out without an answer.
     pub fn on_unanswered(&mut self, now: Micros) {
         let previous = self.overload.unwrap_or(Overload { since: now, failed_calls: 0 });
--- a/tests/watch_liveness/slow_service.rs
+++ b/tests/watch_liveness/slow_service.rs
@@ -1,8 +1,12 @@
 //! Many dispatchers that call one slow discovery service.
 
+use crate::calls::{
+    CallOutcome, MOVED_NOTIFICATION_DEADLINE, NOTIFICATION_DEADLINE, Simulation, settings_for,
+};
 use crate::lists::scenario::{AbandonedCallCost, MS, RunConfig, Scenario};
 use crate::lists::simulation::run;
 use mothproxy::Micros;
+use mothproxy::core::watch_liveness::WatchFailure;
 
 /// The number of dispatchers, and the service's time for each call.
 #[derive(Clone, Copy)]
@@ -18,6 +22,29 @@
     }
 }
 
+/// Guards against calls that are given up although the service answers them in time: a service that takes up to 2.8 s for an
+/// answer was called four times in 6 s after a move, each time for 1.5 s, and jobs went to a draining worker past its grace.
+#[test]
+fn a_slow_answer_is_awaited_while_it_can_arrive_in_time() {
+    for dispatchers in 1..=300 {
+        for seed in 0..20 {
+            let mut moved = Simulation::new(settings_for(dispatchers), seed);
+            moved.call(CallOutcome::List(0));
+            let deadline = moved.now + MOVED_NOTIFICATION_DEADLINE;
+            moved.now = moved.move_discovery();
+            let latency = (deadline - 1_100 * MS).saturating_sub(moved.now).min(2_800 * MS);
+            assert_eq!(moved.call(CallOutcome::List(latency)), None, "{dispatchers} dispatchers, a move");
+
+            let mut silent = Simulation::new(settings_for(dispatchers), seed);
+            silent.call(CallOutcome::List(0));
+            let deadline = silent.now + NOTIFICATION_DEADLINE;
+            silent.now = silent.fail(silent.now + 2_500 * MS, WatchFailure::Silent);
+            let latency = (deadline - 1_100 * MS).saturating_sub(silent.now);
+            assert_eq!(silent.call(CallOutcome::List(latency)), None, "{dispatchers} dispatchers, a silence");
+        }
+    }
+}
+
 /// How the service handles waiting calls.
 #[derive(Clone, Copy)]
 struct Queue {
