Idempotency records keep their age over a restart, and lose results first

Cause: records loaded at a start all got the same time of expiry, so that eviction went by key. Records evicted from memory stay on disk for their hour, so each start was over the bound. A running process evicted whole records on account of their results, and a start read all records into memory before it applied the bound.

The oldest results are dropped first; such a key counts as one that may have run. Records are read one at a time, and each counts with 512 bytes of overhead.

Tests: two in tests/core/idempotency.rs. `enable_idempotency` takes typed records and a bound, so the harness of these tests follows.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -60,7 +60,7 @@
 pub use options::{Options, SyncMode};
 pub use recovery::{Damage, Recovery};
 pub use shared_view::{SharedView, view_of};
-pub use snapshot::{Iter, OpenedReader, Snapshot, Stat, open_reader};
+pub use snapshot::{Entries, Entry, Iter, OpenedReader, Snapshot, Stat, open_reader};
 pub use store::Store;
 pub use verify::{Verification, verify};
 pub use write_queue::{Callback, WriteResult};
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -60,7 +60,17 @@
 
     /// All records from a key on, in order of keys. A record that cannot be read is an error; the iteration then continues.
     pub fn iter_from(&self, from: &[u8]) -> Iter {
-        Iter { walk: self.view.walk(from), now: self.now }
+        Iter { entries: self.entries_from(from) }
+    }
+
+    /// The same records as [`Snapshot::iter_from`], with the times at which they expire.
+    pub fn entries_from(&self, from: &[u8]) -> Entries {
+        Entries { walk: self.view.walk(from), now: self.now }
+    }
+
+    /// The time at which the snapshot was taken.
+    pub fn taken_at(&self) -> UnixMillis {
+        self.now
     }
 
     /// Statistics of the contents. This visits all keys.
@@ -87,26 +97,55 @@
     }
 }
 
+/// A record with the time at which it expires.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The key.
+    pub key: Vec<u8>,
+    /// The value.
+    pub value: Vec<u8>,
+    /// When the record expires; `None` if it never does.
+    pub expires_at: Option<UnixMillis>,
+}
+
 /// An iterator over records, in order of keys.
 pub struct Iter {
-    walk: Walk,
-    now: UnixMillis,
+    entries: Entries,
 }
 
 impl Iterator for Iter {
     type Item = Result<(Vec<u8>, Vec<u8>), StoreError>;
 
+    fn next(&mut self) -> Option<Self::Item> {
+        let entry = self.entries.next()?;
+        Some(entry.map(|entry| (entry.key, entry.value)))
+    }
+}
+
+/// An iterator over records with the times at which they expire, in order of keys.
+pub struct Entries {
+    walk: Walk,
+    now: UnixMillis,
+}
+
+impl Iterator for Entries {
+    type Item = Result<Entry, StoreError>;
+
     fn next(&mut self) -> Option<Self::Item> {
         loop {
             let step = self.walk.next()?;
             if let Some(region) = step.hidden_by {
                 return Some(Err(region.error()));
             }
-            if step.hit.location.is_expired(self.now) {
+            let location = step.hit.location;
+            if location.is_expired(self.now) {
                 continue;
             }
             match step.hit.read(&step.key) {
-                Ok(Some(value)) => return Some(Ok((step.key, value))),
+                Ok(Some(value)) => {
+                    let expires_at = location.expires_at;
+                    return Some(Ok(Entry { key: step.key, value, expires_at }));
+                }
                 Ok(None) => {}
                 Err(error) => return Some(Err(error)),
             }
--- a/src/core/engine/idempotency.rs
+++ b/src/core/engine/idempotency.rs
@@ -7,25 +7,26 @@
 use crate::core::commands::{Command, NewRequest, PersistOutcome, RecordTicket};
 use crate::core::endpoint_table::EndpointTable;
 use crate::core::idempotency::{
-    AttemptRecord, IdempotencyStore, LookupResult, RecordDecodeError, RecordUpdate,
+    AttemptRecord, IdempotencyStore, LookupResult, PersistedRecord, RecordDecodeError, RecordUpdate,
 };
 use crate::core::request::RequestId;
 use crate::policy::interface::{Event, Micros};
 use mothproxy_invariant::invariant;
 
 impl Core {
-    /// Starts keeping records of keyed requests, beginning with `records`. Returns the keys whose records cannot be decoded, each
-    /// with the reason.
+    /// Starts keeping records of keyed requests, which take about `max_bytes` of memory at most. The records are those of
+    /// `persisted` to begin with. Returns the keys whose records cannot be decoded, each with the reason.
     pub fn enable_idempotency(
         &mut self,
         now: Micros,
-        records: impl Iterator<Item = (String, Vec<u8>)>,
+        max_bytes: usize,
+        persisted: impl Iterator<Item = PersistedRecord>,
     ) -> Vec<(String, RecordDecodeError)> {
-        let mut store = IdempotencyStore::default();
-        let unreadable = records
-            .filter_map(|(key, record)| {
-                let error = store.load(now, &key, Some(&record)).err()?;
-                Some((key, error))
+        let mut store = IdempotencyStore::new(max_bytes);
+        let unreadable = persisted
+            .filter_map(|record| {
+                let error = store.load_persisted(now, &record).err()?;
+                Some((record.key, error))
             })
             .collect();
         self.idempotency = Some(store);
--- a/src/core/idempotency/mod.rs
+++ b/src/core/idempotency/mod.rs
@@ -9,4 +9,4 @@
 mod store;
 
 pub use record::{AttemptRecord, IdempotencyKey, IdempotencyRecord, RecordDecodeError};
-pub use store::{IdempotencyStore, LookupResult, RECORD_TTL, RecordUpdate};
+pub use store::{IdempotencyStore, LookupResult, PersistedRecord, RECORD_TTL, RecordUpdate};
--- a/src/core/idempotency/store.rs
+++ b/src/core/idempotency/store.rs
@@ -4,13 +4,25 @@
 use crate::core::UnixMicros;
 use crate::policy::interface::Micros;
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 /// How long a record is kept after its last write, in microseconds: far longer than clients wait and workers deduplicate.
 pub const RECORD_TTL: Micros = 3_600_000_000;
 /// The maximum number of records; beyond it the oldest are evicted.
 const MAX_RECORDS: usize = 50_000;
-/// The maximum number of bytes of records and keys; beyond it the oldest are evicted.
-const MAX_RECORD_BYTES: usize = 16 << 20;
+/// The memory of a record in addition to its encoded form and key, in bytes: the maps' entries and the parts of the decoded form.
+const RECORD_OVERHEAD_BYTES: usize = 512;
+
+/// A record that was persisted by an earlier process of this dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PersistedRecord {
+    /// The key.
+    pub key: String,
+    /// The encoded record.
+    pub bytes: Vec<u8>,
+    /// How much longer the record is kept, in microseconds; [`RECORD_TTL`] if it was written just now.
+    pub time_to_live: Micros,
+}
 
 /// The result of looking up the key of a new request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,19 +55,50 @@
     expires_at: Micros,
 }
 
+impl StoredRecord {
+    /// The memory that the record takes with its key, in bytes.
+    fn memory(&self, key: &str) -> usize {
+        self.encoded_len + key.len() + RECORD_OVERHEAD_BYTES
+    }
+}
+
+/// Keys in the order in which their records expire.
+type ExpiryOrder = BTreeSet<(Micros, Arc<str>)>;
+
 /// The records, by key.
-#[derive(Debug, Default)]
+///
+/// If they take too much memory, the oldest results are dropped first: a repeat is then handled like that of a request that may
+/// have run. The oldest records are evicted only where that is not enough.
+#[derive(Debug)]
 pub struct IdempotencyStore {
-    records: HashMap<String, StoredRecord>,
-    key_by_request: HashMap<String, String>,
-    by_expiry: BTreeSet<(Micros, String)>,
+    records: HashMap<Arc<str>, StoredRecord>,
+    key_by_request: HashMap<String, Arc<str>>,
+    by_expiry: ExpiryOrder,
+    /// The keys in `by_expiry` whose records have a result.
+    with_result: ExpiryOrder,
     bytes: usize,
+    max_bytes: usize,
     evicted: u64,
     repeats_answered: u64,
     restricted_repeats: u64,
 }
 
 impl IdempotencyStore {
+    /// Creates a store without records that takes about `max_bytes` of memory at most.
+    pub fn new(max_bytes: usize) -> IdempotencyStore {
+        IdempotencyStore {
+            records: HashMap::new(),
+            key_by_request: HashMap::new(),
+            by_expiry: ExpiryOrder::new(),
+            with_result: ExpiryOrder::new(),
+            bytes: 0,
+            max_bytes,
+            evicted: 0,
+            repeats_answered: 0,
+            restricted_repeats: 0,
+        }
+    }
+
     /// The number of records evicted before they expired, because the store was full.
     pub fn evicted(&self) -> u64 {
         self.evicted
@@ -89,7 +132,7 @@
 
     /// The key whose newest request has this name.
     pub fn key_of_request(&self, request_name: &str) -> Option<String> {
-        self.key_by_request.get(request_name).cloned()
+        self.key_by_request.get(request_name).map(|key| key.to_string())
     }
 
     /// Whether a key was used before by a request with another body or class.
@@ -133,7 +176,7 @@
         if record.result.is_none() && !record.may_have_run() {
             return None;
         }
-        Some(self.encode_and_insert(now, key.key.clone(), record))
+        Some(self.encode_and_insert(now, &key.key, record))
     }
 
     /// Records a result that a worker reported after its request was closed. Returns the bytes to write; `None` if the key has no
@@ -141,10 +184,10 @@
     pub fn record_result(&mut self, now: Micros, key: &str, result: Vec<u8>) -> Option<Vec<u8>> {
         let mut record = self.remove(key)?;
         record.result.get_or_insert(result);
-        Some(self.encode_and_insert(now, key.to_owned(), record))
+        Some(self.encode_and_insert(now, key, record))
     }
 
-    /// Loads a record that was written earlier, or by another process of this dispatcher; `None` deletes the key's record.
+    /// Loads a record that another process of this dispatcher has just written; `None` deletes the key's record.
     ///
     /// # Errors
     /// [`RecordDecodeError`] if the bytes cannot be decoded; nothing changes then.
@@ -152,11 +195,27 @@
         let record = bytes.map(IdempotencyRecord::decode).transpose()?;
         self.remove(key);
         if let Some((record, bytes)) = record.zip(bytes) {
-            self.insert(now, key.to_owned(), record, bytes.len());
+            self.insert(now + RECORD_TTL, key, record, bytes.len());
         }
         Ok(())
     }
 
+    /// Loads a record that an earlier process has persisted. It expires when it would have expired there.
+    ///
+    /// # Errors
+    /// [`RecordDecodeError`] if the bytes cannot be decoded; nothing changes then.
+    pub fn load_persisted(
+        &mut self,
+        now: Micros,
+        persisted: &PersistedRecord,
+    ) -> Result<(), RecordDecodeError> {
+        let record = IdempotencyRecord::decode(&persisted.bytes)?;
+        self.remove(&persisted.key);
+        let expires_at = now + persisted.time_to_live.min(RECORD_TTL);
+        self.insert(expires_at, &persisted.key, record, persisted.bytes.len());
+        Ok(())
+    }
+
     /// Treats the deduplication window of every recorded attempt as over, because the time since the attempt is unknown.
     pub fn expire_windows(&mut self) {
         for stored in self.records.values_mut() {
@@ -166,25 +225,48 @@
         }
     }
 
-    fn encode_and_insert(&mut self, now: Micros, key: String, record: IdempotencyRecord) -> Vec<u8> {
+    fn encode_and_insert(&mut self, now: Micros, key: &str, record: IdempotencyRecord) -> Vec<u8> {
         let bytes = record.encode();
-        self.insert(now, key, record, bytes.len());
+        self.insert(now + RECORD_TTL, key, record, bytes.len());
         bytes
     }
 
-    fn insert(&mut self, now: Micros, key: String, record: IdempotencyRecord, encoded_len: usize) {
-        let expires_at = now + RECORD_TTL;
+    fn insert(&mut self, expires_at: Micros, key: &str, record: IdempotencyRecord, encoded_len: usize) {
+        let key: Arc<str> = key.into();
         self.key_by_request.insert(record.request_name.clone(), key.clone());
         self.by_expiry.insert((expires_at, key.clone()));
-        self.bytes += encoded_len + key.len();
-        self.records.insert(key, StoredRecord { record, encoded_len, expires_at });
-        while self.records.len() > MAX_RECORDS || self.bytes > MAX_RECORD_BYTES {
-            let Some((_, oldest)) = self.by_expiry.first().cloned() else { return };
+        if record.result.is_some() {
+            self.with_result.insert((expires_at, key.clone()));
+        }
+        let stored = StoredRecord { record, encoded_len, expires_at };
+        self.bytes += stored.memory(&key);
+        self.records.insert(key, stored);
+        self.make_room();
+    }
+
+    /// Drops the oldest results, and then the oldest records, until the rest is within the limits.
+    fn make_room(&mut self) {
+        while self.bytes > self.max_bytes
+            && let Some((_, key)) = self.with_result.pop_first()
+        {
+            self.drop_result(&key);
+        }
+        while (self.records.len() > MAX_RECORDS || self.bytes > self.max_bytes)
+            && let Some((_, oldest)) = self.by_expiry.first().cloned()
+        {
             self.remove(&oldest);
             self.evicted += 1;
         }
     }
 
+    /// Drops the result of a record that is no longer in `with_result`.
+    fn drop_result(&mut self, key: &str) {
+        let Some(stored) = self.records.get_mut(key) else { return };
+        let length = stored.record.result.take().map_or(0, |result| result.len());
+        stored.encoded_len -= length;
+        self.bytes -= length;
+    }
+
     fn remove_expired(&mut self, now: Micros) {
         while let Some((_, key)) = self.by_expiry.first().filter(|(at, _)| *at <= now).cloned() {
             self.remove(&key);
@@ -192,13 +274,15 @@
     }
 
     fn remove(&mut self, key: &str) -> Option<IdempotencyRecord> {
-        let stored = self.records.remove(key)?;
-        self.by_expiry.remove(&(stored.expires_at, key.to_owned()));
+        let (key, stored) = self.records.remove_entry(key)?;
+        self.bytes -= stored.memory(&key);
         let request_name = &stored.record.request_name;
-        if self.key_by_request.get(request_name).is_some_and(|newest| newest == key) {
+        if self.key_by_request.get(request_name).is_some_and(|newest| *newest == key) {
             self.key_by_request.remove(request_name);
         }
-        self.bytes -= stored.encoded_len + key.len();
+        let position = (stored.expires_at, key);
+        self.by_expiry.remove(&position);
+        self.with_result.remove(&position);
         Some(stored.record)
     }
 }
--- a/src/server/idempotency_store.rs
+++ b/src/server/idempotency_store.rs
@@ -19,6 +19,9 @@
 /// The maximum number of files that the store keeps open.
 const MAX_OPEN_FILES: usize = 48;
 
+/// The maximum memory of the records, in bytes.
+const MAX_RECORD_BYTES: usize = 16 << 20;
+
 /// The number of descriptors reserved for the store; 0 if there is no store.
 pub(in crate::server) fn reserved_files(has_store: bool) -> usize {
     if has_store { MAX_OPEN_FILES } else { 0 }
@@ -35,9 +38,9 @@
     reactor: &Reactor,
     now: Micros,
 ) -> Result<RecordStore, ServerError> {
-    let (records, loaded) = RecordStore::open(settings)?;
-    let unreadable = core.enable_idempotency(now, loaded.records.into_iter());
-    if !loaded.is_clock_plausible {
+    let records = RecordStore::open(settings)?;
+    let unreadable = core.enable_idempotency(now, MAX_RECORD_BYTES, records.records());
+    if !records.is_clock_plausible() {
         core.expire_idempotency_windows();
     }
     for (key, error) in unreadable {
--- a/src/server/idempotency_store/record_store.rs
+++ b/src/server/idempotency_store/record_store.rs
@@ -4,10 +4,10 @@
 use super::completion::{
     CompletionReceiver, CompletionSender, RecordWriteError, Waiter, WriteCompletion, completion_queue,
 };
-use crate::core::idempotency::RECORD_TTL;
+use crate::core::idempotency::{PersistedRecord, RECORD_TTL};
 use crate::policy::interface::Micros;
 use crate::server::{ServerError, StateDir};
-use mothproxy_store::{Batch, Options, Recovery, Store, StoreError, WriteResult};
+use mothproxy_store::{Batch, Entry, Options, Recovery, Store, StoreError, UnixMillis, WriteResult};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -20,6 +20,7 @@
 const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// The minimum time between two attempts to reopen the store, in microseconds.
 const REOPEN_INTERVAL: Micros = 1_000_000;
+const MICROS_PER_MILLI: Micros = 1_000;
 /// How far the system's clock may be behind the newest time in the store, in milliseconds.
 const CLOCK_TOLERANCE_MS: u64 = 1_000;
 
@@ -38,20 +39,12 @@
     last_open_attempt: Option<Micros>,
 }
 
-/// The content of the store when it was opened.
-pub(in crate::server) struct LoadedRecords {
-    /// The encoded records, each with its key.
-    pub(in crate::server) records: Vec<(String, Vec<u8>)>,
-    /// Whether the system's clock is at most [`CLOCK_TOLERANCE_MS`] behind the newest time in the store.
-    pub(in crate::server) is_clock_plausible: bool,
-}
-
 impl RecordStore {
-    /// Opens the store and reads its records. Blocks for up to [`LOCK_TIMEOUT`] while the predecessor is still closing the store.
+    /// Opens the store. Blocks for up to [`LOCK_TIMEOUT`] while the predecessor is still closing the store.
     ///
     /// # Errors
     /// If the store cannot be opened, or the sockets of the completion queue cannot be created.
-    pub(in crate::server) fn open(settings: StateDir) -> Result<(RecordStore, LoadedRecords), ServerError> {
+    pub(in crate::server) fn open(settings: StateDir) -> Result<RecordStore, ServerError> {
         let started = Instant::now();
         let opened = open_when_unlocked(&settings, started);
         let (store, recovery) = opened.map_err(|error| ServerError::State(settings.dir.clone(), error))?;
@@ -59,15 +52,11 @@
         for damage in recovery.damage.iter().chain(&recovery.warnings) {
             tracing::error!(%damage, "idempotency store: damaged");
         }
-        let records = read_records(&store);
-        let is_clock_plausible = is_clock_plausible(&store);
-        if !is_clock_plausible {
-            tracing::warn!("idempotency store: clock is behind the records, earlier jobs are not retried");
-        }
-        let (count, directory) = (records.len(), settings.dir.display());
-        tracing::info!(records = count, %directory, milliseconds = elapsed_ms, "idempotency store: opened");
+        let directory = settings.dir.display();
+        let records = count_records(&store);
+        tracing::info!(records, %directory, milliseconds = elapsed_ms, "idempotency store: opened");
         let (sender, receiver) = completion_queue().map_err(|error| ServerError::System("state", error))?;
-        let record_store = RecordStore {
+        Ok(RecordStore {
             settings,
             store: Some(store),
             sender,
@@ -75,8 +64,28 @@
             last_error: None,
             failures: 0,
             last_open_attempt: None,
-        };
-        Ok((record_store, LoadedRecords { records, is_clock_plausible }))
+        })
+    }
+
+    /// Reads all records, one at a time: together they may be larger than the process's memory. Damaged records are logged and
+    /// skipped.
+    pub(in crate::server) fn records(&self) -> impl Iterator<Item = PersistedRecord> + use<> {
+        let snapshot = self.store.as_ref().map(Store::snapshot);
+        snapshot.into_iter().flat_map(|snapshot| {
+            let now = snapshot.taken_at();
+            let entries = snapshot.entries_from(KEY_PREFIX.as_bytes());
+            entries.filter_map(move |entry| persisted_record(entry, now))
+        })
+    }
+
+    /// Whether the system's clock is at most [`CLOCK_TOLERANCE_MS`] behind the newest time in the store. If it is not, this is
+    /// logged.
+    pub(in crate::server) fn is_clock_plausible(&self) -> bool {
+        let is_plausible = self.store.as_ref().is_none_or(is_clock_plausible);
+        if !is_plausible {
+            tracing::warn!("idempotency store: clock is behind the records, earlier jobs are not retried");
+        }
+        is_plausible
     }
 
     /// The socket that the event loop watches. It is readable while there may be completions.
@@ -201,24 +210,19 @@
     }
 }
 
-/// Returns all records, each with its key without the prefix. Damaged records are logged and skipped.
-fn read_records(store: &Store) -> Vec<(String, Vec<u8>)> {
-    let mut records = Vec::new();
-    for entry in store.snapshot().iter_from(KEY_PREFIX.as_bytes()) {
-        let (key, record) = match entry {
-            Ok(entry) => entry,
-            Err(error) => {
-                tracing::error!(damage = %error, "idempotency store: damaged");
-                continue;
-            }
-        };
-        if let Ok(key) = std::str::from_utf8(&key)
-            && let Some(key) = key.strip_prefix(KEY_PREFIX)
-        {
-            records.push((key.to_owned(), record));
-        }
-    }
-    records
+/// The number of records, without reading them.
+fn count_records(store: &Store) -> u64 {
+    store.snapshot().stat().records
+}
+
+/// The record of an entry of the store, its key without the prefix. `None` if the entry is damaged, which is logged, or if it is
+/// not a record. `now` is the time of the store.
+fn persisted_record(entry: Result<Entry, StoreError>, now: UnixMillis) -> Option<PersistedRecord> {
+    let entry =
+        entry.inspect_err(|error| tracing::error!(damage = %error, "idempotency store: damaged")).ok()?;
+    let key = std::str::from_utf8(&entry.key).ok()?.strip_prefix(KEY_PREFIX)?.to_owned();
+    let time_to_live = entry.expires_at.map_or(RECORD_TTL, |at| at.saturating_sub(now) * MICROS_PER_MILLI);
+    Some(PersistedRecord { key, bytes: entry.value, time_to_live })
 }
 
 /// Whether the system's clock is at most [`CLOCK_TOLERANCE_MS`] behind the newest time in the store.
--- a/tests/core/harness.rs
+++ b/tests/core/harness.rs
@@ -1,6 +1,6 @@
 //! A core on a virtual clock, with workers `s-0`, `s-1`, ... and requests `job-1`, `job-2`, ...
 
-use mothproxy::core::idempotency::IdempotencyKey;
+use mothproxy::core::idempotency::{IdempotencyKey, PersistedRecord, RECORD_TTL};
 use mothproxy::core::{
     AttemptId, Command, Core, DownstreamId, FinalResponse, JobStatus, NewRequest, RequestId,
 };
@@ -18,6 +18,18 @@
     pub offered: u64,
 }
 
+/// The maximum memory of the records, in bytes.
+pub const MAX_RECORD_BYTES: usize = 1 << 20;
+
+/// Records that an earlier process has persisted just now, by key.
+pub fn persisted(records: &BTreeMap<String, Vec<u8>>) -> impl Iterator<Item = PersistedRecord> {
+    records.iter().map(|(key, bytes)| PersistedRecord {
+        key: key.clone(),
+        bytes: bytes.clone(),
+        time_to_live: RECORD_TTL,
+    })
+}
+
 impl CoreHarness {
     pub fn new(workers: usize) -> CoreHarness {
         CoreHarness::starting_at(workers, 0)
@@ -42,7 +54,7 @@
     /// Creates a core that keeps records of keyed requests.
     pub fn with_idempotency(workers: usize) -> CoreHarness {
         let mut harness = CoreHarness::new(workers);
-        harness.core.enable_idempotency(harness.now, std::iter::empty());
+        harness.core.enable_idempotency(harness.now, MAX_RECORD_BYTES, std::iter::empty());
         harness
     }
 
@@ -75,7 +87,7 @@
         let workers = self.core.endpoints().listed_count();
         let unix = u128::from(self.now - Core::clock_start() + elapsed);
         let mut next = CoreHarness::starting_at(workers, unix);
-        let unreadable = next.core.enable_idempotency(next.now, records.clone().into_iter());
+        let unreadable = next.core.enable_idempotency(next.now, MAX_RECORD_BYTES, persisted(records));
         if !is_clock_reliable {
             next.core.expire_idempotency_windows();
         }
--- a/tests/core/idempotency.rs
+++ b/tests/core/idempotency.rs
@@ -1,7 +1,8 @@
 //! Requests with an idempotency key and their records, also after a crash.
 
-use crate::harness::{CoreHarness, MS, responses, started};
+use crate::harness::{CoreHarness, MAX_RECORD_BYTES, MS, persisted, responses, started};
 use mothproxy::WorkerId;
+use mothproxy::core::idempotency::{AttemptRecord, IdempotencyRecord, PersistedRecord, RECORD_TTL};
 use mothproxy::core::{Command, FinalResponse, JobStatus, PersistOutcome, RecordTicket};
 use mothproxy_testkit::site;
 use serde_json::json;
@@ -131,11 +132,57 @@
     assert_eq!(responses(&third.advance(5 * MS)), [(id, FinalResponse::Served(b"paid".to_vec()))]);
 }
 
+/// A record of a redeem that a worker of this cell answered with a large result.
+fn answered(number: usize) -> PersistedRecord {
+    let attempt = AttemptRecord {
+        worker: "s-0".to_owned(),
+        cell: 1,
+        zone: "z".to_owned(),
+        sent_at: 0,
+        never_ran: false,
+    };
+    let record = IdempotencyRecord {
+        class: "redeem".to_owned(),
+        body_fingerprint: 5,
+        request_name: format!("earlier-{number}"),
+        attempts: vec![attempt],
+        result: Some(vec![b'r'; 60_000]),
+    };
+    let time_to_live = RECORD_TTL - (1_000 - number as u64) * MS;
+    PersistedRecord { key: format!("z{number:04}"), bytes: record.encode(), time_to_live }
+}
+
+/// Guards against records of requests under way that a restart forgets: where the records did not fit into memory, those with the
+/// smallest keys were evicted, however new they were, and their repeats ran in a second cell.
+#[test]
+fn remembers_the_newest_requests_after_a_crash_however_large_earlier_results_were() {
+    let KeyedRequest { records, .. } = with_keyed_request(8);
+    let mut next = CoreHarness::new(8);
+    let earlier = (0..200).map(answered);
+    // The key "k" comes before those of the earlier records, and is loaded before them.
+    next.core.enable_idempotency(next.now, MAX_RECORD_BYTES, persisted(&records).chain(earlier));
+    next.accept_keyed("r-2", "k", 5).expect("the request was not accepted");
+    let store = next.core.idempotency().expect("no records are kept");
+    assert_eq!((store.restricted_repeats(), store.evicted()), (1, 0));
+}
+
+/// Guards against repeats that run in a second cell because the result of the first request was too large to be kept.
+#[test]
+fn a_repeat_whose_result_was_dropped_counts_as_one_that_may_have_run() {
+    let mut harness = CoreHarness::new(8);
+    harness.core.enable_idempotency(harness.now, MAX_RECORD_BYTES, (0..200).map(answered));
+    harness.accept_keyed("r-1", "z0000", 5).expect("the request was not accepted");
+    harness.accept_keyed("r-2", "z0199", 5).expect("the request was not accepted");
+    let store = harness.core.idempotency().expect("no records are kept");
+    assert_eq!((store.len(), store.evicted()), (200, 0));
+    assert_eq!((store.restricted_repeats(), store.repeats_answered()), (1, 1));
+}
+
 #[test]
 fn sends_no_repeat_if_the_cell_was_replaced() {
     let KeyedRequest { harness, records, worker } = with_keyed_request(4);
     let mut next = CoreHarness::new(0);
-    next.core.enable_idempotency(next.now, records.into_iter());
+    next.core.enable_idempotency(next.now, MAX_RECORD_BYTES, persisted(&records));
     let row = |n: u32, cell: u32| {
         let mut row = site::endpoint_entry(&format!("new-{n}"), &format!("127.0.0.1:{}", 9500 + n), "up");
         row["cell"] = json!(cell);
@@ -156,8 +203,8 @@
 fn reports_records_that_cannot_be_decoded() {
     let mut harness = CoreHarness::new(2);
     let records = [("a", vec![]), ("b", vec![9, 1, 2]), ("c", vec![1, 0xff, 0xff])];
-    let records = records.into_iter().map(|(key, bytes)| (key.to_owned(), bytes));
-    let unreadable = harness.core.enable_idempotency(harness.now, records);
+    let records = BTreeMap::from(records.map(|(key, bytes)| (key.to_owned(), bytes)));
+    let unreadable = harness.core.enable_idempotency(harness.now, MAX_RECORD_BYTES, persisted(&records));
     let reasons: Vec<String> = unreadable.iter().map(|(_, error)| error.to_string()).collect();
     assert_eq!(unreadable.len(), 3, "{unreadable:?}");
     assert!(reasons[1].contains("version 9") && reasons[0].contains("empty"), "{reasons:?}");
