A process that stops keeps final events until their watchers have come

Cause: `is_quiescent` and the handover timer counted open requests and client connections as work that is left, and not finished jobs whose final event nobody has.

Change: a final event that no watcher has received keeps a process that shuts down for 3.5 s after the job's end, within the bounds of a shutdown. Clients of such a process are told `retry: 500`. A predecessor goes on handing over until it holds no job, and begins with a job only if the link has room, so that watchers are not sent away from jobs that stay.

Tests: two in tests/watch/resuming.rs, which fail on the untouched sources (`retry` 3000; no connection 2.5 s after SIGTERM), one of the broker.

--- a/crates/streams/src/broker.rs
+++ b/crates/streams/src/broker.rs
@@ -120,7 +120,8 @@
     fn insert(&mut self, now: Micros, transferred: TransferredJob) -> JobId {
         let id = JobId(self.next_job);
         self.next_job += 1;
-        let job = Job::new(transferred);
+        let mut job = Job::new(transferred);
+        job.finished_at = (job.phase() == JobPhase::Finished).then_some(now);
         let due = match job.phase() {
             JobPhase::Running if job.ends_unwatched => Some(now + self.limits.unwatched_timeout),
             JobPhase::Running => None,
@@ -181,7 +182,11 @@
 
     /// Appends the final event of a job. Does nothing if the job already has one.
     pub fn finish(&mut self, now: Micros, id: JobId, name: &str, data: String, effects: &mut Vec<Effect>) {
-        if self.update(id, effects, |job| job.log.finish(name, data)) {
+        let finish = |job: &mut Job| {
+            job.log.finish(name, data);
+            job.finished_at = Some(now);
+        };
+        if self.update(id, effects, finish) {
             self.set_timer(id, Some(now + self.limits.final_event_ttl));
         }
     }
@@ -233,11 +238,12 @@
     /// Takes the next item of a watcher's stream, which then counts as received.
     pub fn pull(&mut self, id: WatcherId) -> Next<'_> {
         let Some(watcher) = self.watchers.get_mut(&id) else { return Next::Nothing };
-        let Some(job) = self.jobs.get(&watcher.job) else { return Next::Nothing };
+        let Some(job) = self.jobs.get_mut(&watcher.job) else { return Next::Nothing };
         loop {
             match watcher.read(&job.log) {
                 Read::Event(event) => {
                     let is_final = job.log.final_id() == Some(event.id);
+                    job.is_final_received |= is_final;
                     return Next::Event { job: watcher.job, event, is_final };
                 }
                 Read::Missed(count) => {
@@ -250,6 +256,11 @@
         }
     }
 
+    /// Whether any job has a final event that was added after `since` and that no watcher has received.
+    pub fn has_unreceived_final_event(&self, since: Micros) -> bool {
+        self.jobs.values().any(|job| job.awaits_watcher(since))
+    }
+
     /// Whether a watcher has something left to pull.
     pub fn has_more(&self, id: WatcherId) -> bool {
         let found = self.watchers.get(&id).and_then(|watcher| Some((watcher, self.jobs.get(&watcher.job)?)));
--- a/crates/streams/src/job.rs
+++ b/crates/streams/src/job.rs
@@ -75,6 +75,10 @@
     pub watchers: Vec<WatcherId>,
     /// When the timer of the job fires: for an unwatched job, or for the expiry of the final event or the token.
     pub due: Option<Micros>,
+    /// When the final event was added; `None` if there is none.
+    pub finished_at: Option<Micros>,
+    /// Whether a watcher has received the final event.
+    pub is_final_received: bool,
     /// Whether the final event was dropped.
     is_expired: bool,
 }
@@ -89,6 +93,8 @@
             log: EventLog::new(from.events, from.next_id, from.is_finished),
             watchers: Vec::new(),
             due: None,
+            finished_at: None,
+            is_final_received: false,
             is_expired: false,
         }
     }
@@ -131,6 +137,12 @@
         self.phase() == JobPhase::Running && self.ends_unwatched && self.watchers.is_empty()
     }
 
+    /// Whether the job has a final event that was added after `since` and that no watcher has received.
+    pub fn awaits_watcher(&self, since: Micros) -> bool {
+        let is_recent = self.finished_at.is_some_and(|at| at >= since);
+        self.phase() == JobPhase::Finished && is_recent && !self.is_final_received
+    }
+
     /// Whether nothing is left for a watcher that has received the events up to `received`.
     pub fn has_ended_after(&self, received: u64) -> bool {
         self.is_expired || self.log.final_id().is_some_and(|last| received >= last)
--- a/crates/streams/tests/broker.rs
+++ b/crates/streams/tests/broker.rs
@@ -298,3 +298,16 @@
     (0..count).for_each(|seed| History::new(seed).run());
     println!("histories: {count}");
 }
+
+/// A final event is awaited from the end of its job until a watcher has received it, but no longer than the caller says.
+#[test]
+fn knows_whether_a_final_event_was_received() {
+    let (mut broker, job) = broker(Limits::default());
+    assert!(!broker.has_unreceived_final_event(0), "the job is running");
+    broker.finish(1_000, job, "done", "{}".to_owned(), &mut Vec::new());
+    assert!(broker.has_unreceived_final_event(1_000));
+    assert!(!broker.has_unreceived_final_event(1_001), "the job ended before that time");
+    let watcher = watch(&mut broker, 1, TOKEN, None).expect("the job is unknown");
+    assert_eq!(pull_all(&mut broker, watcher), [1]);
+    assert!(!broker.has_unreceived_final_event(0), "a watcher has received the event");
+}
--- a/src/core/idempotency/store.rs
+++ b/src/core/idempotency/store.rs
@@ -132,7 +132,7 @@
 
     /// The key whose newest request has this name.
     pub fn key_of_request(&self, request_name: &str) -> Option<String> {
-        self.key_by_request.get(request_name).map(|key| key.to_string())
+        self.key_by_request.get(request_name).map(ToString::to_string)
     }
 
     /// Whether a key was used before by a request with another body or class.
--- a/src/server/downstream/event_streams/mod.rs
+++ b/src/server/downstream/event_streams/mod.rs
@@ -25,6 +25,9 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+/// How long a final event that no watcher has received keeps a process from ending, in microseconds: the longest reconnect delay
+/// that clients are told, and time to connect.
+const FINAL_EVENT_WAIT: Micros = watchers::RECONNECT_DELAY_DRAINING + 500_000;
 /// The interval of the broker's timer while the broker has anything due, in microseconds.
 const SWEEP_INTERVAL: Micros = 500_000;
 
@@ -96,6 +99,11 @@
         }
     }
 
+    /// Whether a client may still come back for the final event of its job.
+    pub fn awaits_watchers(&self, now: Micros) -> bool {
+        self.broker.has_unreceived_final_event(now.saturating_sub(FINAL_EVENT_WAIT))
+    }
+
     /// Whether the sweep timer must be set. Returns true only once until [`EventStreams::sweep`].
     fn needs_sweep(&mut self) -> bool {
         let is_needed = !self.is_sweep_scheduled && self.broker.next_due().is_some();
--- a/src/server/downstream/event_streams/watchers.rs
+++ b/src/server/downstream/event_streams/watchers.rs
@@ -19,7 +19,7 @@
 /// The reconnect delay under load, in microseconds.
 const RECONNECT_DELAY_LOADED: Micros = 2_000_000;
 /// The reconnect delay while this process drains or has handed over, in microseconds.
-const RECONNECT_DELAY_DRAINING: Micros = 3_000_000;
+pub(super) const RECONNECT_DELAY_DRAINING: Micros = 3_000_000;
 
 /// The properties of the response to a request for an event stream.
 struct ResponseOptions {
@@ -187,10 +187,12 @@
         ClientState::Watching(StreamWatch { watcher, keep_alive, framing, last_write: context.shared.now() });
 }
 
-/// The reconnect delay that applies now, in microseconds. The process is under load once three quarters of the budget for
-/// clients' connections are used.
+/// The reconnect delay that applies now, in microseconds. A process that shuts down has the job's events only until its end, so the
+/// client should come back soon. The process is under load once three quarters of the budget for clients' connections are used.
 fn reconnect_delay(context: &ClientContext<'_>) -> Micros {
-    if context.shared.lifecycle.is_draining() || context.shared.lifecycle.has_handed_over() {
+    if context.shared.lifecycle.is_shutting_down() && !context.shared.lifecycle.has_handed_over() {
+        RECONNECT_DELAY
+    } else if context.shared.lifecycle.is_draining() || context.shared.lifecycle.has_handed_over() {
         RECONNECT_DELAY_DRAINING
     } else if context.shared.reactor.connections().clients() * 4 >= context.budget.clients * 3 {
         RECONNECT_DELAY_LOADED
--- a/src/server/lifecycle/hot_restart/mod.rs
+++ b/src/server/lifecycle/hot_restart/mod.rs
@@ -27,6 +27,7 @@
 use crate::server::tokens::{PEER_PROCESS, PEERS, RESTART_SOCKET};
 use crate::server::transferred::TransferredExchange;
 use protocol::{HandoverMessage, OpenWork, ReceiveError, packet_socket, receive, send};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::fs::Mode;
 use rustix::io::Errno;
 use rustix::net::{SocketAddrUnix, SocketFlags};
@@ -135,6 +136,14 @@
         self.send(&HandoverMessage::RecordWritten { ticket, is_written }, &[], &[])
     }
 
+    /// Whether the link to the other process has room for a message.
+    fn can_send(&self) -> bool {
+        let Some(process) = &self.peer_process else { return false };
+        let mut links = [PollFd::new(&process.link, PollFlags::OUT)];
+        let is_polled = poll(&mut links, Some(&Timespec::default())).is_ok();
+        is_polled && links[0].revents().contains(PollFlags::OUT)
+    }
+
     /// Sends a message to the other process. Returns false if there is no other process or the message cannot be sent.
     fn send(&self, message: &HandoverMessage, bytes: &[&[u8]], descriptors: &[BorrowedFd<'_>]) -> bool {
         let process = self.peer_process.as_ref();
--- a/src/server/lifecycle/hot_restart/sender.rs
+++ b/src/server/lifecycle/hot_restart/sender.rs
@@ -89,13 +89,18 @@
         }
         self.transfer_jobs();
         self.send_open_work();
-        if self.lifecycle.has_handed_over
-            && (self.reactor.connections().clients() > 0 || self.core.ledger().open() > 0)
-        {
+        if self.lifecycle.has_handed_over && self.has_work_to_hand_over() {
             self.core.set_timer(self.clock.now() + HANDOVER_INTERVAL, HANDOVER_TIMER);
         }
     }
 
+    /// Whether this process still holds clients, open requests or jobs whose events the successor must have.
+    fn has_work_to_hand_over(&self) -> bool {
+        self.reactor.connections().clients() > 0
+            || self.core.ledger().open() > 0
+            || !self.stream_jobs().is_empty()
+    }
+
     /// Reports to the successor the work that this process still holds, if it has changed.
     fn send_open_work(&mut self) {
         let open = self.local_open_work();
@@ -186,9 +191,12 @@
         self.reactor.put(token, connection, Role::Upstream(upstream));
     }
 
-    /// Hands over the jobs of the event streams. Their watchers reconnect to the successor.
+    /// Hands over the jobs of the event streams, as many as the link has room for. Their watchers reconnect to the successor.
     fn transfer_jobs(&mut self) {
         for job in self.stream_jobs() {
+            if !self.hot_restart.can_send() {
+                return;
+            }
             let Some(released) = self.release_job(job) else { continue };
             let bytes: Vec<&[u8]> = released.raw.iter().flat_map(request_bytes).collect();
             let message = HandoverMessage::Job(released.job);
--- a/src/server/lifecycle/shutdown.rs
+++ b/src/server/lifecycle/shutdown.rs
@@ -78,15 +78,19 @@
         self.core.set_timer(self.clock.now() + STEP_INTERVAL, SHUTDOWN_TIMER);
     }
 
-    /// Returns whether nothing is left to answer or to read. First accepts the connections that wait in the listeners' backlogs.
+    /// Returns whether nothing is left to answer or to read, and no client is expected to come back for a
+    /// final event, and no job is left to hand over. First accepts the connections that wait in the listeners' backlogs.
     fn is_quiescent(&mut self, plan: ShutdownPlan) -> bool {
         if !self.lifecycle.has_handed_over {
             self.accept_clients(ListenerKind::Platform);
             self.accept_clients(ListenerKind::Sse);
         }
+        let now = self.clock.now();
         let is_work_left = self.core.ledger().open() > 0
+            || self.event_streams.as_ref().is_some_and(|streams| streams.awaits_watchers(now))
+            || self.lifecycle.has_handed_over && !self.stream_jobs().is_empty()
             || self.reactor.connections().iter().any(|(connection, role)| self.is_busy(connection, role));
-        !is_work_left || self.clock.now() >= plan.give_up_at + MAX_OVERTIME
+        !is_work_left || now >= plan.give_up_at + MAX_OVERTIME
     }
 
     /// Whether a connection may still have a response to send or bytes to read.
--- a/tests/watch/resuming.rs
+++ b/tests/watch/resuming.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A resumption of a stream and the events that it gets.
 struct Resumption {
@@ -106,6 +107,38 @@
     assert_eq!((metrics["taken"], metrics["served"], metrics["gone"]), (2, 1, 1));
 }
 
+/// Guards against final events that end with a process that stops: it ended as soon as the job had, although the client, whose
+/// stream had broken, had been told to come back later.
+#[test]
+fn a_process_that_stops_waits_for_the_watcher_of_a_finished_job() {
+    let worker = FakeWorker::start("s-1");
+    let (program, sse) = start_with_event_streams(std::slice::from_ref(&worker));
+    let location = submit(sse, "a1", "take started wait=go done=after", "");
+    let mut watched = open_stream(sse, &location, "");
+    assert_eq!(watched.read_events(1), ["1 started"]);
+    program.terminate();
+    drop(watched);
+    worker.open_gate("go");
+    // Without the wait, the process ends 0.7 s after SIGTERM, or as soon after that as the job has ended.
+    std::thread::sleep(Duration::from_millis(2_500));
+    let resumed = resume_stream(sse, &location, "1");
+    assert_eq!(resumed.read_to_end().ids_and_names(), ["2 done"]);
+    assert!(program.wait_for_exit().0, "the process exited with an error");
+}
+
+/// A process that stops tells watchers to come back soon, since the job's events are nowhere else.
+#[test]
+fn a_process_that_stops_tells_watchers_to_come_back_soon() {
+    let worker = FakeWorker::start("s-1");
+    let (mut program, sse) = start_with_event_streams(std::slice::from_ref(&worker));
+    let location = submit(sse, "a1", "take started wait=go done=after", "");
+    program.terminate();
+    program.wait_for_log("shutdown started");
+    let watched = open_stream(sse, &location, "");
+    worker.open_gate("go");
+    assert_eq!(watched.read_to_end().retry(), Some(500));
+}
+
 /// Starts a process, which takes over from the one that listens at these addresses, if there is one. Both share the folder.
 fn start_in(
     folder: &Path,
