limits.memory_mb bounds the whole process, and no client occupies a turn

Callers saw: under hundreds of clients that wrote slowly or stopped half way through a large request a process passed its memory limit and was killed, and other clients were answered late or never.

Cause: the only bound was a number of connections (memory_mb / 192 KiB). Read buffers grew by 16 KiB at least and by doubling to 128 KiB, chunked bodies were held a second time; the process itself, records, events and open requests came on top. Few connections at a small limit left none to ordinary clients. A connection was read up to 80 KiB and served to the end in one turn.

Change: src/server/budget.rs divides what the process does not use at its start among connections, buffers, records and events of jobs. The connection table counts buffered bytes; beyond the part the largest incomplete request is answered 503 (nothing of it has run), and a complete one that finds no room as well. Buffers hold what was read, chunked bodies are decoded in pieces of 4 KiB without a copy of each line, and a connection takes 16 steps a turn. During a hot restart each process has half of the buffers.

--- a/src/http/chunked.rs
+++ b/src/http/chunked.rs
@@ -56,31 +56,30 @@
                 let remaining = remaining - data.len();
                 self.state = if remaining == 0 { State::DataEnd } else { State::Data(remaining) };
             } else {
-                let Some(line) = self.take_line(&mut rest)? else { break };
-                self.state = self.on_line(&line)?;
+                let Some(next) = self.decode_line(&mut rest)? else { break };
+                self.state = next;
             }
         }
         Ok(input.len() - rest.len())
     }
 
-    /// Removes the next line from `input` and returns it without its line end. Buffers an incomplete line and returns `None`.
-    fn take_line(&mut self, input: &mut &[u8]) -> Result<Option<Vec<u8>>, ChunkError> {
+    /// Removes the next line from `input` and returns the state that follows it. Buffers an incomplete line and returns `None`.
+    fn decode_line(&mut self, input: &mut &[u8]) -> Result<Option<State>, ChunkError> {
         let end = input.iter().position(|byte| *byte == b'\n');
         let (piece, rest) = input.split_at(end.map_or(input.len(), |at| at + 1));
         *input = rest;
-        self.partial_line.extend_from_slice(piece);
-        if self.partial_line.len() > MAX_LINE_LENGTH {
+        if self.partial_line.len() + piece.len() > MAX_LINE_LENGTH {
             return Err(ChunkError);
         }
+        if end.is_some() && self.partial_line.is_empty() {
+            return self.on_line(without_line_end(piece)).map(Some);
+        }
+        self.partial_line.extend_from_slice(piece);
         if end.is_none() {
             return Ok(None);
         }
-        let mut line = std::mem::take(&mut self.partial_line);
-        line.pop();
-        if line.last() == Some(&b'\r') {
-            line.pop();
-        }
-        Ok(Some(line))
+        let line = std::mem::take(&mut self.partial_line);
+        self.on_line(without_line_end(&line)).map(Some)
     }
 
     /// Returns the state that follows a line outside a chunk's data.
@@ -98,6 +97,12 @@
     }
 }
 
+/// A line without its line feed and the carriage return before it.
+fn without_line_end(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
 /// Parses the size of a chunk, in bytes. Chunk extensions are ignored.
 fn parse_size(line: &[u8]) -> Result<usize, ChunkError> {
     let digits = line.split(|byte| *byte == b';').next().unwrap_or(b"").trim_ascii();
--- a/src/protocol/raw_request.rs
+++ b/src/protocol/raw_request.rs
@@ -16,6 +16,12 @@
 }
 
 impl RawRequest {
+    /// The memory of the request, in bytes. A body that was not chunked is a part of `bytes`.
+    pub fn memory(&self) -> usize {
+        let separate_body = if let Piece::Owned(body) = &self.body { body.len() } else { 0 };
+        self.bytes.len() + separate_body
+    }
+
     pub(super) fn method(&self) -> &[u8] {
         &self.bytes[self.head.method.clone()]
     }
--- a/src/server/budget.rs
+++ b/src/server/budget.rs
@@ -9,10 +9,22 @@
 /// the sockets of a hot restart (2), the descriptors of a handover packet (4), callers of the admin address (16), calls to
 /// discovery (a watch, its replacement and a full list), and files that are read (5).
 pub(super) const RESERVED_DESCRIPTORS: usize = 40;
+/// The minimum memory of requests, in bytes, regardless of the limits: a few complete requests.
+const MIN_BUFFERED_BYTES: usize = 512 * 1024;
 /// The minimum number of connections, regardless of the limits.
 const MIN_CONNECTIONS: usize = 16;
-/// The memory of one connection, in bytes: the buffers of one complete request and one complete response.
-const CONNECTION_BYTES: usize = 2 * 96 * 1024;
+/// The memory of one connection without its buffers, in bytes: its state, its timer and its places in tables.
+const CONNECTION_BYTES: usize = 4 * 1024;
+/// The parts of the memory that the process does not use at its start: for connections, for buffers and for idempotency records
+/// one of so many each, for events of submitted jobs half of that. The rest is for the allocator, and for workers and what is
+/// learned of them.
+const MEMORY_DIVISOR: usize = 4;
+/// The maximum memory of idempotency records, in bytes.
+const MAX_RECORD_BYTES: usize = 16 << 20;
+/// The maximum memory of the events of submitted jobs, in bytes.
+const MAX_EVENT_BYTES: usize = 32 << 20;
+/// The memory that a process uses at its start where the system does not tell it, in bytes.
+const DEFAULT_BASE_BYTES: usize = 8 << 20;
 
 /// The maximum numbers of connections. However many connections clients hold, a sixth is left for workers and probes, and a
 /// sixth for callbacks and for rejecting clients when there is no capacity. Discovery uses reserved descriptors.
@@ -24,19 +36,45 @@
     pub clients: usize,
     /// Client connections beyond this are not accepted.
     pub max_accepted_clients: usize,
+    /// The maximum memory of incomplete and open requests and of unwritten responses, in bytes.
+    pub buffered_bytes: usize,
+    /// The maximum memory of idempotency records, in bytes.
+    pub record_bytes: usize,
+    /// The maximum memory of the events of submitted jobs, in bytes.
+    pub event_bytes: usize,
+    /// The memory that the process used at its start, in bytes.
+    pub base_memory: usize,
+}
+
+/// The memory that this process uses now, in bytes. To be called at the start, before there are connections and records.
+pub(super) fn base_memory() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = resident.and_then(|text| text.trim().trim_end_matches(" kB").parse::<usize>().ok());
+    kib.map_or(DEFAULT_BASE_BYTES, |kib| kib * 1024)
 }
 
 impl Budget {
     /// Computes the budget for these limits. `reserved` is the number of descriptors that are used in addition to
-    /// [`RESERVED_DESCRIPTORS`].
-    pub fn new(limits: MachineLimits, reserved: usize) -> Budget {
-        let by_memory = (limits.memory_mb as usize * 1024 * 1024) / CONNECTION_BYTES;
+    /// [`RESERVED_DESCRIPTORS`], and `base_memory` the memory that the process uses at its start, in bytes.
+    pub fn new(limits: MachineLimits, reserved: usize, base_memory: usize) -> Budget {
+        let memory = limits.memory_mb as usize * 1024 * 1024;
+        let part = memory.saturating_sub(base_memory) / MEMORY_DIVISOR;
+        let by_memory = part / CONNECTION_BYTES;
         // The system's limit may be lower than the configured one.
         let open_files = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let sockets = open_files.map_or(limits.sockets, |open| open.min(limits.sockets)) as usize;
         let by_descriptors = sockets.saturating_sub(RESERVED_DESCRIPTORS + reserved).max(MIN_CONNECTIONS);
         let connections = by_descriptors.min(by_memory.max(MIN_CONNECTIONS));
-        Budget { connections, clients: connections * 2 / 3, max_accepted_clients: connections * 5 / 6 }
+        Budget {
+            connections,
+            clients: connections * 2 / 3,
+            max_accepted_clients: connections * 5 / 6,
+            buffered_bytes: part.max(MIN_BUFFERED_BYTES),
+            record_bytes: part.min(MAX_RECORD_BYTES),
+            event_bytes: (part / 2).min(MAX_EVENT_BYTES),
+            base_memory,
+        }
     }
 
     /// The maximum number of lingering connections: those accepted beyond the clients that are served.
--- a/src/server/connection.rs
+++ b/src/server/connection.rs
@@ -9,6 +9,7 @@
 use rustix::io::Errno;
 use std::collections::VecDeque;
 use std::io::IoSlice;
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
 
@@ -187,18 +188,26 @@
         }
     }
 
+    /// The memory of the buffered bytes, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.read_buffer.capacity() + self.write_queue.len()
+    }
+
     /// Reads until the read buffer holds `limit` bytes or no more bytes are available.
     pub fn fill(&mut self, limit: usize) -> ReadEnd {
+        let mut space = [MaybeUninit::<u8>::uninit(); MAX_READ];
         while self.read_buffer.len() < limit {
-            let length = self.read_buffer.len();
-            let wanted = (limit - length).min(MAX_READ);
-            self.read_buffer.resize(length + wanted, 0);
-            let read = rustix::io::read(&self.stream, &mut self.read_buffer[length..]);
-            self.read_buffer.truncate(length + *read.as_ref().unwrap_or(&0));
-            match read {
-                Ok(0) => return ReadEnd::Eof,
-                Ok(read) if read < wanted => return ReadEnd::WouldBlock,
-                Ok(_) | Err(Errno::INTR) => {}
+            let wanted = (limit - self.read_buffer.len()).min(MAX_READ);
+            match rustix::io::read(&self.stream, &mut space[..wanted]) {
+                Ok(([], _)) => return ReadEnd::Eof,
+                Ok((read, _)) => {
+                    let is_short = read.len() < wanted;
+                    append_within(&mut self.read_buffer, read, limit);
+                    if is_short {
+                        return ReadEnd::WouldBlock;
+                    }
+                }
+                Err(Errno::INTR) => {}
                 Err(Errno::AGAIN) => return ReadEnd::WouldBlock,
                 Err(_) => return ReadEnd::Broken,
             }
@@ -206,3 +215,13 @@
         ReadEnd::LimitReached
     }
 }
+
+/// Appends bytes to a buffer. Its capacity grows to twice the length at most, and not beyond `limit` as long as the bytes fit.
+fn append_within(buffer: &mut Vec<u8>, bytes: &[u8], limit: usize) {
+    let length = buffer.len() + bytes.len();
+    if length > buffer.capacity() {
+        let capacity = (buffer.capacity() * 2).min(limit).max(length);
+        buffer.reserve_exact(capacity - buffer.len());
+    }
+    buffer.extend_from_slice(bytes);
+}
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -34,6 +34,11 @@
     fn is_budgeted(&self) -> bool {
         matches!(self, Role::Client(_) | Role::Upstream(_))
     }
+
+    /// The memory of a partial request beside the connection's buffers, in bytes.
+    fn buffered_bytes(&self) -> usize {
+        if let Role::Client(client) = self { client.buffered_bytes() } else { 0 }
+    }
 }
 
 /// A connection with its role.
@@ -45,6 +50,8 @@
     generation: u32,
     /// The connection; `None` if the slot is free or a handler has taken the connection out.
     entry: Option<Entry>,
+    /// The memory of the connection's buffers when it was last put into the slot, in bytes.
+    buffered_bytes: usize,
 }
 
 /// The slots of all connections.
@@ -55,6 +62,8 @@
     free_slots: Vec<usize>,
     open_connections: usize,
     clients: usize,
+    /// The sum over all slots.
+    buffered_bytes: usize,
 }
 
 impl ConnectionTable {
@@ -68,6 +77,17 @@
         self.clients
     }
 
+    /// The memory of the buffers of all connections, in bytes. For a connection that a handler has taken out of its slot, it is
+    /// that before.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes
+    }
+
+    /// The memory of the buffers of the connection in a slot, in bytes; 0 if a handler has taken the connection out.
+    pub fn buffered_bytes_of(&self, token: Token) -> usize {
+        if self.get(token).is_some() { self.slots[token.slot()].buffered_bytes } else { 0 }
+    }
+
     /// The number of slots, occupied or not.
     pub fn slot_count(&self) -> usize {
         self.slots.len()
@@ -97,14 +117,18 @@
 
     /// Puts back a connection that was taken out.
     pub fn put(&mut self, token: Token, connection: Connection, role: Role) {
-        self.slots[token.slot()].entry = Some((connection, role));
+        let slot = &mut self.slots[token.slot()];
+        let buffered_bytes = connection.buffered_bytes() + role.buffered_bytes();
+        self.buffered_bytes = self.buffered_bytes + buffered_bytes - slot.buffered_bytes;
+        slot.buffered_bytes = buffered_bytes;
+        slot.entry = Some((connection, role));
     }
 
     /// Reserves a free slot and returns its token. The caller must fill it by [`ConnectionTable::insert`] or free it by
     /// [`ConnectionTable::unreserve`].
     pub fn reserve(&mut self) -> Token {
         let slot = self.free_slots.pop().unwrap_or_else(|| {
-            self.slots.push(Slot { generation: 0, entry: None });
+            self.slots.push(Slot { generation: 0, entry: None, buffered_bytes: 0 });
             self.slots.len() - 1
         });
         self.token_at(slot)
@@ -127,6 +151,7 @@
         let slot = &mut self.slots[token.slot()];
         invariant!(slot.entry.is_none(), "a connection was removed from the table while it was in its slot");
         slot.generation = slot.generation.wrapping_add(1) & GENERATION_MASK;
+        self.buffered_bytes -= std::mem::take(&mut slot.buffered_bytes);
         self.free_slots.push(token.slot());
         self.open_connections -= usize::from(role.is_budgeted());
         self.clients -= usize::from(matches!(role, Role::Client(_)));
--- a/src/server/downstream/client.rs
+++ b/src/server/downstream/client.rs
@@ -1,13 +1,17 @@
 //! The state of one client's connection: which request is being read, and which response is awaited.
 
 use crate::core::RequestId;
-use crate::http::{Chunked, RequestHead};
+use crate::http::{Chunked, MAX_HEAD, RequestHead};
 use crate::policy::interface::Micros;
 use crate::protocol::event_streams::StreamFraming;
+use crate::server::downstream::MAX_READ_BUFFER;
 use crate::server::transferred::TransferredClient;
 use mothproxy_streams::WatcherId;
 use std::rc::Rc;
 
+/// The maximum number of bytes of a chunked body that are read before they are decoded.
+const MAX_CHUNKED_READ: usize = 4 * 1024;
+
 /// The state of a client's connection.
 pub(in crate::server) enum ClientState {
     /// The connection is idle, or a part of a request has been read.
@@ -71,6 +75,8 @@
     pub(super) last_read: Micros,
     /// Whether a worker has sent status callbacks on the connection.
     pub(in crate::server) has_callbacks: bool,
+    /// Whether bytes that were read wait for the next turn of the event loop.
+    pub(super) is_deferred: bool,
 }
 
 impl ClientConnection {
@@ -83,6 +89,25 @@
             awaiting_request_since: Some(now),
             last_read: now,
             has_callbacks: false,
+            is_deferred: false,
+        }
+    }
+
+    /// Up to which length the read buffer may be filled now, in bytes, if it holds `buffered` bytes. A chunked body is decoded piece
+    /// by piece, and no more than a head is read before the head is complete, so that no connection occupies the event loop.
+    pub(super) fn max_read_buffer(&self, buffered: usize) -> usize {
+        match self.state {
+            ClientState::ReadingChunks(_) => MAX_CHUNKED_READ,
+            ClientState::Reading if buffered < MAX_HEAD => MAX_HEAD,
+            _ => MAX_READ_BUFFER,
+        }
+    }
+
+    /// The memory of a request whose chunked body is not complete, in bytes.
+    pub(in crate::server) fn buffered_bytes(&self) -> usize {
+        match &self.state {
+            ClientState::ReadingChunks(request) => request.bytes.len() + request.body.capacity(),
+            _ => 0,
         }
     }
 
--- a/src/server/downstream/deadline.rs
+++ b/src/server/downstream/deadline.rs
@@ -32,6 +32,9 @@
             self.close_idle(context, token, connection, client);
             return;
         }
+        if client.is_deferred {
+            return self.advance(context, token, connection, client);
+        }
         match &mut client.state {
             ClientState::Closing | ClientState::Lingering { .. } => {
                 return self.on_linger_timeout(context, token, connection, client);
--- a/src/server/downstream/event_streams/mod.rs
+++ b/src/server/downstream/event_streams/mod.rs
@@ -28,6 +28,8 @@
 /// How long a final event that no watcher has received keeps a process from ending, in microseconds: the longest reconnect delay
 /// that clients are told, and time to connect.
 const FINAL_EVENT_WAIT: Micros = watchers::RECONNECT_DELAY_DRAINING + 500_000;
+/// The memory of a submitted job without its events, in bytes.
+const JOB_BYTES: usize = 1024;
 /// The interval of the broker's timer while the broker has anything due, in microseconds.
 const SWEEP_INTERVAL: Micros = 500_000;
 
@@ -59,9 +61,14 @@
 }
 
 impl EventStreams {
-    /// Creates event streams without jobs.
-    pub fn new(settings: SseSettings) -> EventStreams {
-        let limits = Limits { streams_per_tenant: settings.streams_per_tenant, ..Limits::default() };
+    /// Creates event streams without jobs, whose events take about `max_bytes` of memory at most.
+    pub fn new(settings: SseSettings, max_bytes: usize) -> EventStreams {
+        let limits = Limits {
+            streams_per_tenant: settings.streams_per_tenant,
+            bytes: max_bytes,
+            jobs: Limits::default().jobs.min(max_bytes / JOB_BYTES),
+            ..Limits::default()
+        };
         EventStreams {
             broker: EventBroker::new(limits),
             origins: settings.origins,
--- a/src/server/downstream/mod.rs
+++ b/src/server/downstream/mod.rs
@@ -12,6 +12,7 @@
 //! Except in `accept`, the handlers are methods of [`ClientConnections`] and get a [`ClientContext`].
 
 mod accept;
+mod buffers;
 mod client;
 pub(in crate::server) mod context;
 mod deadline;
--- a/src/server/downstream/read.rs
+++ b/src/server/downstream/read.rs
@@ -20,6 +20,9 @@
 
 /// No more requests of a client are read while this many bytes of its responses are unwritten.
 const MAX_UNREAD_RESPONSES: usize = 16 * 1024;
+/// The maximum number of steps, such as handling a request, that a connection takes in one turn of the event loop. The rest waits
+/// until the other connections have had theirs.
+const MAX_STEPS_PER_TURN: usize = 16;
 /// The flags that indicate that the client has ended the connection.
 const HANGUP: EventFlags = EventFlags::RDHUP.union(EventFlags::HUP).union(EventFlags::ERR);
 
@@ -52,7 +55,7 @@
         let mut has_ended = false;
         if flags.intersects(EventFlags::IN | HANGUP) {
             let length_before = connection.read_buffer.len();
-            let end = connection.fill(MAX_READ_BUFFER);
+            let end = connection.fill(client.max_read_buffer(length_before));
             if connection.read_buffer.len() > length_before {
                 self.on_bytes_read(token, &mut client, context.now());
             }
@@ -143,10 +146,15 @@
         mut connection: Connection,
         mut client: ClientConnection,
     ) {
-        loop {
+        client.is_deferred = false;
+        for step in 0..=MAX_STEPS_PER_TURN {
+            if step == MAX_STEPS_PER_TURN {
+                client.is_deferred = true;
+                break;
+            }
             let result = match &client.state {
                 ClientState::Closing | ClientState::Lingering { .. } => {
-                    connection.read_buffer.clear();
+                    connection.read_buffer = Vec::new();
                     StepResult::Wait
                 }
                 ClientState::AwaitingResponse { .. } => StepResult::Wait,
@@ -163,6 +171,7 @@
             }
         }
         self.finish_event(context, token, connection, client);
+        self.ensure_buffer_capacity(context, 0);
     }
 
     /// Reads a request's head, and its body if the head states its length. A chunked body is left to
@@ -237,7 +246,8 @@
                     return StepResult::Wait;
                 }
                 let state = std::mem::replace(&mut client.state, ClientState::Reading);
-                if let ClientState::ReadingChunks(ChunkedRequest { bytes, head, body, .. }) = state {
+                if let ClientState::ReadingChunks(ChunkedRequest { bytes, head, mut body, .. }) = state {
+                    body.shrink_to_fit();
                     let raw = RawRequest { bytes, head, body: Piece::Owned(body) };
                     self.on_request(context, token, connection, client, raw);
                 }
@@ -274,7 +284,13 @@
             client.last_read = context.now();
             self.track_awaiting_request(token, &client);
         }
-        let deadline = deadline(context, &mut connection, &client);
+        if connection.read_buffer.is_empty() {
+            connection.read_buffer = Vec::new();
+        }
+        let mut deadline = deadline(context, &mut connection, &client);
+        if client.is_deferred {
+            deadline = Some(context.now() + 1);
+        }
         if deadline != connection.timer {
             connection.set_timer(context.shared.core, token, deadline);
         }
@@ -351,6 +367,12 @@
 
 /// Removes the first `length` bytes from a read buffer and returns them. Panics if the read buffer is shorter.
 fn split_front(read_buffer: &mut Vec<u8>, length: usize) -> Rc<Vec<u8>> {
-    let rest = read_buffer.split_off(length);
-    Rc::new(std::mem::replace(read_buffer, rest))
+    if read_buffer.len() == length {
+        let mut front = std::mem::take(read_buffer);
+        front.shrink_to_fit();
+        return Rc::new(front);
+    }
+    let front = read_buffer[..length].to_vec();
+    read_buffer.drain(..length);
+    Rc::new(front)
 }
--- a/src/server/downstream/request.rs
+++ b/src/server/downstream/request.rs
@@ -89,9 +89,10 @@
                 if let Some(plan) = context.shared.lifecycle.shutdown() {
                     request.time_budget = plan.time_budget(context.now(), request.time_budget);
                 }
-                // If all descriptors for clients are in use, the request is rejected here, before anything has run. Had its
+                // If all descriptors for clients, or all memory for requests, are in use, the request is rejected here, before anything has run. Had its
                 // connection been left in the listener's queue, the request would be lost at its deadline.
-                if !self.ensure_capacity(context) {
+                let has_capacity = self.ensure_capacity(context);
+                if !has_capacity || !self.ensure_buffer_capacity(context, raw.memory()) {
                     context.shared.core.count_rejected(request.class);
                     return Err(Reject::Overloaded);
                 }
--- a/src/server/idempotency_store.rs
+++ b/src/server/idempotency_store.rs
@@ -19,16 +19,13 @@
 /// The maximum number of files that the store keeps open.
 const MAX_OPEN_FILES: usize = 48;
 
-/// The maximum memory of the records, in bytes.
-const MAX_RECORD_BYTES: usize = 16 << 20;
-
 /// The number of descriptors reserved for the store; 0 if there is no store.
 pub(in crate::server) fn reserved_files(has_store: bool) -> usize {
     if has_store { MAX_OPEN_FILES } else { 0 }
 }
 
 /// Opens the store and loads its records into the core. Must be called before any client is served. If the system's clock is
-/// too far behind the newest time in the store, earlier jobs are not retried.
+/// too far behind the newest time in the store, earlier jobs are not retried. The records take about `max_bytes` of memory at most.
 ///
 /// # Errors
 /// If the store cannot be opened or watched.
@@ -37,9 +34,10 @@
     core: &mut Core,
     reactor: &Reactor,
     now: Micros,
+    max_bytes: usize,
 ) -> Result<RecordStore, ServerError> {
     let records = RecordStore::open(settings)?;
-    let unreadable = core.enable_idempotency(now, MAX_RECORD_BYTES, records.records());
+    let unreadable = core.enable_idempotency(now, max_bytes, records.records());
     if !records.is_clock_plausible() {
         core.expire_idempotency_windows();
     }
--- a/src/server/lifecycle/hot_restart/mod.rs
+++ b/src/server/lifecycle/hot_restart/mod.rs
@@ -97,6 +97,11 @@
         } // if a hot restart is in progress, the link of a third process is closed here
     }
 
+    /// Whether there is another process of this dispatcher.
+    pub fn has_peer_process(&self) -> bool {
+        self.peer_process.is_some()
+    }
+
     /// Whether the other process holds an open request with this id.
     pub fn is_open_in_peer_process(&self, name: &str) -> bool {
         let process = self.peer_process.as_ref();
--- a/src/server/lifecycle/reload.rs
+++ b/src/server/lifecycle/reload.rs
@@ -69,7 +69,8 @@
     fn apply_config(&mut self, config: Config) {
         self.metrics.reloads += 1;
         tracing::info!(discovery = %config.discovery, "configuration reloaded");
-        self.budget = Budget::new(config.limits, reserved_files(self.records.is_some()));
+        self.budget =
+            Budget::new(config.limits, reserved_files(self.records.is_some()), self.budget.base_memory);
         let has_discovery_moved = config.discovery != self.config.discovery;
         let old = std::mem::replace(&mut self.config, config);
         let own_place = self.config.settings.own_place;
--- a/src/server/open.rs
+++ b/src/server/open.rs
@@ -5,7 +5,7 @@
 use crate::fleet::FleetSettings;
 use crate::policy::interface::Micros;
 use crate::server::admin::AdminServer;
-use crate::server::budget::Budget;
+use crate::server::budget::{Budget, base_memory};
 use crate::server::clock::Clock;
 use crate::server::discovery::DiscoveryClient;
 use crate::server::downstream::event_streams::EventStreams;
@@ -126,12 +126,15 @@
         let newest_start = load_initial_state(&mut core, &config, predecessor_state.as_mut());
         core.set_timer(clock.now() + METRICS_INTERVAL, METRICS_TIMER);
         let resources = ServerResources { signals, core, clock, reactor, sockets };
-        let budget = Budget::new(config.limits, reserved_files(state.is_some()));
+        let budget = Budget::new(config.limits, reserved_files(state.is_some()), base_memory());
         let mut server = Server::assemble(resources, config, sse, fleet, budget);
+
         server.watch_listeners()?;
         if let Some(state) = state {
             let now = server.clock.now();
-            server.records = Some(open_record_store(state, &mut server.core, &server.reactor, now)?);
+            let records =
+                open_record_store(state, &mut server.core, &server.reactor, now, budget.record_bytes);
+            server.records = Some(records?);
         }
         server.join_hot_restart(restart_path, predecessor_state);
         server.discovery.start(&mut server.core, server.clock.now(), newest_start);
@@ -163,7 +166,7 @@
             peers: PeerLink::new(&config),
             membership,
             records: None,
-            event_streams: sse.map(EventStreams::new),
+            event_streams: sse.map(|settings| EventStreams::new(settings, budget.event_bytes)),
             budget,
             clients: ClientConnections::default(),
             pending: PendingRequests::default(),
--- a/src/server/pending_requests.rs
+++ b/src/server/pending_requests.rs
@@ -8,6 +8,8 @@
 #[derive(Default)]
 pub(super) struct PendingRequests {
     requests: HashMap<RequestId, RawRequest>,
+    /// The memory of all requests, in bytes.
+    bytes: usize,
     /// The open requests that lost an attempt because its connection broke.
     with_broken_attempt: HashSet<RequestId>,
 }
@@ -15,7 +17,15 @@
 impl PendingRequests {
     /// Adds a request that the core has accepted.
     pub fn insert(&mut self, request_id: RequestId, request: RawRequest) {
-        self.requests.insert(request_id, request);
+        self.bytes += request.memory();
+        if let Some(replaced) = self.requests.insert(request_id, request) {
+            self.bytes -= replaced.memory();
+        }
+    }
+
+    /// The memory of all requests, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
     }
 
     /// Returns an open request; `None` if it is not open.
@@ -30,7 +40,9 @@
 
     /// Drops a request that has ended.
     pub fn remove(&mut self, request_id: RequestId) {
-        self.requests.remove(&request_id);
+        if let Some(removed) = self.requests.remove(&request_id) {
+            self.bytes -= removed.memory();
+        }
         self.with_broken_attempt.remove(&request_id);
     }
 
