Clients that have left: unread requests are dropped, their ids are remembered

Callers saw: requests that a client had sent and left behind unread were sent to workers after it had closed its connection, and an id ran a second time when it came again after its client had left, also at the successor of a hot restart.

Cause: `on_ready` ignored epoll's RDHUP where the read buffer was full before the end of the connection was read. A request was forgotten once its attempt had been given up, although that attempt may have run.

Change: such a connection is closed at once.

Tests: two in tests/leaving.rs.

--- a/src/core/engine/mod.rs
+++ b/src/core/engine/mod.rs
@@ -19,6 +19,7 @@
 use super::attempt::AttemptId;
 use super::clock::{CLOCK_START, UnixClock};
 use super::commands::{Command, RecordTicket};
+use super::departed_requests::DepartedRequests;
 use super::endpoint_table::EndpointTable;
 use super::event_queue::EventQueue;
 use super::idempotency::IdempotencyStore;
@@ -49,6 +50,7 @@
     ledger: Ledger,
     tallies: ClassTallies,
     requests: RequestTable,
+    departed: DepartedRequests,
     timers: TimerQueue,
     events: EventQueue,
     /// A buffer for the module's actions, kept to reuse its allocation.
@@ -84,6 +86,7 @@
             ledger: Ledger::default(),
             tallies: ClassTallies::default(),
             requests: RequestTable::default(),
+            departed: DepartedRequests::default(),
             timers: TimerQueue::default(),
             events: EventQueue::default(),
             actions: Vec::new(),
--- a/src/core/engine/requests.rs
+++ b/src/core/engine/requests.rs
@@ -13,9 +13,9 @@
 
 impl Core {
     /// Accepts a request that has arrived. Returns `None` if the name belongs to a request that is open or has attempts in
-    /// flight, because the callbacks of the two could not be distinguished.
+    /// flight, or whose client has left while it may have run, because the callbacks of the two could not be distinguished.
     pub fn accept(&mut self, now: Micros, request: NewRequest) -> Option<RequestId> {
-        if self.has_request(&request.name) {
+        if self.has_request(&request.name) || self.departed.contains(now, &request.name) {
             return None;
         }
         let lookup = self.look_up_record(now, &request);
@@ -74,11 +74,25 @@
     /// Handles the disconnect of a request's client.
     pub fn on_client_disconnected(&mut self, now: Micros, id: RequestId) {
         if self.requests.get(id).is_some_and(PendingRequest::is_open) {
+            self.remember_departed_request(now, id);
             self.close(now, id, Completion::ClientDisconnected);
             self.events.push(Event::ClientDisconnected(id.job()));
         }
     }
 
+    /// Remembers the name of an open request whose client has left, if the request may have run.
+    fn remember_departed_request(&mut self, now: Micros, id: RequestId) {
+        let Some(request) = self.requests.get(id) else { return };
+        if request.attempts().iter().any(|attempt| !attempt.has_never_run()) {
+            self.departed.insert(now, request.name());
+        }
+    }
+
+    /// Remembers the name of a request of another process that has ended, and that may have run.
+    pub fn remember_departed_name(&mut self, now: Micros, name: &str) {
+        self.departed.insert(now, name);
+    }
+
     /// Counts a request that was rejected before it was accepted, because no file descriptors were left. The client sees the same
     /// rejection as for any other reason.
     pub fn count_rejected(&mut self, class: ClassId) {
@@ -151,9 +165,10 @@
         self.requests.open_ids()
     }
 
-    /// The names of all requests that are open or have attempts in flight.
-    pub fn open_request_names(&self) -> Vec<String> {
-        self.requests.names().cloned().collect()
+    /// The names of requests that must not be accepted: those in the table, and those whose clients have left while they may have
+    /// run.
+    pub fn reserved_names(&self) -> impl Iterator<Item = &String> {
+        self.requests.names().chain(self.departed.names())
     }
 
     /// Whether a request with this name is open or has an attempt in flight.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod attempt;
 mod clock;
 mod commands;
+mod departed_requests;
 pub mod endpoint_table;
 mod engine;
 mod event_queue;
--- a/src/server/downstream/read.rs
+++ b/src/server/downstream/read.rs
@@ -61,6 +61,10 @@
             }
             match end {
                 ReadEnd::WouldBlock => has_ended = flags.intersects(HANGUP),
+                // The client has disconnected, and there is more to read than one request.
+                ReadEnd::LimitReached if flags.intersects(HANGUP) => {
+                    return self.on_closed(context, token, connection, client);
+                }
                 ReadEnd::LimitReached
                     if client.is_awaiting_response()
                         || connection.write_queue.len() >= MAX_UNREAD_RESPONSES =>
--- a/src/server/lifecycle/hot_restart/mod.rs
+++ b/src/server/lifecycle/hot_restart/mod.rs
@@ -218,6 +218,9 @@
         let Some(process) = self.hot_restart.peer_process.take() else { return };
         self.reactor.unwatch(&process.link);
         if !std::mem::take(&mut self.lifecycle.has_handed_over) {
+            for name in &process.open.request_names {
+                self.core.remember_departed_name(self.clock.now(), name);
+            }
             return tracing::info!("hot restart: the other process has ended");
         }
         // The work that was handed over is lost with the successor. The listening sockets are still open in this process.
@@ -239,7 +242,7 @@
     /// The work that this process still holds.
     fn local_open_work(&self) -> OpenWork {
         OpenWork {
-            request_names: self.core.open_request_names().into_iter().collect(),
+            request_names: self.core.reserved_names().cloned().collect(),
             connections: self.reactor.connections().open_connections(),
         }
     }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -261,3 +261,58 @@
     });
     assert!(succeeded, "the predecessor handed the request over in none of 5 tries");
 }
+
+/// Guards against requests that are sent on after their client has left: if more was waiting to be read than one request takes, the
+/// end of the connection was not seen, and the requests before it were forwarded.
+#[test]
+fn does_not_forward_requests_of_client_that_left_with_much_unread() {
+    let worker = FakeWorker::start("s-1");
+    let program = DispatcherProcess::builder(std::slice::from_ref(&worker)).start();
+    serve_one(program.platform, "first");
+    program.suspend();
+    let mut stream = connect(program.platform);
+    stream.write_all(simple_job("leaves").as_bytes()).expect("write failed");
+    let other = simple_job("never-read");
+    stream.write_all(other.repeat(150 * 1024 / other.len()).as_bytes()).expect("write failed");
+    drop(stream);
+    wait_until_delivered(program.platform);
+    program.resume();
+    serve_one(program.platform, "after");
+    assert!(!worker.has_received("leaves"));
+    assert!(!worker.has_received("never-read"));
+}
+
+/// Sends a job that its worker takes and never ends, and leaves once the worker has it.
+fn leave_running_job(to: SocketAddr, worker: &FakeWorker, id: &str) {
+    let mut stream = connect(to);
+    let job = job_request(id, "balance", "take started hang", "");
+    stream.write_all(job.as_bytes()).expect("write failed");
+    wait_until("the worker has the job", || worker.has_received(id));
+    drop(stream);
+    wait_until("the job is cancelled", || worker.has_received(&format!("DELETE /jobs/{id}")));
+}
+
+/// Guards against an id that runs twice: it was accepted again once its client had left and its attempt had been given up, also by
+/// the successor of a hot restart.
+#[test]
+fn rejects_id_whose_client_has_left_while_it_ran() {
+    let worker = FakeWorker::start("s-1");
+    let folder = tempfile::tempdir().expect("cannot create the temporary directory");
+    let start_at = |listen: String| {
+        DispatcherProcess::builder(std::slice::from_ref(&worker))
+            .temp_dir(folder.path())
+            .configure(move |config| config["listen"] = json!(listen))
+            .start()
+    };
+    let predecessor = start_at("127.0.0.1:0".to_owned());
+    let to = predecessor.platform;
+    leave_running_job(to, &worker, "again");
+    let status = |id: &str| send(to, &simple_job(id)).expect("no complete response").status;
+    assert_eq!((status("again"), status("other")), (409, 200));
+    let successor = start_at(to.to_string());
+    assert_eq!((status("again"), status("another")), (409, 200), "while the predecessor hands over");
+    predecessor.terminate();
+    assert!(predecessor.wait_for_exit().0, "the predecessor exited with an error");
+    assert_eq!((status("again"), status("one-more")), (409, 200), "after the end of the predecessor");
+    drop(successor);
+}
