A client that has left is noticed also where its connection was just accepted

Cause: on a connection that had just been accepted the flags of epoll are not known, and `has_ended` took a full read buffer for a connection that goes on. So the first request could still be forwarded before the next poll.

Change: where the buffer is full, `has_ended` asks the system (POLLRDHUP).

--- a/src/server/connection.rs
+++ b/src/server/connection.rs
@@ -6,6 +6,7 @@
 use crate::policy::interface::Micros;
 use crate::server::tokens::Token;
 use rustix::event::epoll::EventFlags;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use std::collections::VecDeque;
 use std::io::IoSlice;
@@ -175,13 +176,13 @@
     }
 
     /// Returns whether the other side has stopped sending or the connection is broken. To find out, it reads the available
-    /// bytes, as long as the read buffer holds less than `limit` bytes.
+    /// bytes, as long as the read buffer holds less than `limit` bytes, and asks the system if more bytes are unread.
     pub fn has_ended(&mut self, limit: usize) -> bool {
         loop {
             let length = self.read_buffer.len();
             match self.fill(limit) {
                 ReadEnd::Eof | ReadEnd::Broken => return true,
-                ReadEnd::LimitReached => return false,
+                ReadEnd::LimitReached => return self.is_hung_up(),
                 ReadEnd::WouldBlock if self.read_buffer.len() == length => return false,
                 ReadEnd::WouldBlock => {} // after a short read the end of the stream may still follow
             }
@@ -193,6 +194,14 @@
         self.read_buffer.capacity() + self.write_queue.len()
     }
 
+    /// Whether the other side has stopped sending or the connection is broken, according to the system. Bytes may still be unread.
+    fn is_hung_up(&self) -> bool {
+        let hangup = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut streams = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let is_polled = poll(&mut streams, Some(&Timespec::default())).is_ok();
+        is_polled && streams[0].revents().intersects(hangup)
+    }
+
     /// Reads until the read buffer holds `limit` bytes or no more bytes are available.
     pub fn fill(&mut self, limit: usize) -> ReadEnd {
         let mut space = [MaybeUninit::<u8>::uninit(); MAX_READ];
