--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -68,8 +68,8 @@
         Entries { walk: self.view.walk(from), now: self.now }
     }
 
-    /// The time at which the snapshot was taken.
-    pub fn taken_at(&self) -> UnixMillis {
+    /// The time at which the snapshot was created.
+    pub fn created_at(&self) -> UnixMillis {
         self.now
     }
 
--- a/src/server/idempotency_store/record_store.rs
+++ b/src/server/idempotency_store/record_store.rs
@@ -72,7 +72,7 @@
     pub(in crate::server) fn records(&self) -> impl Iterator<Item = PersistedRecord> + use<> {
         let snapshot = self.store.as_ref().map(Store::snapshot);
         snapshot.into_iter().flat_map(|snapshot| {
-            let now = snapshot.taken_at();
+            let now = snapshot.created_at();
             let entries = snapshot.entries_from(KEY_PREFIX.as_bytes());
             entries.filter_map(move |entry| persisted_record(entry, now))
         })
