Before an attempt, a client that has sent more than its request is read again

The client's system holds the end of the connection behind bytes that do not fit into the process's receive buffer, so POLLRDHUP says nothing yet, and the attempt began before the next event.

Change: where a client has sent more than its request, its connection is read before an attempt begins, as it is after an old poll. A client that has then sent more than one request takes is closed, as it always was at its next event.

Ordinary clients send one request at a time, so nothing is read for them.

--- a/src/server/downstream/read.rs
+++ b/src/server/downstream/read.rs
@@ -105,13 +105,16 @@
         }
     }
 
-    /// Reads a connection whose client awaits a response or watches a job, to see whether the client has disconnected. If so,
-    /// closes the connection; the request of a client that awaits a response is cancelled.
+    /// Reads a connection whose client awaits a response or watches a job, to see whether the client has disconnected. If so, or if
+    /// the client has sent so much that this cannot be seen, closes the connection; the request of a client that awaits a response
+    /// is cancelled.
     pub(in crate::server) fn close_if_disconnected(&mut self, context: &mut ClientContext<'_>, token: Token) {
         let Some((mut connection, role)) = context.shared.reactor.take(token) else { return };
         match role {
             Role::Client(client)
-                if client.is_awaiting_response() && connection.has_ended(MAX_READ_BUFFER) =>
+                if client.is_awaiting_response()
+                    && (connection.has_ended(MAX_READ_BUFFER)
+                        || connection.read_buffer.len() >= MAX_READ_BUFFER) =>
             {
                 self.on_closed(context, token, connection, client);
             }
@@ -119,6 +122,18 @@
         }
     }
 
+    /// Whether a request's client has sent more than the request. The end of its connection is seen only once that is read.
+    pub(in crate::server) fn has_bytes_after(
+        &self,
+        context: &ClientContext<'_>,
+        request_id: RequestId,
+    ) -> bool {
+        let downstream = context.shared.core.downstream(request_id).map(Downstream::from_id);
+        let Some(Downstream::Connection(token)) = downstream else { return false };
+        let connection = context.shared.reactor.connections().get(token);
+        connection.is_some_and(|(connection, _)| !connection.read_buffer.is_empty())
+    }
+
     /// Reads the connection of a request's client, and cancels the request if the client has disconnected.
     pub(in crate::server) fn cancel_if_disconnected(
         &mut self,
--- a/src/server/upstream/start.rs
+++ b/src/server/upstream/start.rs
@@ -46,8 +46,10 @@
     /// [`Outcome::NeverSent`].
     pub(in crate::server) fn start_attempt(&mut self, attempt: AttemptId, worker: WorkerId) {
         let request_id = attempt.request_id;
-        if self.polled_at.is_old(self.clock.current_time()) {
-            self.clients.cancel_if_disconnected(&mut client_context!(self), request_id);
+        let is_poll_old = self.polled_at.is_old(self.clock.current_time());
+        let context = &mut client_context!(self);
+        if is_poll_old || self.clients.has_bytes_after(context, request_id) {
+            self.clients.cancel_if_disconnected(context, request_id);
         }
         if !self.pending.contains(request_id) {
             // The client has disconnected in the meantime. Nothing is sent, and the worker is not at fault.
