--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint doc run ci build-proof proof-store proof-sse proof-membership proof-coldstart proof-ramp proof-runtimes proof-fairshare proof-lists demo bench-decision
+.PHONY: build test lint doc run ci build-proof proof-store proof-sse proof-membership proof-coldstart proof-ramp proof-runtimes proof-fairshare proof-lists demo soak bench-decision
 
 build:
 	cargo build --locked --release
@@ -55,6 +55,15 @@
 demo: build
 	cargo run --locked --release -q -p mothproxy-testkit --bin demo
 
+# Plays seeded faults over real processes on loopback and checks every request: make soak SEED=7 SECONDS=15. RUNS=50 plays
+# that many seeds, one after the other; SOAK="--workers 3200 --share 0.05" replaces what a seed chooses.
+SEED ?= 1
+SECONDS ?= 15
+RUNS ?= 1
+soak:
+	cargo build --locked --release -p mothproxy -p mothproxy-testkit --bins
+	target/release/soak --seed $(SEED) --seconds $(SECONDS) --runs $(RUNS) $(SOAK)
+
 # Measures the decision module's time per job at 10 to 10,000 workers. The last line of the output gives the ratio of the
 # time at 10,000 workers to that at 10.
 bench-decision:
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`DispatcherProcess`] runs the built program, which connects to [`FakeWorker`] and [`FakeDiscovery`].
 //! - [`send`], [`job_request`] and [`read_reply`] implement clients.
 //! - [`site`] has the configuration of the test deployment.
+//! - [`soak`] plays random, overlapping faults over many dispatchers and thousands of workers, and checks every request.
 //! - [`fleet`] runs many dispatchers with relays on all of their connections, and audits the traffic.
 
 mod discovery;
@@ -14,6 +15,7 @@
 mod job_status;
 mod process;
 pub mod site;
+pub mod soak;
 mod timestamp;
 mod wait;
 mod worker;
--- /dev/null
+++ b/crates/testkit/src/soak/lag.rs
@@ -0,0 +1,46 @@
+//! How late this process itself runs. A time limit is extended by it, so that a busy machine is not taken for a fault.
+
+use super::Micros;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// The interval at which the lag is measured.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(2);
+/// How long a measurement counts.
+const WINDOW: Duration = Duration::from_millis(500);
+
+/// The lag of this process's threads over the last half second.
+#[derive(Debug, Default)]
+pub(super) struct LagMeter {
+    recent: Mutex<VecDeque<(Instant, Duration)>>,
+    is_stopped: AtomicBool,
+}
+
+impl LagMeter {
+    /// Measures until [`LagMeter::stop`] is called.
+    pub(super) fn measure(&self) {
+        while !self.is_stopped.load(Ordering::Relaxed) {
+            let before = Instant::now();
+            std::thread::sleep(MEASURE_INTERVAL);
+            let lag = before.elapsed().saturating_sub(MEASURE_INTERVAL);
+            let mut recent = self.recent.lock().expect("mutex poisoned");
+            recent.push_back((Instant::now(), lag));
+            while recent.front().is_some_and(|(at, _)| at.elapsed() > WINDOW) {
+                recent.pop_front();
+            }
+        }
+    }
+
+    /// Ends the measurement.
+    pub(super) fn stop(&self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// The longest lag of the last half second, in microseconds.
+    pub(super) fn recent(&self) -> Micros {
+        let recent = self.recent.lock().expect("mutex poisoned");
+        recent.iter().map(|(_, lag)| lag.as_micros() as Micros).max().unwrap_or(0)
+    }
+}
