A request's time counts from when its bytes may have arrived

Callers saw: workers told of up to 0.4 s more than their client had left, attempts after the request's time, answers to pipelined requests 1.2 s late.

Cause: ClientConnections::read_request left requests in the read buffer, and the socket held them for a whole turn or stall, while Core::accept counted the time from the moment of handling.

Change: PollHistory knows since when what a poll reports may have waited (the last complete poll, unless the process slept until the event). ReadTimes keeps the time of each piece of a read buffer, Listeners that of connections left in their queue, a handover the age of bytes that were read. The budget of a request is reduced by that age. Waits are cut at 100 ms, so that a process that was held up in one notices. SIGTERM: answers are due counted from the earliest time of the signal. The clock is read before each event and command; where the poll is old, watch and hang-ups are polled again before an attempt.

--- a/src/core/shutdown_plan.rs
+++ b/src/core/shutdown_plan.rs
@@ -18,6 +18,16 @@
 /// dispatcher. No new connection arrives after that, and a request that was in transit on the last one has arrived.
 const IDLE_CLOSE_DELAY: Micros = ARRIVAL_WINDOW + 50_000;
 
+/// When the signal to end was sent: between these two times, in microseconds. The signal may have waited while the process was
+/// busy or held up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SignalTime {
+    /// The earliest time.
+    pub earliest: Micros,
+    /// When the process noticed the signal.
+    pub noticed: Micros,
+}
+
 /// The times of the steps of a graceful shutdown, on the decision module's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownPlan {
@@ -37,17 +47,18 @@
 }
 
 impl ShutdownPlan {
-    /// Creates the plan of a shutdown that begins `now`. `longest_deadline` is the longest deadline of the current classes, and
+    /// Creates the plan of a shutdown that begins when the signal is noticed. `longest_deadline` is the longest deadline of the current classes, and
     /// `longest_open_deadline` that of all classes with open jobs, some of which a reload may have removed. Both are in
     /// microseconds.
-    pub fn new(now: Micros, longest_deadline: Micros, longest_open_deadline: Micros) -> ShutdownPlan {
+    pub fn new(signal: SignalTime, longest_deadline: Micros, longest_open_deadline: Micros) -> ShutdownPlan {
+        let now = signal.noticed;
         let counted = longest_deadline.min(MAX_COUNTED_DEADLINE);
         ShutdownPlan {
             started_at: now,
             close_idle_at: now + IDLE_CLOSE_DELAY,
             keep_clients_until: now + ARRIVAL_WINDOW + counted / 2,
             arrivals_end_at: now + LATE_ARRIVAL_LIMIT,
-            answer_late_by: now + counted + LATE_ARRIVAL_LIMIT - ANSWER_MARGIN,
+            answer_late_by: signal.earliest + counted + LATE_ARRIVAL_LIMIT - ANSWER_MARGIN,
             give_up_at: now + longest_deadline.max(longest_open_deadline) + LATE_ARRIVAL_LIMIT,
         }
     }
--- a/src/server/context.rs
+++ b/src/server/context.rs
@@ -7,6 +7,7 @@
 use crate::server::lifecycle::Lifecycle;
 use crate::server::metrics::Metrics;
 use crate::server::peers::PeerSocket;
+use crate::server::poll_history::PollHistory;
 use crate::server::reactor::Reactor;
 
 /// The state that every part may use. The core, the reactor, the counters and the clock may be changed; the rest is read only.
@@ -24,6 +25,8 @@
     pub lifecycle: &'a Lifecycle,
     /// The datagram socket to the other dispatchers.
     pub peer_socket: &'a PeerSocket,
+    /// The polls of the event loop so far.
+    pub polls: &'a PollHistory,
     /// The clock of the event loop.
     pub clock: &'a mut Clock,
 }
@@ -54,6 +57,7 @@
             config: &$server.config,
             lifecycle: &$server.lifecycle,
             peer_socket: &$server.peer_socket,
+            polls: &$server.polls,
             clock: &mut $server.clock,
         }
     };
--- a/src/server/downstream/buffers.rs
+++ b/src/server/downstream/buffers.rs
@@ -33,6 +33,7 @@
         };
         reject(context, &mut connection, &mut client, Reject::Overloaded);
         connection.read_buffer = Vec::new();
+        client.read_times.clear();
         self.untrack_awaiting_request(token, &mut client);
         self.finish_event(context, token, connection, client);
     }
--- a/src/server/downstream/client.rs
+++ b/src/server/downstream/client.rs
@@ -5,6 +5,7 @@
 use crate::policy::interface::Micros;
 use crate::protocol::event_streams::StreamFraming;
 use crate::server::downstream::MAX_READ_BUFFER;
+use crate::server::downstream::read_times::ReadTimes;
 use crate::server::transferred::TransferredClient;
 use mothproxy_streams::WatcherId;
 use std::rc::Rc;
@@ -77,11 +78,16 @@
     pub(in crate::server) has_callbacks: bool,
     /// Whether bytes that were read wait for the next turn of the event loop.
     pub(super) is_deferred: bool,
+    /// When the bytes in the read buffer arrived.
+    pub(super) read_times: ReadTimes,
+    /// When the last byte of the latest request arrived, at the earliest.
+    pub(super) request_arrived_at: Micros,
 }
 
 impl ClientConnection {
-    /// Creates the state of a connection accepted at `now`, whose first request is awaited.
-    pub(super) fn new(is_from_sse_listener: bool, now: Micros) -> ClientConnection {
+    /// Creates the state of a connection accepted at `now`, whose first request is awaited. The connection, and bytes on it, may
+    /// have been waiting since `waiting_since`.
+    pub(super) fn new(is_from_sse_listener: bool, now: Micros, waiting_since: Micros) -> ClientConnection {
         ClientConnection {
             is_from_sse_listener,
             state: ClientState::Reading,
@@ -90,6 +96,8 @@
             last_read: now,
             has_callbacks: false,
             is_deferred: false,
+            read_times: ReadTimes::waiting_since(waiting_since),
+            request_arrived_at: waiting_since,
         }
     }
 
@@ -103,6 +111,19 @@
         }
     }
 
+    /// Records that the read buffer of an adopted connection holds `length` bytes, which may have been waiting since
+    /// `waiting_since`.
+    pub(in crate::server) fn on_adopted_bytes(&mut self, length: usize, waiting_since: Micros) {
+        self.read_times.on_read(length, waiting_since, false);
+    }
+
+    /// Records that the first `bytes` bytes of the read buffer, which belong to a request, have been removed from it.
+    pub(super) fn on_consumed(&mut self, bytes: usize) {
+        if let Some(arrived_at) = self.read_times.consume(bytes) {
+            self.request_arrived_at = arrived_at;
+        }
+    }
+
     /// The memory of a request whose chunked body is not complete, in bytes.
     pub(in crate::server) fn buffered_bytes(&self) -> usize {
         match &self.state {
@@ -111,18 +132,24 @@
         }
     }
 
-    /// Creates the state of a connection that another process has handed over.
-    pub(in crate::server) fn adopt(transferred: &TransferredClient, now: Micros) -> ClientConnection {
+    /// Creates the state of a connection that another process has handed over. Bytes on it that were not read before may have
+    /// been waiting since `waiting_since`.
+    pub(in crate::server) fn adopt(
+        transferred: &TransferredClient,
+        now: Micros,
+        waiting_since: Micros,
+    ) -> ClientConnection {
         ClientConnection {
             awaiting_request_since: transferred.is_awaiting_request.then_some(now),
             has_callbacks: transferred.has_callbacks,
-            ..ClientConnection::new(transferred.is_from_sse_listener, now)
+            ..ClientConnection::new(transferred.is_from_sse_listener, now, waiting_since)
         }
     }
 
     /// The state that the successor needs. The caller fills in the request.
-    pub(in crate::server) fn to_transferred(&self) -> TransferredClient {
+    pub(in crate::server) fn to_transferred(&self, now: Micros) -> TransferredClient {
         TransferredClient {
+            unread_for: self.read_times.oldest().map(|arrived_at| now.saturating_sub(arrived_at)),
             is_from_sse_listener: self.is_from_sse_listener,
             is_awaiting_request: self.is_awaiting_request(),
             has_callbacks: self.has_callbacks,
--- a/src/server/downstream/lingering.rs
+++ b/src/server/downstream/lingering.rs
@@ -56,6 +56,7 @@
         let _ = connection.stream.shutdown(Shutdown::Write); // the client may be gone; then the timer ends the connection
         self.untrack(token, client);
         connection.read_buffer = Vec::new();
+        client.read_times.clear();
         client.state = ClientState::Lingering { since: context.now() };
         self.lingering.insert(context.now(), token);
         connection.set_timer(context.shared.core, token, Some(context.now() + LINGER_TIMEOUT));
--- a/src/server/downstream/mod.rs
+++ b/src/server/downstream/mod.rs
@@ -20,6 +20,7 @@
 mod idle;
 mod lingering;
 mod read;
+mod read_times;
 mod request;
 mod respond;
 
@@ -39,8 +40,6 @@
 /// this much more before it has its response, its connection is closed: bytes beyond the limit are not read, so the end of the
 /// connection could not be detected.
 const MAX_READ_BUFFER: usize = MAX_HEAD + MAX_BODY;
-/// No attempt may begin for a client that disconnected longer ago than this, in microseconds.
-const MAX_DISCONNECT_AGE: Micros = 100_000;
 /// Progress events are dropped while a client has this many bytes left to read. Final events are never dropped.
 const MAX_UNREAD_PROGRESS: usize = 16 * 1024;
 
@@ -75,28 +74,6 @@
     }
 }
 
-/// When all connections were last polled for events.
-#[derive(Clone, Copy, Default)]
-pub(in crate::server) struct PollTime {
-    at: Micros,
-    /// Whether more events may have been waiting than the poll returned.
-    is_partial: bool,
-}
-
-impl PollTime {
-    /// Records a poll of all connections at `at`. `is_partial` means that more events may be waiting than it returned.
-    pub fn new(at: Micros, is_partial: bool) -> PollTime {
-        PollTime { at, is_partial }
-    }
-
-    /// Whether the poll is too old, or was too incomplete, to show that a client is still connected. If so, the client's
-    /// connection must be read before an attempt begins. A poll is too old after a quarter of [`MAX_DISCONNECT_AGE`]; the
-    /// rest of that time is left for the attempt to begin.
-    pub fn is_old(&self, now: Micros) -> bool {
-        self.is_partial || now > self.at + MAX_DISCONNECT_AGE / 4
-    }
-}
-
 /// A connection, with the time by which connections are ordered.
 type TimedToken = (Micros, Token);
 
--- a/src/server/downstream/read.rs
+++ b/src/server/downstream/read.rs
@@ -56,6 +56,9 @@
         if flags.intersects(EventFlags::IN | HANGUP) {
             let length_before = connection.read_buffer.len();
             let end = connection.fill(client.max_read_buffer(length_before));
+            let is_complete = end == ReadEnd::WouldBlock;
+            let earliest = context.shared.polls.earliest_arrival();
+            client.read_times.on_read(connection.read_buffer.len(), earliest, is_complete);
             if connection.read_buffer.len() > length_before {
                 self.on_bytes_read(token, &mut client, context.now());
             }
@@ -111,12 +114,14 @@
     pub(in crate::server) fn close_if_disconnected(&mut self, context: &mut ClientContext<'_>, token: Token) {
         let Some((mut connection, role)) = context.shared.reactor.take(token) else { return };
         match role {
-            Role::Client(client)
-                if client.is_awaiting_response()
-                    && (connection.has_ended(MAX_READ_BUFFER)
-                        || connection.read_buffer.len() >= MAX_READ_BUFFER) =>
-            {
-                self.on_closed(context, token, connection, client);
+            Role::Client(mut client) if client.is_awaiting_response() => {
+                let has_ended = connection.has_ended(MAX_READ_BUFFER);
+                let earliest = context.shared.polls.earliest_unreported();
+                client.read_times.on_read(connection.read_buffer.len(), earliest, true);
+                if has_ended || connection.read_buffer.len() >= MAX_READ_BUFFER {
+                    return self.on_closed(context, token, connection, client);
+                }
+                context.shared.reactor.put(token, connection, Role::Client(client));
             }
             role => context.shared.reactor.put(token, connection, role),
         }
@@ -174,6 +179,7 @@
             let result = match &client.state {
                 ClientState::Closing | ClientState::Lingering { .. } => {
                     connection.read_buffer = Vec::new();
+                    client.read_times.clear();
                     StepResult::Wait
                 }
                 ClientState::AwaitingResponse { .. } => StepResult::Wait,
@@ -230,6 +236,7 @@
             Framing::Length(length) => head.len + length,
             Framing::Chunked => {
                 let bytes = split_front(&mut connection.read_buffer, head.len);
+                client.on_consumed(head.len);
                 let (decoder, body) = (Chunked::default(), Vec::new());
                 client.state = ClientState::ReadingChunks(ChunkedRequest { bytes, head, decoder, body });
                 return StepResult::Continue;
@@ -240,6 +247,7 @@
             return StepResult::Wait;
         }
         let bytes = split_front(&mut connection.read_buffer, length);
+        client.on_consumed(length);
         let body = Piece::Shared(bytes.clone(), head.len..length);
         self.on_request(context, token, connection, client, RawRequest { bytes, head, body });
         StepResult::Continue
@@ -261,7 +269,9 @@
             }
             Ok(used) => {
                 connection.read_buffer.drain(..used);
-                if !request.decoder.is_done() {
+                let is_done = request.decoder.is_done();
+                client.on_consumed(used);
+                if !is_done {
                     return StepResult::Wait;
                 }
                 let state = std::mem::replace(&mut client.state, ClientState::Reading);
--- a/src/server/downstream/request.rs
+++ b/src/server/downstream/request.rs
@@ -28,6 +28,8 @@
             // The last chunk arrived after the handover began. The request is handed over as it was received, and the
             // successor handles it.
             connection.read_buffer = encode_chunked(&raw, &connection.read_buffer);
+            client.read_times.clear();
+            client.read_times.on_read(connection.read_buffer.len(), client.request_arrived_at, false);
             client.state = ClientState::Reading;
             return;
         }
@@ -86,6 +88,8 @@
             }
             Route::StatusCallback => on_status_callback(context, connection, client, &raw, keep_alive),
             Route::Submit(mut request) => {
+                let waited = context.now().saturating_sub(client.request_arrived_at);
+                request.time_budget = request.time_budget.saturating_sub(waited);
                 if let Some(plan) = context.shared.lifecycle.shutdown() {
                     request.time_budget = plan.time_budget(context.now(), request.time_budget);
                 }
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -4,15 +4,17 @@
 //! first, then those of clients that have disconnected, then all others in the order in which epoll reports them.
 
 use crate::core::{Command, DownstreamId, FinalResponse, RequestId, TimerToken};
+use crate::policy::interface::Micros;
 use crate::server::Server;
 use crate::server::connection_table::Role;
 use crate::server::context::context;
 use crate::server::discovery::CallKind;
+use crate::server::downstream::Downstream;
 use crate::server::downstream::context::client_context;
-use crate::server::downstream::{Downstream, PollTime};
 use crate::server::error::{ServerError, syscall_failed};
 use crate::server::listeners::ListenerKind;
 use crate::server::metrics::METRICS_INTERVAL;
+use crate::server::poll_history::{MAX_WAIT, Wait};
 use crate::server::poller::MAX_EVENTS_PER_WAIT;
 use crate::server::tokens::{
     ACCEPT_TIMER, ADMIN, DRAIN_TIMER, FLEET_TIMER, FULL_LIST_TIMER, HANDOVER_TIMER, IDEMPOTENCY_STORE,
@@ -39,19 +41,28 @@
             self.core.turn(self.clock.now());
             self.run_commands();
             self.wait_for_events(&mut events)?;
-            self.clock.update();
-            self.polled_at = PollTime::new(self.clock.now(), events.len() == MAX_EVENTS_PER_WAIT);
             self.handle_events(&events);
         }
         self.logged_metrics.log_changed(&context!(self));
         Ok(())
     }
 
-    /// Waits for events, at most until the next timer of the core is due.
-    fn wait_for_events(&self, events: &mut Vec<Event>) -> Result<(), ServerError> {
-        let wake = self.core.next_wake();
-        let timeout = wake.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
-        self.reactor.wait(events, timeout).map_err(syscall_failed("epoll"))
+    /// Waits for events, at most until the next timer of the core is due or [`MAX_WAIT`] has passed.
+    fn wait_for_events(&mut self, events: &mut Vec<Event>) -> Result<(), ServerError> {
+        self.clock.update();
+        let until_wake = self.core.next_wake().map(|at| at.saturating_sub(self.clock.now()));
+        self.poll(events, until_wake.unwrap_or(MAX_WAIT).min(MAX_WAIT))
+    }
+
+    /// Waits for events for at most `timeout`, in microseconds, and updates the clock.
+    fn poll(&mut self, events: &mut Vec<Event>, timeout: Micros) -> Result<(), ServerError> {
+        let began = self.clock.now();
+        let wait = self.reactor.wait(events, Some(Duration::from_micros(timeout)));
+        wait.map_err(syscall_failed("epoll"))?;
+        self.clock.update();
+        let is_partial = events.len() == MAX_EVENTS_PER_WAIT;
+        self.polls.record(Wait { began, ended: self.clock.now(), timeout, is_partial });
+        Ok(())
     }
 
     /// Passes the events of a turn to their handlers, in the order that the module's documentation states.
@@ -75,6 +86,7 @@
         }
         for event in events {
             let (data, flags) = (event.data, event.flags);
+            self.clock.update(); // the handlers of the events before may have taken long
             match Token(data.u64()) {
                 token if self.admin.owns(token) || watch == Some(token) => {}
                 PLATFORM => self.accept_clients(ListenerKind::Platform),
@@ -93,9 +105,29 @@
         }
     }
 
+    /// Polls all sockets again, and handles what decides whether something may still be sent: endpoint lists of the watch, and
+    /// clients that have disconnected. Other events are left for the next turn.
+    pub(super) fn refresh_before_send(&mut self) {
+        let mut events = Vec::with_capacity(MAX_EVENTS_PER_WAIT);
+        self.clock.update();
+        if self.poll(&mut events, 0).is_err() {
+            return; // the clients of attempts are read one by one then
+        }
+        let watch = self.discovery.watch();
+        for event in &events {
+            let token = Token(event.data.u64());
+            if watch == Some(token) {
+                self.on_ready(token, event.flags);
+            } else {
+                self.clients.on_hangup(&mut client_context!(self), token, event.flags);
+            }
+        }
+    }
+
     /// Runs all pending commands of the core, then the pending effects of the event streams.
     pub(super) fn run_commands(&mut self) {
         while let Some(command) = self.core.next_command() {
+            self.clock.update(); // the commands before may have taken long
             match command {
                 Command::StartAttempt { attempt, worker } => self.start_attempt(attempt, worker),
                 Command::PersistRecord { ticket, key, record } => self.persist_record(ticket, key, record),
--- a/src/server/lifecycle/hot_restart/receiver.rs
+++ b/src/server/lifecycle/hot_restart/receiver.rs
@@ -183,7 +183,10 @@
             process.on_client_transferred(transferred.request.as_ref());
         }
         let now = self.clock.now();
-        let client = ClientConnection::adopt(&transferred, now);
+        let earliest = self.polls.earliest_arrival();
+        let waiting_since = earliest.min(now.saturating_sub(transferred.unread_for.unwrap_or(0)));
+        let mut client = ClientConnection::adopt(&transferred, now, waiting_since);
+        client.on_adopted_bytes(connection.read_buffer.len(), waiting_since);
         let Some(token) = self.reactor.add(connection, Role::Client(client)) else { return };
         let Some((mut connection, Role::Client(mut client))) = self.reactor.take(token) else { return };
         if client.is_awaiting_request() {
--- a/src/server/lifecycle/shutdown.rs
+++ b/src/server/lifecycle/shutdown.rs
@@ -6,7 +6,7 @@
 //! 4. From `arrivals_end_at` on, or after a handover, the event loop ends once no work has been left for
 //!    [`MIN_IDLE_BEFORE_CLOSE`].
 
-use crate::core::shutdown_plan::ShutdownPlan;
+use crate::core::shutdown_plan::{ShutdownPlan, SignalTime};
 use crate::policy::interface::{ClassId, Micros};
 use crate::server::Server;
 use crate::server::connection::Connection;
@@ -42,7 +42,8 @@
         let current = deadlines().filter(|(number, _)| is_current(*number));
         let longest_current = current.map(|(_, deadline)| deadline).max();
         let longest = deadlines().map(|(_, deadline)| deadline).max();
-        ShutdownPlan::new(self.clock.now(), longest_current.unwrap_or(0), longest.unwrap_or(0))
+        let signal = SignalTime { earliest: self.polls.earliest_arrival(), noticed: self.clock.now() };
+        ShutdownPlan::new(signal, longest_current.unwrap_or(0), longest.unwrap_or(0))
     }
 
     /// The shutdown timer has fired: takes the steps of the plan that are due, and sets the timer again unless the shutdown is
--- a/src/server/listeners.rs
+++ b/src/server/listeners.rs
@@ -4,6 +4,7 @@
 use crate::policy::interface::Micros;
 use crate::server::context::Context;
 use crate::server::error::ServerError;
+use crate::server::poll_history::PollHistory;
 use crate::server::reactor::Reactor;
 use crate::server::tokens::{ACCEPT_TIMER, PLATFORM, SSE};
 use rustix::event::epoll::EventFlags;
@@ -44,6 +45,24 @@
     pub sse: Option<SseListener>,
     /// Whether epoll watches the listeners for new connections.
     is_accepting: bool,
+    /// Since when connections that were left in a listener's queue may have been waiting; `None` if none was left.
+    left_since: LeftConnections,
+}
+
+/// Since when connections that were left in the queue of each listener may have been waiting, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct LeftConnections {
+    platform: Option<Micros>,
+    sse: Option<Micros>,
+}
+
+impl LeftConnections {
+    fn of(&mut self, kind: ListenerKind) -> &mut Option<Micros> {
+        match kind {
+            ListenerKind::Platform => &mut self.platform,
+            ListenerKind::Sse => &mut self.sse,
+        }
+    }
 }
 
 impl Listeners {
@@ -60,10 +79,30 @@
         }
     }
 
+    /// Since when a connection that is accepted now may have been waiting, in microseconds.
+    pub fn waiting_since(&mut self, kind: ListenerKind, polls: &PollHistory) -> Micros {
+        let earliest = polls.earliest_arrival().min(polls.earliest_unreported());
+        self.left_since.of(kind).map_or(earliest, |since| since.min(earliest))
+    }
+
+    /// Records that a listener's queue is empty.
+    pub fn on_all_accepted(&mut self, kind: ListenerKind) {
+        *self.left_since.of(kind) = None;
+    }
+
+    /// Records that connections may be left in a listener's queue, which have been waiting since `since`.
+    pub fn on_some_left(&mut self, kind: ListenerKind, since: Micros) {
+        self.left_since.of(kind).get_or_insert(since);
+    }
+
     /// Stops watching the listeners for a while, because there is no capacity. Since epoll is level-triggered, the loop would
     /// otherwise be woken at once in every turn.
     pub fn pause(&mut self, context: &mut Context<'_>) {
         if std::mem::replace(&mut self.is_accepting, false) {
+            for kind in [ListenerKind::Platform, ListenerKind::Sse] {
+                let since = self.waiting_since(kind, context.polls);
+                self.on_some_left(kind, since);
+            }
             context.metrics.accept_pauses += 1;
             self.set_interest(context.reactor, EventFlags::empty());
             context.core.set_timer(context.clock.now() + ACCEPT_RETRY_INTERVAL, ACCEPT_TIMER);
@@ -131,7 +170,7 @@
             }),
             None => None,
         };
-        Ok(Listeners { platform, sse, is_accepting: true })
+        Ok(Listeners { platform, sse, is_accepting: true, left_since: LeftConnections::default() })
     }
 }
 
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -28,6 +28,7 @@
 mod open;
 mod peers;
 mod pending_requests;
+mod poll_history;
 mod poller;
 mod reactor;
 mod timer_slot;
@@ -43,8 +44,8 @@
 use budget::Budget;
 use clock::Clock;
 use discovery::DiscoveryClient;
+use downstream::ClientConnections;
 use downstream::event_streams::EventStreams;
-use downstream::{ClientConnections, PollTime};
 use idempotency_store::RecordStore;
 use lifecycle::Lifecycle;
 use lifecycle::hot_restart::HotRestart;
@@ -54,6 +55,7 @@
 use metrics::{LoggedMetrics, Metrics};
 use peers::{PeerLink, PeerSocket};
 use pending_requests::PendingRequests;
+use poll_history::PollHistory;
 use reactor::Reactor;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -79,8 +81,8 @@
     /// The core, which makes all decisions.
     core: Core,
     clock: Clock,
-    /// When the event loop last polled for events.
-    polled_at: PollTime,
+    /// The polls of the event loop so far.
+    polls: PollHistory,
     /// Epoll and all connections: of clients, to workers, to discovery and of the admin address.
     reactor: Reactor,
     listeners: Listeners,
--- a/src/server/open.rs
+++ b/src/server/open.rs
@@ -8,8 +8,8 @@
 use crate::server::budget::{Budget, base_memory};
 use crate::server::clock::Clock;
 use crate::server::discovery::DiscoveryClient;
+use crate::server::downstream::ClientConnections;
 use crate::server::downstream::event_streams::EventStreams;
-use crate::server::downstream::{ClientConnections, PollTime};
 use crate::server::error::{io_failed, syscall_failed};
 use crate::server::idempotency_store::{open_record_store, reserved_files};
 use crate::server::lifecycle::Lifecycle;
@@ -22,6 +22,7 @@
 use crate::server::metrics::{LoggedMetrics, METRICS_INTERVAL, Metrics};
 use crate::server::peers::{PeerLink, PeerSocket};
 use crate::server::pending_requests::PendingRequests;
+use crate::server::poll_history::PollHistory;
 use crate::server::reactor::Reactor;
 use crate::server::tokens::{ADMIN, METRICS_TIMER, PEERS, PLATFORM, SIGNAL, SSE, Token};
 use crate::server::upstream::UpstreamPool;
@@ -156,7 +157,7 @@
         Server {
             core,
             clock,
-            polled_at: PollTime::default(),
+            polls: PollHistory::new(now),
             reactor,
             listeners: sockets.listeners,
             admin: AdminServer::new(sockets.admin),
--- /dev/null
+++ b/src/server/poll_history/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+fn wait(began: Micros, ended: Micros) -> Wait {
+    Wait { began, ended, timeout: MAX_WAIT, is_partial: false }
+}
+
+/// The time of an arrival is that of the event only if the process slept until it.
+#[test]
+fn arrivals_count_from_the_last_time_when_nothing_had_arrived() {
+    let mut polls = PollHistory::new(1_000);
+    polls.record(wait(2_000, 2_010));
+    assert_eq!(polls.earliest_arrival(), 1_000, "events waited when the poll began");
+    polls.record(wait(300_000, 300_010));
+    assert_eq!(polls.earliest_arrival(), 2_000, "events may have waited for the whole turn");
+    polls.record(wait(301_000, 340_000));
+    assert_eq!(polls.earliest_arrival(), 340_000, "the process slept until the event");
+    polls.record(wait(341_000, 900_000));
+    assert_eq!(polls.earliest_arrival(), 340_000, "the process was held up in the wait");
+    assert_eq!(polls.earliest_unreported(), 341_000);
+}
+
+/// What a poll has left out may have waited since before that poll.
+#[test]
+fn events_left_out_of_a_poll_count_from_before_it() {
+    let mut polls = PollHistory::new(0);
+    polls.record(wait(1_000, 1_500));
+    polls.record(Wait { is_partial: true, ..wait(60_000, 60_010) });
+    assert!(polls.is_old(60_020));
+    polls.record(wait(70_000, 70_010));
+    assert_eq!(polls.earliest_arrival(), 1_500);
+    assert!(!polls.is_old(70_010 + MAX_POLL_AGE));
+    assert!(polls.is_old(70_011 + MAX_POLL_AGE));
+}
--- a/src/server/transferred.rs
+++ b/src/server/transferred.rs
@@ -5,6 +5,7 @@
 
 use crate::core::transfer::TransferredRequest;
 use crate::http::{self, Piece};
+use crate::policy::interface::Micros;
 use crate::protocol::platform::RawRequest;
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -21,6 +22,9 @@
     /// Whether a worker sends status callbacks on the connection.
     #[serde(rename = "calls_back")]
     pub has_callbacks: bool,
+    /// For how long bytes that were read may have been waiting, in microseconds; `None` if there are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unread_for: Option<Micros>,
     /// The request whose response the client awaits.
     #[serde(rename = "session")]
     pub request: Option<TransferredExchange>,
--- a/src/server/upstream/start.rs
+++ b/src/server/upstream/start.rs
@@ -46,7 +46,10 @@
     /// [`Outcome::NeverSent`].
     pub(in crate::server) fn start_attempt(&mut self, attempt: AttemptId, worker: WorkerId) {
         let request_id = attempt.request_id;
-        let is_poll_old = self.polled_at.is_old(self.clock.current_time());
+        if self.polls.is_old(self.clock.now()) {
+            self.refresh_before_send();
+        }
+        let is_poll_old = self.polls.is_old(self.clock.now());
         let context = &mut client_context!(self);
         if is_poll_old || self.clients.has_bytes_after(context, request_id) {
             self.clients.cancel_if_disconnected(context, request_id);
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown, and connections that are closed while a request is in transit, over real sockets. Each test enforces its
 //! order of events by waiting for an observable one: the end of a connection, the arrival of a job, a suspended process.
 
-use mothproxy::core::shutdown_plan::ShutdownPlan;
+use mothproxy::core::shutdown_plan::{ShutdownPlan, SignalTime};
 use mothproxy_testkit::*;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
@@ -17,7 +17,11 @@
     let deadlines = [1, 50, 120, 400, 800, 1_500, 2_999, 3_000, 3_001, 7_500, 25_000].map(|ms| ms * MS);
     let pairs = deadlines.into_iter().flat_map(|longest| deadlines.map(|open| (longest, open)));
     for (longest_deadline, longest_open_deadline) in pairs {
-        let plan = ShutdownPlan::new(0, longest_deadline, longest_open_deadline);
+        let plan = ShutdownPlan::new(
+            SignalTime { earliest: 0, noticed: 0 },
+            longest_deadline,
+            longest_open_deadline,
+        );
         let counted_deadline = longest_deadline.min(3_000 * MS);
         let killed_at = counted_deadline + 700 * MS;
         assert!(plan.keep_clients_until + counted_deadline / 2 <= plan.answer_late_by, "{plan:?}");
