A successor continues the predecessor's Unix time if the wall clock was stepped

Cause: deadlines and times of attempts go over in Unix time, and each process fixes its Unix time at its start. A step of the wall clock between the two starts moved every deadline that was handed over by the step.

Change: the predecessor's message has its Unix time (optional, so that the version before can be either side). If it lies outside the time of the takeover, the successor goes on from it; deadlines then come early by the length of the takeover at the most. The clock starts before the takeover, with its Unix time read at once.

Found by reading. No step was played (tests have no own wall clock).

--- a/src/core/engine/mod.rs
+++ b/src/core/engine/mod.rs
@@ -17,7 +17,7 @@
 mod turn;
 
 use super::attempt::AttemptId;
-use super::clock::{CLOCK_START, UnixClock};
+use super::clock::{CLOCK_START, UnixClock, UnixMicros};
 use super::commands::{Command, RecordTicket};
 use super::departed_requests::DepartedRequests;
 use super::endpoint_table::EndpointTable;
@@ -157,6 +157,11 @@
         CLOCK_START
     }
 
+    /// Converts a time of this clock to Unix time, both in microseconds.
+    pub fn unix_time(&self, at: Micros) -> UnixMicros {
+        self.clock.unix_time(at)
+    }
+
     /// The names of the ids in the settings.
     pub fn names(&self) -> &NameTable {
         &self.names
--- a/src/server/lifecycle/hot_restart/protocol.rs
+++ b/src/server/lifecycle/hot_restart/protocol.rs
@@ -4,7 +4,7 @@
 //! refers to. Descriptors are sent as ancillary data. The JSON names must stay those of the versions in operation.
 
 use crate::config::EndpointList;
-use crate::core::RecordTicket;
+use crate::core::{RecordTicket, UnixMicros};
 use crate::policy::interface::Micros;
 use crate::server::transferred::{TransferredClient, TransferredJob};
 use rustix::fs::MemfdFlags;
@@ -56,6 +56,9 @@
         /// differently.
         #[serde(rename = "lesson")]
         learned: serde_json::Value,
+        /// The Unix time of the predecessor, in microseconds; `None` if its version does not send it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        unix_now: Option<UnixMicros>,
     },
     /// A connection of a client, or of a worker that sends status callbacks.
     #[serde(rename = "Front")]
--- a/src/server/lifecycle/hot_restart/receiver.rs
+++ b/src/server/lifecycle/hot_restart/receiver.rs
@@ -6,7 +6,7 @@
 use super::protocol::{HandoverMessage, OpenWork, Packet, packet_socket, receive, send};
 use crate::config::EndpointList;
 use crate::core::transfer::LearnedState;
-use crate::core::{FinalResponse, PersistOutcome};
+use crate::core::{FinalResponse, PersistOutcome, UnixMicros};
 use crate::protocol::platform;
 use crate::server::Server;
 use crate::server::connection::Connection;
@@ -45,6 +45,8 @@
     pub learned: Option<LearnedState>,
     /// The link to the predecessor.
     pub(super) link: OwnedFd,
+    /// The Unix time of the predecessor when it handed over, in microseconds; `None` if its version does not send it.
+    pub unix_now: Option<UnixMicros>,
     /// Whether the predecessor is draining.
     pub(super) is_drained: bool,
     /// The work that the predecessor still holds.
@@ -101,8 +103,16 @@
 /// Reads the predecessor's answer. The descriptors have a fixed order: the platform's listener, the SSE listener if there is
 /// one, the peer socket if there is one. Returns `None` if the answer is another message.
 fn parse_predecessor_state(link: OwnedFd, packet: Packet) -> Option<PredecessorState> {
-    let HandoverMessage::Listeners { has_sse, has_peers, is_drained, list, is_list_stale, open, learned } =
-        packet.message
+    let HandoverMessage::Listeners {
+        has_sse,
+        has_peers,
+        is_drained,
+        list,
+        is_list_stale,
+        open,
+        learned,
+        unix_now,
+    } = packet.message
     else {
         return None;
     };
@@ -112,7 +122,7 @@
     let peers = if has_peers { descriptors.next().map(UdpSocket::from) } else { None };
     let sockets = InheritedSockets { listeners: InheritedListeners { platform, sse }, peers };
     let learned = serde_json::from_value(learned).ok();
-    Some(PredecessorState { sockets, list, is_list_stale, learned, link, is_drained, open })
+    Some(PredecessorState { sockets, list, is_list_stale, learned, link, unix_now, is_drained, open })
 }
 
 impl Server {
--- a/src/server/open.rs
+++ b/src/server/open.rs
@@ -68,14 +68,38 @@
     }
 }
 
-/// Creates the core for a configuration, and moves the names out of the configuration into it.
+/// The Unix time, in microseconds.
+fn unix_now() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros()
+}
+
+/// The Unix time before and after the takeover, in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct UnixTimes {
+    before: u128,
+    after: u128,
+}
+
+impl UnixTimes {
+    /// The Unix time at which the clock of this process starts. If the system's clock was stepped since the predecessor started,
+    /// the predecessor's Unix time is continued, so that the times in its messages keep their meaning.
+    fn at_start(self, predecessor: Option<&PredecessorState>) -> u128 {
+        let predecessor_time = predecessor.and_then(|state| state.unix_now);
+        match predecessor_time.and_then(|at| u128::try_from(at).ok()) {
+            Some(at) if !(self.before..=self.after).contains(&at) => at,
+            _ => self.before,
+        }
+    }
+}
+
+/// Creates the core for a configuration, and moves the names out of the configuration into it. `unix_at_start` is the Unix time
+/// at which the clock of this process started, in microseconds.
 ///
 /// # Errors
 /// If the core rejects the settings.
-fn open_core(config: &mut Config) -> Result<Core, ServerError> {
-    let unix_now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros();
+fn open_core(config: &mut Config, unix_at_start: u128) -> Result<Core, ServerError> {
     let names = std::mem::take(&mut config.names);
-    Core::new(config.settings.clone(), names, config.seed, unix_now).map_err(ServerError::Settings)
+    Core::new(config.settings.clone(), names, config.seed, unix_at_start).map_err(ServerError::Settings)
 }
 
 /// Loads the endpoint list that this process starts with, and the state that a predecessor has learned. Without a predecessor
@@ -116,12 +140,14 @@
         // The signal handlers are registered first: a SIGHUP without a handler would terminate this process, after it has taken
         // over the predecessor's sockets and connections.
         let signals = Signals::register().map_err(io_failed("signals"))?;
+        let clock = Clock::start(); // before a takeover, whose connections may wait from then on
+        let unix_before = unix_now();
         let restart_path = restart_dir.map(|dir| socket_path(dir, &config.name));
         let takeover = restart_path.as_deref().map_or(TakeoverResult::NoPredecessor, request_takeover);
         let should_retry = matches!(takeover, TakeoverResult::Refused);
         let mut predecessor_state = takeover.into_predecessor_state();
-        let clock = Clock::start();
-        let mut core = open_core(&mut config)?;
+        let unix_times = UnixTimes { before: unix_before, after: unix_now() };
+        let mut core = open_core(&mut config, unix_times.at_start(predecessor_state.as_ref()))?;
         let sockets = OpenSockets::open(predecessor_state.as_mut(), &config, sse.as_ref(), should_retry)?;
         let reactor = Reactor::new().map_err(syscall_failed("epoll"))?;
         let newest_start = load_initial_state(&mut core, &config, predecessor_state.as_mut());
