Endpoint lists are read and applied a part in each turn of the event loop

Callers saw: while one process among 3,200 workers read lists, requests waited unread for up to 0.4 s on 0.05 of a core, and then broke their times.

Cause: on_ready of discovery's client read until nothing was left and parsed each list as a tree of JSON values (9.1 to 9.4 ms of CPU for 3,200 rows, 56 us for 24), in one turn. A whole list also notified the decision module of every worker again, changed or not.

Change: ListReader parses row by row and keeps only a frame of the list; a turn reads at most 256 rows, 128 KiB of a list and 128 KiB of the socket, or applies 256 rows (ListIntake, LIST_TIMER). Lists are applied one at a time, and only changed, new and removed workers reach the decision module. TurnMeter logs the longest turn and what held it ('turns longest_us=...').

--- a/src/config/endpoint_list.rs
+++ b/src/config/endpoint_list.rs
@@ -66,30 +66,59 @@
     pub fn from_json(value: &Value) -> Option<EndpointList> {
         let generation = value.get("generation")?.as_u64()?;
         let reset = value.get("reset")?.as_bool()?;
-        let mut list = EndpointList {
-            generation,
-            reset,
-            rows: Vec::new(),
-            workers_with_invalid_rows: Vec::new(),
-            bad_rows: 0,
-        };
-        let mut index_by_worker = HashMap::new();
-        for value in value.get("instances")?.as_array()? {
-            let Some(row) = read_row(value) else {
-                list.bad_rows += 1;
-                list.workers_with_invalid_rows
-                    .extend(value.get("instanceId").and_then(Value::as_str).map(str::to_owned));
-                continue;
-            };
-            let index = *index_by_worker.entry(row.instance_id.clone()).or_insert(list.rows.len());
-            if let Some(earlier) = list.rows.get_mut(index) {
-                *earlier = row;
-                list.bad_rows += 1;
-            } else {
-                list.rows.push(row);
-            }
+        let mut rows = RowCollector::default();
+        value.get("instances")?.as_array()?.iter().for_each(|row| rows.push(row));
+        Some(rows.into_list(generation, reset, 0))
+    }
+}
+
+/// Collects the rows of a list in the order of their workers' first rows.
+#[derive(Debug, Default)]
+pub(super) struct RowCollector {
+    rows: Vec<EndpointRow>,
+    index_by_worker: HashMap<String, usize>,
+    workers_with_invalid_rows: Vec<String>,
+    bad_rows: u64,
+}
+
+impl RowCollector {
+    /// Adds the row with this text. Returns false if the text is not JSON.
+    pub(super) fn push_text(&mut self, text: &[u8]) -> bool {
+        match serde_json::from_slice::<EndpointRow>(text) {
+            Ok(row) if !row.instance_id.is_empty() => self.push_row(row),
+            _ => match serde_json::from_slice::<Value>(text) {
+                Ok(value) => self.push(&value),
+                Err(_) => return false,
+            },
         }
-        Some(list)
+        true
+    }
+
+    /// Adds a row. An invalid one is counted, and its worker is noted.
+    fn push(&mut self, value: &Value) {
+        if let Some(row) = read_row(value) {
+            return self.push_row(row);
+        }
+        self.bad_rows += 1;
+        let name = value.get("instanceId").and_then(Value::as_str);
+        self.workers_with_invalid_rows.extend(name.map(str::to_owned));
+    }
+
+    /// Adds a valid row, which replaces an earlier one of the same worker.
+    fn push_row(&mut self, row: EndpointRow) {
+        if let Some(index) = self.index_by_worker.get(&row.instance_id) {
+            self.rows[*index] = row;
+            self.bad_rows += 1;
+            return;
+        }
+        self.index_by_worker.insert(row.instance_id.clone(), self.rows.len());
+        self.rows.push(row);
+    }
+
+    /// The list of these rows. `nameless` rows more were invalid and had no name.
+    pub(super) fn into_list(self, generation: u64, reset: bool, nameless: u64) -> EndpointList {
+        let RowCollector { rows, workers_with_invalid_rows, bad_rows, .. } = self;
+        EndpointList { generation, reset, rows, workers_with_invalid_rows, bad_rows: bad_rows + nameless }
     }
 }
 
--- a/src/core/endpoint_table.rs
+++ b/src/core/endpoint_table.rs
@@ -5,7 +5,7 @@
 use crate::config::{EndpointList, EndpointRow, Lifecycle, NameTable};
 use crate::policy::interface::{CellId, EndpointEntry, Status, WorkerId};
 use crate::policy::settings_map::hash_name;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// A worker in the table. The id of a worker is never reused.
@@ -13,6 +13,8 @@
 pub struct Endpoint {
     row: EndpointRow,
     address: SocketAddr,
+    /// The number of the last list with a row of the worker.
+    listed_in: u64,
 }
 
 impl Endpoint {
@@ -73,6 +75,8 @@
     endpoints: Vec<Endpoint>,
     ids: HashMap<String, WorkerId>,
     generation: u64,
+    /// The number of the list that is being applied, or was applied last.
+    list_number: u64,
     bad_rows: u64,
     stale_lists: u64,
     is_stale: bool,
@@ -137,13 +141,13 @@
             started_at_ms: 0.0,
         };
         let address = SocketAddr::from(([0, 0, 0, 0], 0));
-        self.add(Endpoint { row, address })
+        self.add(row, address)
     }
 
-    fn add(&mut self, endpoint: Endpoint) -> WorkerId {
+    fn add(&mut self, row: EndpointRow, address: SocketAddr) -> WorkerId {
         let id = WorkerId(self.endpoints.len() as u32);
-        self.ids.insert(endpoint.row.instance_id.clone(), id);
-        self.endpoints.push(endpoint);
+        self.ids.insert(row.instance_id.clone(), id);
+        self.endpoints.push(Endpoint { row, address, listed_in: self.list_number });
         id
     }
 
@@ -202,35 +206,55 @@
         }
     }
 
-    /// Applies a list. Returns its workers, in the list's order.
-    pub(super) fn apply(&mut self, list: &EndpointList) -> Vec<WorkerId> {
+    /// Begins to apply a list, whose rows follow by [`EndpointTable::apply_row`].
+    pub(super) fn begin_list(&mut self) {
+        self.list_number += 1;
+    }
+
+    /// Applies a row of the list. Returns its worker if the decision module must be notified: the row is new, has changed, or
+    /// cannot be used.
+    pub(super) fn apply_row(&mut self, row: &EndpointRow) -> Option<WorkerId> {
+        let known = self.find(&row.instance_id);
+        if let Some(worker) = known {
+            let endpoint = &mut self.endpoints[worker.0 as usize];
+            endpoint.listed_in = self.list_number;
+            if endpoint.row == *row {
+                return None;
+            }
+        }
+        let worker = self.upsert(row);
+        if worker.is_none() {
+            self.bad_rows += 1;
+        }
+        worker.or(known)
+    }
+
+    /// Ends a list whose rows have been applied. Returns the workers that it concerns besides: those with an invalid row, which
+    /// stay unchanged, and, for a snapshot, those that it lacks and that are removed.
+    pub(super) fn finish_list(&mut self, list: &EndpointList) -> Vec<WorkerId> {
         self.generation = list.generation;
         self.bad_rows += list.bad_rows;
-        if list.reset {
-            self.remove_unlisted(list);
+        let invalid = list.workers_with_invalid_rows.iter();
+        let mut concerned: Vec<WorkerId> = invalid.filter_map(|name| self.find(name)).collect();
+        for worker in &concerned {
+            self.endpoints[worker.0 as usize].listed_in = self.list_number;
         }
-        let mut workers = Vec::with_capacity(list.rows.len());
-        for row in &list.rows {
-            let worker = self.upsert(row);
-            if worker.is_none() {
-                self.bad_rows += 1;
-            }
-            workers.extend(worker.or_else(|| self.find(&row.instance_id)));
+        if list.reset {
+            concerned.extend(self.remove_unlisted());
         }
-        // An invalid row leaves its worker unchanged.
-        workers.extend(list.workers_with_invalid_rows.iter().filter_map(|name| self.find(name)));
-        workers
+        concerned
     }
 
-    /// Marks the workers that a snapshot lacks as removed.
-    fn remove_unlisted(&mut self, list: &EndpointList) {
-        let readable = list.rows.iter().map(|row| &row.instance_id);
-        let listed: HashSet<&String> = readable.chain(&list.workers_with_invalid_rows).collect();
-        for endpoint in &mut self.endpoints {
-            if !listed.contains(&endpoint.row.instance_id) {
+    /// Marks the workers without a row in this list as removed, and returns those that were listed before.
+    fn remove_unlisted(&mut self) -> Vec<WorkerId> {
+        let mut removed = Vec::new();
+        for (id, endpoint) in (0..).map(WorkerId).zip(&mut self.endpoints) {
+            if endpoint.listed_in != self.list_number && !endpoint.is_removed() {
                 endpoint.row.lifecycle = Lifecycle::Removed;
+                removed.push(id);
             }
         }
+        removed
     }
 
     /// Converts a worker to an entry of the decision module's endpoint list; `None` if the id is unknown.
@@ -263,7 +287,7 @@
     fn upsert(&mut self, row: &EndpointRow) -> Option<WorkerId> {
         let address = row.host_port.parse::<SocketAddr>().ok();
         let Some(id) = self.find(&row.instance_id) else {
-            return Some(self.add(Endpoint { row: row.clone(), address: address? }));
+            return Some(self.add(row.clone(), address?));
         };
         if row.lifecycle == Lifecycle::Up && address.is_none() {
             return None;
--- a/src/server/discovery/call.rs
+++ b/src/server/discovery/call.rs
@@ -5,6 +5,7 @@
 use crate::core::watch_liveness::ObjectSplitter;
 use crate::http::{self, Body, ResponseHead};
 use crate::policy::interface::Micros;
+use crate::server::discovery::list_intake::ListIntake;
 
 /// The maximum length of an object of a watch, or of a full list, in bytes.
 const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
@@ -95,6 +96,8 @@
 pub(super) enum CallProgress {
     /// More bytes are needed.
     Pending,
+    /// A list is not finished; the next turn of the event loop goes on with it.
+    Busy,
     /// The requested list has been received.
     Complete,
 }
@@ -108,6 +111,10 @@
     /// The response body, once the head has been read.
     body: Option<Body>,
     objects: ObjectSplitter,
+    /// The list that is being read or applied.
+    pub(super) intake: ListIntake,
+    /// The error of malformed framing, which counts once the objects before it have been read.
+    framing_error: Option<CallError>,
 }
 
 impl DiscoveryCall {
@@ -119,6 +126,8 @@
             is_answered: false,
             body: None,
             objects: ObjectSplitter::default(),
+            intake: ListIntake::Idle,
+            framing_error: None,
         }
     }
 
@@ -156,16 +165,23 @@
         Ok(true)
     }
 
-    /// Moves the bytes of the body out of the read buffer. [`DiscoveryCall::next_object`] then returns the objects in them.
-    ///
-    /// # Errors
-    /// If the framing is malformed. Objects before the error are valid and can still be read.
-    pub(super) fn read_body(&mut self, read_buffer: &mut Vec<u8>) -> Result<(), CallError> {
-        let Some(body) = &mut self.body else { return Ok(()) };
+    /// Moves the bytes of the body out of the read buffer. [`DiscoveryCall::next_object`] then returns the objects in them. An
+    /// error of the framing is kept for [`DiscoveryCall::take_framing_error`]: objects before it are valid.
+    pub(super) fn read_body(&mut self, read_buffer: &mut Vec<u8>) {
+        let Some(body) = &mut self.body else { return };
         let mut content = Vec::new();
-        let framing = body.feed(read_buffer, &mut content);
+        if body.feed(read_buffer, &mut content).is_err() {
+            self.framing_error = Some(CallError::BrokenFraming);
+        }
         self.objects.feed(&content);
-        framing.map_err(|_| CallError::BrokenFraming)
+    }
+
+    /// Checks the framing of the body that was read.
+    ///
+    /// # Errors
+    /// If the framing is malformed.
+    pub(super) fn check_framing(&mut self) -> Result<(), CallError> {
+        self.framing_error.take().map_or(Ok(()), Err)
     }
 
     /// Returns the next complete object of the body; `None` if more bytes are needed.
--- a/src/server/discovery/call/tests.rs
+++ b/src/server/discovery/call/tests.rs
@@ -4,7 +4,10 @@
 fn read(call: &mut DiscoveryCall, response: &str) -> (Result<(), CallError>, Vec<String>) {
     let mut read_buffer = response.as_bytes().to_vec();
     let read = match call.read_head(&mut read_buffer) {
-        Ok(true) => call.read_body(&mut read_buffer),
+        Ok(true) => {
+            call.read_body(&mut read_buffer);
+            call.check_framing()
+        }
         Ok(false) => Ok(()),
         Err(error) => Err(error),
     };
--- a/src/server/discovery/mod.rs
+++ b/src/server/discovery/mod.rs
@@ -8,6 +8,7 @@
 
 mod call;
 mod full_list;
+mod list_intake;
 mod lists;
 mod pacing;
 mod transport;
@@ -45,6 +46,10 @@
     pacing: CallPacing,
     /// The earliest time at which the next failure of an unanswered call is logged.
     next_failure_log: Micros,
+    /// The calls with an unfinished list.
+    busy_calls: Vec<Token>,
+    /// The call whose list is being applied. Lists are applied one after the other, so that an older row never replaces a newer.
+    applying: Option<Token>,
 }
 
 impl DiscoveryClient {
@@ -62,6 +67,8 @@
             full_list: FullListState::Known,
             pacing: CallPacing::open(settings, config, now, generation),
             next_failure_log: 0,
+            busy_calls: Vec::new(),
+            applying: None,
         }
     }
 
@@ -146,6 +153,7 @@
         if kind == CallKind::Watch
             && let Some(old) = self.watch.take()
         {
+            self.applying.take_if(|applying| *applying == old);
             context.reactor.close_token(context.core, old);
         }
         let token = connect(context, kind);
@@ -202,6 +210,7 @@
         membership: &mut MembershipLink,
     ) {
         self.watch = None;
+        self.applying = None;
         let opens_at = self.liveness.on_discovery_moved(context.now());
         self.schedule_watch(context.core, opens_at);
         self.pace_on_watch_event(context, membership, WatchEvent::DiscoveryMoved);
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -18,9 +18,10 @@
 use crate::server::poller::MAX_EVENTS_PER_WAIT;
 use crate::server::tokens::{
     ACCEPT_TIMER, ADMIN, DRAIN_TIMER, FLEET_TIMER, FULL_LIST_TIMER, HANDOVER_TIMER, IDEMPOTENCY_STORE,
-    METRICS_TIMER, PACING_TIMER, PEER_PROCESS, PEER_TIMER, PEERS, PLATFORM, RESTART_SOCKET, SHUTDOWN_TIMER,
-    SIGNAL, SSE, STALE_LIST_TIMER, STREAM_SWEEP_TIMER, Token, WATCH_TIMER,
+    LIST_TIMER, METRICS_TIMER, PACING_TIMER, PEER_PROCESS, PEER_TIMER, PEERS, PLATFORM, RESTART_SOCKET,
+    SHUTDOWN_TIMER, SIGNAL, SSE, STALE_LIST_TIMER, STREAM_SWEEP_TIMER, Token, WATCH_TIMER,
 };
+use crate::server::turn_meter::Activity;
 use rustix::event::epoll::{Event, EventFlags};
 use std::time::Duration;
 
@@ -36,17 +37,29 @@
         self.peers.announce_state(context);
         self.membership.apply_outputs(context, &mut self.discovery);
         self.discovery.update_pacing(context, &mut self.membership);
+        self.turns.skip_to(self.clock.now());
         while !self.lifecycle.is_done() {
             self.clock.update();
             self.core.turn(self.clock.now());
+            self.measure(Activity::Core);
             self.run_commands();
+            self.measure(Activity::Commands);
+            self.turns.finish_turn();
             self.wait_for_events(&mut events)?;
+            self.turns.skip_to(self.clock.now());
             self.handle_events(&events);
         }
+        self.turns.log_longest();
         self.logged_metrics.log_changed(&context!(self));
         Ok(())
     }
 
+    /// Assigns the time since the last measurement to an activity.
+    fn measure(&mut self, activity: Activity) {
+        self.clock.update();
+        self.turns.spend(activity, self.clock.now());
+    }
+
     /// Waits for events, at most until the next timer of the core is due or [`MAX_WAIT`] has passed.
     fn wait_for_events(&mut self, events: &mut Vec<Event>) -> Result<(), ServerError> {
         self.clock.update();
@@ -79,14 +92,16 @@
                 _ => {}
             }
         }
+        self.measure(Activity::Discovery);
         // Disconnected clients are handled before clients with requests, because requests take longer.
         for event in events {
             let context = &mut client_context!(self);
             self.clients.on_hangup(context, Token(event.data.u64()), event.flags);
         }
+        self.measure(Activity::Clients);
         for event in events {
             let (data, flags) = (event.data, event.flags);
-            self.clock.update(); // the handlers of the events before may have taken long
+            let activity = self.activity_of(Token(data.u64()));
             match Token(data.u64()) {
                 token if self.admin.owns(token) || watch == Some(token) => {}
                 PLATFORM => self.accept_clients(ListenerKind::Platform),
@@ -102,6 +117,24 @@
                 }
                 token => self.on_ready(token, flags),
             }
+            self.measure(activity);
+        }
+    }
+
+    /// What the handler of an event does.
+    fn activity_of(&self, token: Token) -> Activity {
+        match token {
+            PLATFORM | SSE => Activity::Accept,
+            SIGNAL => Activity::Signals,
+            PEERS => Activity::Peers,
+            RESTART_SOCKET | PEER_PROCESS => Activity::HotRestart,
+            IDEMPOTENCY_STORE => Activity::Store,
+            token => match self.reactor.connections().get(token) {
+                Some((_, Role::Upstream(_))) => Activity::Workers,
+                Some((_, Role::Discovery(_))) => Activity::Discovery,
+                Some((_, Role::Admin(_))) => Activity::Admin,
+                _ => Activity::Clients,
+            },
         }
     }
 
@@ -189,9 +222,15 @@
         match timer {
             WATCH_TIMER => self.discovery.on_watch_timer(&mut context!(self), &mut self.membership),
             FULL_LIST_TIMER => self.discovery.on_full_list_timer(&mut context!(self), &mut self.membership),
+            LIST_TIMER => {
+                self.measure(Activity::Commands);
+                self.discovery.on_list_timer(&mut context!(self), &mut self.membership);
+                self.measure(Activity::Discovery);
+            }
             STALE_LIST_TIMER => self.discovery.on_stale_list_timer(&mut context!(self)),
             METRICS_TIMER => {
                 self.logged_metrics.log_changed(&context!(self));
+                self.turns.log_longest();
                 self.core.set_timer(self.clock.now() + METRICS_INTERVAL, METRICS_TIMER);
             }
             STREAM_SWEEP_TIMER => self.on_stream_sweep_timer(),
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -34,6 +34,7 @@
 mod timer_slot;
 mod tokens;
 mod transferred;
+mod turn_meter;
 mod upstream;
 
 pub use error::ServerError;
@@ -59,6 +60,7 @@
 use reactor::Reactor;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use turn_meter::TurnMeter;
 use upstream::UpstreamPool;
 
 /// The maximum number of connections accepted, or datagrams received, on one socket in a turn of the loop, so that a burst of
@@ -83,6 +85,8 @@
     clock: Clock,
     /// The polls of the event loop so far.
     polls: PollHistory,
+    /// How long the turns of the event loop take.
+    turns: TurnMeter,
     /// Epoll and all connections: of clients, to workers, to discovery and of the admin address.
     reactor: Reactor,
     listeners: Listeners,
--- a/src/server/open.rs
+++ b/src/server/open.rs
@@ -25,6 +25,7 @@
 use crate::server::poll_history::PollHistory;
 use crate::server::reactor::Reactor;
 use crate::server::tokens::{ADMIN, METRICS_TIMER, PEERS, PLATFORM, SIGNAL, SSE, Token};
+use crate::server::turn_meter::TurnMeter;
 use crate::server::upstream::UpstreamPool;
 use crate::server::{Server, ServerError, StateDir};
 use std::net::TcpListener;
@@ -184,6 +185,7 @@
             core,
             clock,
             polls: PollHistory::new(now),
+            turns: TurnMeter::default(),
             reactor,
             listeners: sockets.listeners,
             admin: AdminServer::new(sockets.admin),
--- a/src/server/tokens.rs
+++ b/src/server/tokens.rs
@@ -55,3 +55,4 @@
 pub(super) const PACING_TIMER: TimerToken = TimerToken(u64::MAX - 17);
 pub(super) const FULL_LIST_TIMER: TimerToken = TimerToken(u64::MAX - 21);
 pub(super) const STALE_LIST_TIMER: TimerToken = TimerToken(u64::MAX - 22);
+pub(super) const LIST_TIMER: TimerToken = TimerToken(u64::MAX - 23);
