A poll between turns does not make waiting requests younger

Cause: refresh_before_send recorded its poll like any other, although it leaves requests that had arrived to the next turn. Their age was lost there.

The unit test fails without the fix.

--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -63,18 +63,20 @@
     /// Waits for events, at most until the next timer of the core is due or [`MAX_WAIT`] has passed.
     fn wait_for_events(&mut self, events: &mut Vec<Event>) -> Result<(), ServerError> {
         self.clock.update();
-        let until_wake = self.core.next_wake().map(|at| at.saturating_sub(self.clock.now()));
-        self.poll(events, until_wake.unwrap_or(MAX_WAIT).min(MAX_WAIT))
+        let began = self.clock.now();
+        let until_wake = self.core.next_wake().map(|at| at.saturating_sub(began));
+        let timeout = until_wake.unwrap_or(MAX_WAIT).min(MAX_WAIT);
+        self.poll(events, timeout)?;
+        let is_partial = events.len() == MAX_EVENTS_PER_WAIT;
+        self.polls.record(Wait { began, ended: self.clock.now(), timeout, is_partial });
+        Ok(())
     }
 
     /// Waits for events for at most `timeout`, in microseconds, and updates the clock.
     fn poll(&mut self, events: &mut Vec<Event>, timeout: Micros) -> Result<(), ServerError> {
-        let began = self.clock.now();
         let wait = self.reactor.wait(events, Some(Duration::from_micros(timeout)));
         wait.map_err(syscall_failed("epoll"))?;
         self.clock.update();
-        let is_partial = events.len() == MAX_EVENTS_PER_WAIT;
-        self.polls.record(Wait { began, ended: self.clock.now(), timeout, is_partial });
         Ok(())
     }
 
@@ -142,10 +144,10 @@
     /// clients that have disconnected. Other events are left for the next turn.
     pub(super) fn refresh_before_send(&mut self) {
         let mut events = Vec::with_capacity(MAX_EVENTS_PER_WAIT);
-        self.clock.update();
         if self.poll(&mut events, 0).is_err() {
             return; // the clients of attempts are read one by one then
         }
+        self.polls.record_refresh(self.clock.now(), events.len() == MAX_EVENTS_PER_WAIT);
         let watch = self.discovery.watch();
         for event in &events {
             let token = Token(event.data.u64());
--- a/src/server/poll_history.rs
+++ b/src/server/poll_history.rs
@@ -65,6 +65,13 @@
         self.is_partial = wait.is_partial;
     }
 
+    /// Records a poll after which only hang-ups and the watch of discovery were handled. Everything else that it reported waits
+    /// for the next poll, and counts from before this one.
+    pub fn record_refresh(&mut self, ended: Micros, is_partial: bool) {
+        self.polled_at = ended;
+        self.is_partial = is_partial;
+    }
+
     /// The earliest time at which what the last poll reported may have occurred. Bytes that arrive while a turn of the event loop
     /// lasts, or while the process is held up, are reported only afterwards.
     pub fn earliest_arrival(&self) -> Micros {
--- a/src/server/poll_history/tests.rs
+++ b/src/server/poll_history/tests.rs
@@ -31,3 +31,14 @@
     assert!(!polls.is_old(70_010 + MAX_POLL_AGE));
     assert!(polls.is_old(70_011 + MAX_POLL_AGE));
 }
+
+/// A poll between two turns, after which requests still wait, does not make them younger. It used to.
+#[test]
+fn a_refresh_does_not_make_waiting_requests_younger() {
+    let mut polls = PollHistory::new(0);
+    polls.record(wait(1_000, 1_500));
+    polls.record_refresh(200_000, false);
+    assert!(!polls.is_old(200_010));
+    polls.record(wait(200_100, 200_110));
+    assert_eq!(polls.earliest_arrival(), 1_500);
+}
