A reload reads the configuration without the list of known workers

Cause: SIGHUP parsed the whole file as a tree of values in one turn, with a row of JSON for each worker, although a reload uses none of them.

Change: the rows of 'known' are summed up as one row while the file is parsed (known_summary.rs); a file of another form goes to the full parser, so that its messages stay. What is checked stays: a key that all rows had must be there.

--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -1,6 +1,7 @@
 //! The JSON document of a configuration file, and the environment variables that override it.
 
 use super::flatten::flatten;
+use super::known_summary::{parse_summarized, summarize_known};
 use super::{ConfigError, EndpointList, FileContentError, MachineLimits, ModuleSettingsError, NameTable};
 use crate::policy::interface::{Micros, Settings};
 use crate::policy::settings_map::{Names, SettingTexts, settings, to_micros};
@@ -26,8 +27,17 @@
         }
     }
 
-    /// The JSON value of the whole file.
-    pub(super) fn into_root(self) -> Value {
+    /// Parses the text of the file of a reload: the rows of the known list, which a reload does not use, are summed up.
+    pub(super) fn parse_for_reload(text: &str, file: &'a str, env: Env) -> Result<Self, ConfigError> {
+        match parse_summarized(text) {
+            Some(root) => Ok(Document { root, file, env }),
+            None => Document::parse(text, file, env),
+        }
+    }
+
+    /// The JSON value of the whole file, with the rows of the known list summed up.
+    pub(super) fn into_root(mut self) -> Value {
+        summarize_known(&mut self.root);
         self.root
     }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint_list;
 mod error;
 mod flatten;
+mod known_summary;
 mod list_reader;
 mod reload;
 mod site_names;
@@ -95,7 +96,7 @@
     pub may_announce_lifecycle: bool,
     /// An address that reaches all dispatchers of the tier, if there is one.
     pub peers_all: Option<SocketAddr>,
-    /// The last known endpoint list.
+    /// The last known endpoint list; without rows after a reload, which does not use it.
     pub known_endpoints: EndpointList,
     /// The decision module's settings.
     pub settings: Settings,
@@ -122,17 +123,15 @@
     /// # Errors
     /// [`ConfigError`] if the text is invalid.
     pub fn read(text: &str, file: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        Config::parse(text, file, env, &NameTable::default())
+        Config::from_document(Document::parse(text, file, env)?, file, &NameTable::default())
     }
 
-    /// Parses the text of a configuration file. Zones and kinds in `known_names` keep their ids.
-    fn parse(
-        text: &str,
+    /// Reads the content of a configuration file. Zones and kinds in `known_names` keep their ids.
+    fn from_document(
+        document: Document<'_, impl Fn(&str) -> Option<String>>,
         file: &str,
-        env: impl Fn(&str) -> Option<String>,
         known_names: &NameTable,
     ) -> Result<Config, ConfigError> {
-        let document = Document::parse(text, file, env)?;
         let listen = document.required_text("GW_LISTEN", "listen")?;
         let discovery = document.required_text("GW_DISCOVERY", "discovery")?;
         document.require("seed")?;
--- a/src/config/reload.rs
+++ b/src/config/reload.rs
@@ -1,5 +1,6 @@
 //! Reload of the configuration of a running program.
 
+use super::document::Document;
 use super::flatten::join;
 use super::{Config, ConfigError, FileContentError, NameTable, read_file};
 use crate::policy::interface::Settings;
@@ -23,7 +24,8 @@
             _ => None,
         };
         let text = read_file(Path::new(&self.file))?;
-        let mut new = Config::parse(&text, &self.file, current_value, known_names)?;
+        let document = Document::parse_for_reload(&text, &self.file, current_value)?;
+        let mut new = Config::from_document(document, &self.file, known_names)?;
         if let Some(key) = find_missing_key("", &self.initial_document, &new.initial_document) {
             let error = FileContentError::MissingKey(key);
             return Err(ConfigError::Malformed { file: self.file.clone(), error });
