Soak: one text of a whole list for all watches, and the lag of its own tasks

The soak built each list anew for each watch. The limits are as they were; the time by which its tasks run late is measured in the runtime as well. Also: lint of event_queue.rs.

--- a/crates/testkit/src/soak/discovery.rs
+++ b/crates/testkit/src/soak/discovery.rs
@@ -41,6 +41,15 @@
     is_down: AtomicBool,
     /// Raised to end all open watches.
     cuts: AtomicU64,
+    /// The whole list of the last generation for which it was needed.
+    whole_list: Mutex<Option<ListText>>,
+}
+
+/// A list as it is sent.
+#[derive(Clone)]
+struct ListText {
+    generation: u64,
+    text: Arc<String>,
 }
 
 impl Discovery {
@@ -57,6 +66,7 @@
             drains_told: (0..processes).map(|_| Mutex::default()).collect(),
             is_down: AtomicBool::new(false),
             cuts: AtomicU64::new(0),
+            whole_list: Mutex::default(),
         }
     }
 
@@ -83,6 +93,17 @@
         json!({"generation": *self.generation.borrow(), "reset": true, "instances": rows})
     }
 
+    /// The whole list as it is sent. All watches share one text, since making it takes long.
+    fn whole_list_text(&self) -> ListText {
+        let mut kept = self.whole_list.lock().expect("mutex poisoned");
+        if let Some(list) = kept.as_ref().filter(|list| list.generation == *self.generation.borrow()) {
+            return list.clone();
+        }
+        let list = ListText::new(&self.whole_list());
+        *kept = Some(list.clone());
+        list
+    }
+
     /// The rows that changed after a generation.
     fn changes_after(&self, generation: u64) -> Value {
         let endpoints = self.endpoints.lock().expect("mutex poisoned");
@@ -130,6 +151,15 @@
     }
 }
 
+impl ListText {
+    fn new(list: &Value) -> ListText {
+        ListText {
+            generation: list["generation"].as_u64().unwrap_or_default(),
+            text: Arc::new(list.to_string()),
+        }
+    }
+}
+
 fn row(number: usize, endpoint: &Endpoint) -> Value {
     json!({"instanceId": endpoint.name, "hostPort": endpoint.address.to_string(), "zone": "alm 1", "machineType": "k-mid",
            "cell": cell_of(number), "lifecycle": if endpoint.is_draining { "draining" } else { "up" }, "weight": 1.0,
@@ -186,7 +216,7 @@
             continue;
         }
         if !request.target.contains("stream=1") {
-            let list = shared.discovery.whole_list().to_string();
+            let list = shared.discovery.whole_list_text().text;
             shared.discovery.on_told(process, shared.now());
             if stream.write_all(response("200 OK", "", &list).as_bytes()).await.is_err() {
                 return;
@@ -221,13 +251,15 @@
                     ListChanges::Mixed => sent_lists % WHOLE_LIST_EVERY == WHOLE_LIST_EVERY - 1,
                     ListChanges::Whole => true,
                 };
-            let list =
-                if is_whole { discovery.whole_list() } else { discovery.changes_after(sent_generation) };
-            sent_generation = list["generation"].as_u64().unwrap_or(sent_generation);
+            let list = if is_whole {
+                discovery.whole_list_text()
+            } else {
+                ListText::new(&discovery.changes_after(sent_generation))
+            };
+            sent_generation = list.generation;
             sent_lists += 1;
             is_first = false;
-            let text = format!("{list}\n");
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            let chunk = format!("{:x}\r\n{}\n\r\n", list.text.len() + 1, list.text);
             let at = shared.now();
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 return;
--- a/crates/testkit/src/soak/lag.rs
+++ b/crates/testkit/src/soak/lag.rs
@@ -8,6 +8,8 @@
 
 /// The interval at which the lag is measured.
 const MEASURE_INTERVAL: Duration = Duration::from_millis(2);
+/// The resolution of the runtime's timers.
+const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
 /// How long a measurement counts.
 const WINDOW: Duration = Duration::from_millis(500);
 
@@ -24,12 +26,24 @@
         while !self.is_stopped.load(Ordering::Relaxed) {
             let before = Instant::now();
             std::thread::sleep(MEASURE_INTERVAL);
-            let lag = before.elapsed().saturating_sub(MEASURE_INTERVAL);
-            let mut recent = self.recent.lock().expect("mutex poisoned");
-            recent.push_back((Instant::now(), lag));
-            while recent.front().is_some_and(|(at, _)| at.elapsed() > WINDOW) {
-                recent.pop_front();
-            }
+            self.record(before.elapsed().saturating_sub(MEASURE_INTERVAL));
+        }
+    }
+
+    /// Measures the lag of the runtime's tasks until the run ends.
+    pub(super) async fn measure_tasks(&self) {
+        while !self.is_stopped.load(Ordering::Relaxed) {
+            let before = Instant::now();
+            tokio::time::sleep(MEASURE_INTERVAL).await;
+            self.record(before.elapsed().saturating_sub(MEASURE_INTERVAL + TIMER_RESOLUTION));
+        }
+    }
+
+    fn record(&self, lag: Duration) {
+        let mut recent = self.recent.lock().expect("mutex poisoned");
+        recent.push_back((Instant::now(), lag));
+        while recent.front().is_some_and(|(at, _)| at.elapsed() > WINDOW) {
+            recent.pop_front();
         }
     }
 
--- a/crates/testkit/src/soak/run.rs
+++ b/crates/testkit/src/soak/run.rs
@@ -179,6 +179,10 @@
     for (number, listener) in discoveries.into_iter().enumerate() {
         runtime.spawn(discovery::serve(shared.clone(), number, asynchronous(listener)?));
     }
+    for _ in 0..RUNTIME_THREADS {
+        let shared = shared.clone();
+        runtime.spawn(async move { shared.lag.measure_tasks().await });
+    }
     runtime.spawn(discovery::change_lists(shared.clone()));
     if plan.has_discovery_faults {
         runtime.spawn(discovery::disturb(shared.clone()));
--- a/src/core/event_queue.rs
+++ b/src/core/event_queue.rs
@@ -18,7 +18,7 @@
     pub fn push(&mut self, event: Event) {
         match (self.events.last_mut(), event) {
             (Some(Event::EndpointList(_, entries)), Event::EndpointList(ListKind::Delta, changed)) => {
-                entries.extend(changed)
+                entries.extend(changed);
             }
             (Some(Event::Peers(presence)), Event::Peers(newer)) => *presence = newer,
             (_, event) => self.events.push(event),
