A successor that is interrupted while it waits for the answer takes over

Callers saw: new connections reset in the middle of an upgrade. The successor had given up, and the predecessor ended at its SIGTERM.

Cause: the wait for the predecessor's answer has a time limit, so a stop and continuation of the process ends it with EINTR (signal(7)), which counted as a refusal; a full queue of the restart socket counted as no predecessor.

Change: the wait goes on up to its limit, sends are repeated at EINTR, and a full queue counts as a refusal, after which the address is waited for.

--- a/src/server/lifecycle/hot_restart/protocol.rs
+++ b/src/server/lifecycle/hot_restart/protocol.rs
@@ -8,7 +8,7 @@
 use crate::policy::interface::Micros;
 use crate::server::transferred::{TransferredClient, TransferredJob};
 use rustix::fs::MemfdFlags;
-use rustix::io::Errno;
+use rustix::io::{Errno, retry_on_intr};
 use rustix::net::{
     AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags, SocketFlags, SocketType,
@@ -174,7 +174,7 @@
     if !descriptors.is_empty() && !ancillary.push(SendAncillaryMessage::ScmRights(descriptors)) {
         return Err(Errno::INVAL);
     }
-    rustix::net::sendmsg(link, &slices, &mut ancillary, SendFlags::NOSIGNAL).map(|_| ())
+    retry_on_intr(|| rustix::net::sendmsg(link, &slices, &mut ancillary, SendFlags::NOSIGNAL)).map(|_| ())
 }
 
 /// Reads one packet. Returns `Ok(None)` if the other process has closed the link.
--- a/src/server/lifecycle/hot_restart/receiver.rs
+++ b/src/server/lifecycle/hot_restart/receiver.rs
@@ -3,7 +3,7 @@
 //! [`Server::on_handover_message`] is used by both sides, because the predecessor also receives messages, such as status
 //! callbacks and the results of writing records.
 
-use super::protocol::{HandoverMessage, OpenWork, Packet, packet_socket, receive, send};
+use super::protocol::{HandoverMessage, OpenWork, Packet, ReceiveError, packet_socket, receive, send};
 use crate::config::EndpointList;
 use crate::core::transfer::LearnedState;
 use crate::core::{FinalResponse, PersistOutcome, UnixMicros};
@@ -16,12 +16,13 @@
 use crate::server::downstream::{ClientConnection, Downstream};
 use crate::server::listeners::InheritedListeners;
 use crate::server::transferred::{TransferredClient, split_request};
+use rustix::io::{Errno, retry_on_intr};
 use rustix::net::SocketAddrUnix;
 use rustix::net::sockopt::{Timeout, set_socket_timeout};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long the successor waits for the predecessor's answer before it starts without a handover. A process must be ready within
 /// 6 s of its start.
@@ -79,9 +80,12 @@
     let Some((link, address)) = packet_socket().ok().zip(SocketAddrUnix::new(path).ok()) else {
         return TakeoverResult::NoPredecessor;
     };
-    // A failure means that there is no socket file, or that its process has ended.
-    if rustix::net::connect(&link, &address).is_err() {
-        return TakeoverResult::NoPredecessor;
+    match retry_on_intr(|| rustix::net::connect(&link, &address)) {
+        Ok(()) => {}
+        // The queue of the predecessor's socket is full.
+        Err(Errno::AGAIN) => return TakeoverResult::Refused,
+        // There is no socket file, or its process has ended.
+        Err(_) => return TakeoverResult::NoPredecessor,
     }
     let predecessor_state = exchange_hello(&link).and_then(|packet| parse_predecessor_state(link, packet));
     match predecessor_state {
@@ -93,11 +97,18 @@
     }
 }
 
-/// Sends `Hello` and waits for the answer, for at most [`TAKEOVER_TIMEOUT`].
+/// Sends `Hello` and waits for the answer, for at most [`TAKEOVER_TIMEOUT`]. A signal that stops this process for a while
+/// interrupts the wait, which goes on then.
 fn exchange_hello(link: &OwnedFd) -> Option<Packet> {
     set_socket_timeout(link, Timeout::Recv, Some(TAKEOVER_TIMEOUT)).ok()?;
     send(link, &HandoverMessage::Hello, &[], &[]).ok()?;
-    receive(link).ok().flatten()
+    let ends_at = Instant::now() + TAKEOVER_TIMEOUT;
+    loop {
+        match receive(link) {
+            Err(ReceiveError::System(Errno::INTR)) if Instant::now() < ends_at => {}
+            answer => return answer.ok().flatten(),
+        }
+    }
 }
 
 /// Reads the predecessor's answer. The descriptors have a fixed order: the platform's listener, the SSE listener if there is
