A hot restart hands over only what was learned, and without a tree of values

Cause: the predecessor made a tree of JSON values of what it had learned, with an entry for each worker ever listed, and then its text, in one turn; the successor read it the same way.

Change: the learned state is written as text at once (serde_json's raw_value), and workers of which nothing was learned are left out. The keys are the same.

--- a/src/core/engine/restart.rs
+++ b/src/core/engine/restart.rs
@@ -7,17 +7,20 @@
 use crate::core::request::{PendingRequest, RequestId};
 use crate::core::timers::Timer;
 use crate::core::transfer::{LearnedState, TransferredAttempt, TransferredPhase, TransferredRequest};
+use crate::policy::LearnedByWorker;
 use crate::policy::interface::{ClassId, Event, NewJob, Outcome, SubjectId};
 
 impl Core {
     /// The state that the decision module has learned, for the successor.
     pub fn learned_state(&self) -> LearnedState {
+        let LearnedByWorker { learned, workers } = self.dispatcher.learned();
+        let known = workers.into_iter().filter_map(|worker| self.endpoints.get(worker));
         LearnedState {
             clock_offset: self.clock.offset(),
-            workers: self.endpoints.iter().map(|(_, endpoint)| endpoint.instance_id().to_owned()).collect(),
+            workers: known.map(|endpoint| endpoint.instance_id().to_owned()).collect(),
             kinds: self.names.kind_names().to_vec(),
             classes: self.names.class_names().to_vec(),
-            learned: self.dispatcher.learned(),
+            learned,
         }
     }
 
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -9,7 +9,7 @@
     ProbeResponse, Settings, SettingsError,
 };
 use super::rules::FIRST_REPORT_INTERVAL;
-use super::state::{IdMap, Learned};
+use super::state::{IdMap, Learned, LearnedByWorker};
 use super::timer::Timer;
 
 /// The decision module of one dispatcher.
@@ -191,7 +191,7 @@
     }
 
     /// The data that this instance has learned so far.
-    pub fn learned(&self) -> Learned {
+    pub fn learned(&self) -> LearnedByWorker {
         self.policy.state.learned()
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -19,4 +19,4 @@
 
 pub use dispatcher::Dispatcher;
 pub use rules::capability;
-pub use state::{IdMap, Learned};
+pub use state::{IdMap, Learned, LearnedByWorker};
--- a/src/policy/state/learned.rs
+++ b/src/policy/state/learned.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 
 /// The data that an instance has learned about a worker.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct LearnedWorker {
     #[serde(rename = "entry")]
     load: Option<LoadSample>,
@@ -76,6 +76,15 @@
     reports_queue_length: bool,
 }
 
+/// What an instance has learned, with the ids of the workers in it.
+#[derive(Clone, Debug, Default)]
+pub struct LearnedByWorker {
+    /// The learned data.
+    pub learned: Learned,
+    /// The ids of the workers, in the order of the learned data.
+    pub workers: Vec<WorkerId>,
+}
+
 /// Maps the ids in [`Learned`], as indices, to those of the replacing instance; `None` if that instance has no such id.
 #[derive(Clone, Debug, Default)]
 pub struct IdMap {
@@ -129,11 +138,13 @@
 }
 
 impl PolicyState {
-    /// The data that this instance has learned so far.
-    pub fn learned(&self) -> Learned {
+    /// The data that this instance has learned so far. Workers of which it has learned nothing are left out.
+    pub fn learned(&self) -> LearnedByWorker {
         let estimates = &self.estimates;
-        Learned {
-            workers: self.workers.iter().map(LearnedWorker::new).collect(),
+        let all = (0..).map(WorkerId).zip(self.workers.iter().map(LearnedWorker::new));
+        let (ids, workers) = all.filter(|(_, worker)| *worker != LearnedWorker::default()).unzip();
+        let learned = Learned {
+            workers,
             slowness_by_kind: estimates.slowness_by_kind.iter().map(|(kind, mean)| (kind.0, *mean)).collect(),
             slots_by_kind: estimates.slots_by_kind.iter().map(|(kind, slots)| (kind.0, *slots)).collect(),
             classes: estimates.classes.iter().map(LearnedClass::new).collect(),
@@ -142,7 +153,8 @@
             start_delay: estimates.start_delay,
             probe_delay: estimates.probe_delay,
             reports_queue_length: estimates.reports_queue_length,
-        }
+        };
+        LearnedByWorker { learned, workers: ids }
     }
 
     /// Takes over what another instance had learned. The clock of that instance is `shift` microseconds behind this one's.
--- a/src/policy/state/mean.rs
+++ b/src/policy/state/mean.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A running mean. The newest observation has a weight of at least `1 / MAX_COUNT`, so that the mean follows changes.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Mean {
     pub value: f64,
     /// The number of observations, counted up to [`Mean::MAX_COUNT`].
--- a/src/policy/state/mod.rs
+++ b/src/policy/state/mod.rs
@@ -27,7 +27,7 @@
 pub(crate) use estimates::BoundFraction;
 pub(crate) use estimates::Estimates;
 pub(crate) use job::{Attempt, AttemptState, Job};
-pub use learned::{IdMap, Learned};
+pub use learned::{IdMap, Learned, LearnedByWorker};
 pub(crate) use mean::Mean;
 pub(crate) use outlier_record::OutlierRecord;
 pub(crate) use ready_workers::MIN_WEIGHT;
--- a/src/policy/state/outlier_record.rs
+++ b/src/policy/state/outlier_record.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The consecutive failures of a worker or zone, and the time until which it is ejected because of them.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct OutlierRecord {
     #[serde(rename = "strikes")]
     consecutive_failures: u32,
--- a/src/policy/state/worker.rs
+++ b/src/policy/state/worker.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 /// A load report with the time of its arrival.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct LoadSample {
     /// When the report arrived.
     pub at: Micros,
@@ -55,7 +55,7 @@
 }
 
 /// An amount of work that was sent or offered to a worker.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(from = "(Micros, f64)", into = "(Micros, f64)")]
 pub(super) struct SentWork {
     /// When the work was sent or offered.
--- a/src/server/lifecycle/hot_restart/protocol.rs
+++ b/src/server/lifecycle/hot_restart/protocol.rs
@@ -14,6 +14,7 @@
     SendAncillaryMessage, SendFlags, SocketFlags, SocketType,
 };
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::collections::HashSet;
 use std::fs::File;
 use std::io::{IoSlice, IoSliceMut, Read, Seek, Write};
@@ -55,7 +56,7 @@
         /// The state that the decision module has learned. It is parsed separately, because another version may encode it
         /// differently.
         #[serde(rename = "lesson")]
-        learned: serde_json::Value,
+        learned: Box<RawValue>,
         /// The Unix time of the predecessor, in microseconds; `None` if its version does not send it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         unix_now: Option<UnixMicros>,
--- a/src/server/lifecycle/hot_restart/receiver.rs
+++ b/src/server/lifecycle/hot_restart/receiver.rs
@@ -132,7 +132,7 @@
     let sse = if has_sse { descriptors.next().map(TcpListener::from) } else { None };
     let peers = if has_peers { descriptors.next().map(UdpSocket::from) } else { None };
     let sockets = InheritedSockets { listeners: InheritedListeners { platform, sse }, peers };
-    let learned = serde_json::from_value(learned).ok();
+    let learned = serde_json::from_str(learned.get()).ok();
     Some(PredecessorState { sockets, list, is_list_stale, learned, link, unix_now, is_drained, open })
 }
 
--- a/src/server/lifecycle/hot_restart/sender.rs
+++ b/src/server/lifecycle/hot_restart/sender.rs
@@ -47,7 +47,7 @@
             },
             is_list_stale: self.core.endpoints().is_stale(),
             open: open.clone(),
-            learned: serde_json::to_value(self.core.learned_state()).unwrap_or_default(),
+            learned: serde_json::value::to_raw_value(&self.core.learned_state()).unwrap_or_default(),
             unix_now: Some(self.core.unix_time(self.clock.current_time())),
         };
         let mut descriptors = vec![self.listeners.platform.as_fd()];
