Broken invariants are logged with their message

Cause: a release build counted a violation and said nothing about it.

Change: the first messages of each package are kept and logged as 'broken invariant: ...' with the next counters. The counter and its name stay.

--- a/crates/invariant/src/lib.rs
+++ b/crates/invariant/src/lib.rs
@@ -12,24 +12,53 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+use std::fmt::Arguments;
 use std::sync::{Mutex, PoisonError};
 
 /// The number of violations that a package has counted.
 struct PackageViolations {
     package: &'static str,
     count: u64,
+    /// The messages that have not been taken; of many violations only the first ones are kept.
+    messages: Vec<String>,
 }
 
+/// The maximum number of messages kept for each package.
+const MAX_MESSAGES: usize = 8;
+
 /// The packages with violations. A mutex is fast enough, since a correct program counts none.
 static VIOLATIONS: Mutex<Vec<PackageViolations>> = Mutex::new(Vec::new());
 
-/// Counts a violated invariant of a package. Called by [`invariant!`].
+/// Counts a violated invariant of a package.
 pub fn record_violation(package: &'static str) {
+    update(package, |known| known.count += 1);
+}
+
+/// Counts a violated invariant of a package, and keeps its message for [`take_messages`] unless many are kept already. Called by
+/// [`invariant!`].
+pub fn record_violation_message(package: &'static str, message: Arguments<'_>) {
+    update(package, |known| {
+        known.count += 1;
+        if known.messages.len() < MAX_MESSAGES {
+            known.messages.push(message.to_string());
+        }
+    });
+}
+
+fn update(package: &'static str, change: impl FnOnce(&mut PackageViolations)) {
+    let mut packages = VIOLATIONS.lock().unwrap_or_else(PoisonError::into_inner);
+    let place = packages.iter().position(|known| known.package == package).unwrap_or_else(|| {
+        packages.push(PackageViolations { package, count: 0, messages: Vec::new() });
+        packages.len() - 1
+    });
+    change(&mut packages[place]);
+}
+
+/// Removes and returns the messages of a package's violations, the oldest first.
+pub fn take_messages(package: &str) -> Vec<String> {
     let mut packages = VIOLATIONS.lock().unwrap_or_else(PoisonError::into_inner);
-    match packages.iter_mut().find(|known| known.package == package) {
-        Some(known) => known.count += 1,
-        None => packages.push(PackageViolations { package, count: 1 }),
-    }
+    let known = packages.iter_mut().find(|known| known.package == package);
+    known.map_or_else(Vec::new, |known| std::mem::take(&mut known.messages))
 }
 
 /// The number of violations that a package has counted since the process started. A package is identified by its Cargo name,
@@ -50,7 +79,7 @@
     ($condition:expr, $($message:tt)+) => {
         if !$condition {
             debug_assert!(false, $($message)+);
-            $crate::record_violation(env!("CARGO_PKG_NAME"));
+            $crate::record_violation_message(env!("CARGO_PKG_NAME"), format_args!($($message)+));
         }
     };
 }
--- a/crates/invariant/tests/invariant.rs
+++ b/crates/invariant/tests/invariant.rs
@@ -1,6 +1,6 @@
 //! Violated invariants panic in debug builds and are counted in release builds.
 
-use mothproxy_invariant::{invariant, record_violation, violations};
+use mothproxy_invariant::{invariant, record_violation, take_messages, violations};
 
 #[test]
 fn counts_the_violations_of_each_package_separately() {
@@ -16,4 +16,6 @@
     let result = std::panic::catch_unwind(|| invariant!(false, "this invariant is violated"));
     assert_eq!(result.is_err(), is_debug);
     assert_eq!(violations(env!("CARGO_PKG_NAME")), u64::from(!is_debug));
+    assert_eq!(take_messages(env!("CARGO_PKG_NAME")).len(), usize::from(!is_debug));
+    assert!(take_messages(env!("CARGO_PKG_NAME")).is_empty());
 }
--- a/crates/testkit/src/soak/process.rs
+++ b/crates/testkit/src/soak/process.rs
@@ -168,7 +168,7 @@
             let _ = writeln!(file, "{:>9.3} {line}", shared.now() as f64 / 1e6);
         }
     }
-    if line.contains("panicked") {
+    if line.contains("panicked") || line.contains("broken invariant") {
         shared.report.find(shared.now(), Rule::Crash, format!("n{number}: {line}"));
     }
     if let Some(figures) = line.strip_prefix("figures ") {
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -48,6 +48,9 @@
 impl LoggedMetrics {
     /// Logs one line of counters, if any has changed since the last line.
     pub fn log_changed(&mut self, context: &Context<'_>) {
+        for message in mothproxy_invariant::take_messages(env!("CARGO_PKG_NAME")) {
+            tracing::error!("broken invariant: {message}");
+        }
         let core = &*context.core;
         let current = LoggedMetrics { network: *context.metrics, ledger: *core.ledger() };
         if current == *self {
