Bytes of an adopted or paused connection count from when they may have arrived

Cause: the successor assumed that bytes on an adopted socket had waited no longer than the packet that brought it, and kept that time until the first read, which came with the next request. Bytes of a connection that is not read because its responses are unread had no time of their own.

Change: the predecessor says for how long unread bytes may have waited, the successor reads an adopted connection at once, and a pause is recorded.

Measured: an_idle_connection_that_was_handed_over_does_not_age_its_next_request failed before and passes; time_left, upgrade, handover, compatibility, size, bad_clients and leaving pass.

--- a/src/server/downstream/client.rs
+++ b/src/server/downstream/client.rs
@@ -146,10 +146,12 @@
         }
     }
 
-    /// The state that the successor needs. The caller fills in the request.
-    pub(in crate::server) fn to_transferred(&self, now: Micros) -> TransferredClient {
+    /// The state that the successor needs. The caller fills in the request. Bytes that were not read may have been waiting since
+    /// `unread_since`.
+    pub(in crate::server) fn to_transferred(&self, now: Micros, unread_since: Micros) -> TransferredClient {
+        let oldest = self.read_times.oldest().map_or(unread_since, |oldest| oldest.min(unread_since));
         TransferredClient {
-            unread_for: self.read_times.oldest().map(|arrived_at| now.saturating_sub(arrived_at)),
+            unread_for: Some(now.saturating_sub(oldest)),
             is_from_sse_listener: self.is_from_sse_listener,
             is_awaiting_request: self.is_awaiting_request(),
             has_callbacks: self.has_callbacks,
--- a/src/server/downstream/read.rs
+++ b/src/server/downstream/read.rs
@@ -328,6 +328,9 @@
         }
         let can_read = !client.is_reading() || connection.write_queue.len() < MAX_UNREAD_RESPONSES;
         let reading = if can_read { Reading::Wanted } else { Reading::Paused };
+        if reading == Reading::Paused {
+            client.read_times.on_paused(context.shared.polls.earliest_arrival());
+        }
         context.shared.reactor.update_interest(token, &mut connection, reading);
         context.shared.reactor.put(token, connection, Role::Client(client));
     }
--- a/src/server/downstream/read_times.rs
+++ b/src/server/downstream/read_times.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Records that the socket is not read for a while. Bytes may wait there from `since` on.
+    pub fn on_paused(&mut self, since: Micros) {
+        self.unread_since.get_or_insert(since);
+    }
+
     /// Removes the first `bytes` bytes of the buffer. Returns when the last of them arrived, at the earliest; `None` if there are
     /// none.
     pub fn consume(&mut self, bytes: usize) -> Option<Micros> {
--- a/src/server/lifecycle/hot_restart/receiver.rs
+++ b/src/server/lifecycle/hot_restart/receiver.rs
@@ -16,6 +16,7 @@
 use crate::server::downstream::{ClientConnection, Downstream};
 use crate::server::listeners::InheritedListeners;
 use crate::server::transferred::{TransferredClient, split_request};
+use rustix::event::epoll::EventFlags;
 use rustix::io::{Errno, retry_on_intr};
 use rustix::net::SocketAddrUnix;
 use rustix::net::sockopt::{Timeout, set_socket_timeout};
@@ -226,8 +227,8 @@
                 None => connection.write_queue.push(platform::final_response(FinalResponse::Failed, true)),
             }
         }
+        // What has arrived meanwhile is read now: bytes that come later have not waited. The client may also have disconnected.
         let context = &mut client_context!(self);
-        self.clients.advance(context, token, connection, client);
-        self.clients.close_if_disconnected(context, token); // the client may have disconnected before epoll watched it here
+        self.clients.on_ready(context, token, connection, client, EventFlags::IN);
     }
 }
--- a/src/server/lifecycle/hot_restart/sender.rs
+++ b/src/server/lifecycle/hot_restart/sender.rs
@@ -123,7 +123,7 @@
         if is_in_flight || !connection.write_queue.is_empty() || !is_transferable {
             return self.reactor.put(token, connection, Role::Client(client));
         }
-        let mut transferred = client.to_transferred(now);
+        let mut transferred = client.to_transferred(now, self.polls.earliest_unreported());
         let mut raw = None;
         if let Some(request_id) = awaited {
             let Some(released) = self.release_request(request_id, &client) else {
--- a/src/server/transferred.rs
+++ b/src/server/transferred.rs
@@ -22,7 +22,7 @@
     /// Whether a worker sends status callbacks on the connection.
     #[serde(rename = "calls_back")]
     pub has_callbacks: bool,
-    /// For how long bytes that were read may have been waiting, in microseconds; `None` if there are none.
+    /// For how long bytes on the connection may have been waiting, in microseconds; `None` if the version does not say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub unread_for: Option<Micros>,
     /// The request whose response the client awaits.
--- a/tests/time_left.rs
+++ b/tests/time_left.rs
@@ -78,6 +78,36 @@
     DispatcherProcess::builder(&[]).configure(|config| config["known"]["instances"] = json!([entry])).start()
 }
 
+/// A connection that a successor has taken over without a request is as good as any other: a request on it counts from when it
+/// arrives, however long the connection was idle. Guards against counting it from the takeover on.
+#[test]
+fn an_idle_connection_that_was_handed_over_does_not_age_its_next_request() {
+    const BUDGET: Duration = Duration::from_millis(1_000);
+    const IDLE_TIME: Duration = Duration::from_millis(1_500);
+    let (worker, attempts) = start_silent_worker();
+    let temp_dir = tempfile::tempdir().expect("cannot create the temporary directory");
+    let start = |listen: String| {
+        let entry = site::endpoint_entry("s-1", &worker.to_string(), "up");
+        DispatcherProcess::builder(&[])
+            .temp_dir(temp_dir.path())
+            .configure(|config| {
+                config["known"]["instances"] = json!([entry]);
+                config["listen"] = json!(listen);
+            })
+            .start()
+    };
+    let mut predecessor = start("127.0.0.1:0".to_owned());
+    let mut kept = connect(predecessor.platform);
+    kept.write_all(b"GET /up HTTP/1.1\r\nHost: n0\r\n\r\n").expect("write failed");
+    assert_eq!(read_reply(&mut kept).expect("no complete response").status, 200);
+    let _successor = start(predecessor.platform.to_string());
+    predecessor.wait_for_log("hot restart: handing over");
+    std::thread::sleep(IDLE_TIME);
+    kept.write_all(request("a0", BUDGET).as_bytes()).expect("write failed");
+    let attempt = attempts.recv_timeout(BUDGET).expect("no attempt");
+    assert!(attempt.told > BUDGET / 2, "{:?} of {BUDGET:?} told", attempt.told);
+}
+
 /// A request that arrived while the process was held up has waited in its socket, and that time is not told to a worker. The
 /// time used to be counted from when the request was read.
 #[test]
