One place decides whether bytes of an attempt may be sent, and says why not

Cause: the checks stood in Core::may_write, in the writer and in time_left, and a withheld attempt left no reason behind.

Change: core/send_gate.rs takes the facts right before the bytes leave and gives a permit with the time that may be told, or a typed reason. The test of may_write became one of check_send that asks for the reason too; two tests are new.

--- a/src/core/engine/attempts.rs
+++ b/src/core/engine/attempts.rs
@@ -5,6 +5,7 @@
 use crate::core::commands::{AttemptOutcome, Command, FinalResponse, JobStatus};
 use crate::core::job_labels::job_labels;
 use crate::core::ledger::Completion;
+use crate::core::request::PendingRequest;
 use crate::core::request::RequestId;
 use crate::fleet::RunEnd;
 use crate::policy::interface::{AttemptEnded, Class, Event, Idempotency, LoadReport, Micros, Outcome};
@@ -14,7 +15,17 @@
 const ACCEPT_TIMEOUT_DIVISOR: Micros = 2;
 
 impl Core {
-    fn request_class(&self, id: RequestId) -> Option<&Class> {
+    /// A request that has no final response yet.
+    pub(in crate::core) fn open_request(&self, id: RequestId) -> Option<&PendingRequest> {
+        self.requests.get(id).filter(|request| request.is_open())
+    }
+
+    /// The minimum interval between batches of decisions, in microseconds.
+    pub(in crate::core) fn batch_interval(&self) -> Micros {
+        self.batch_interval
+    }
+
+    pub(in crate::core) fn request_class(&self, id: RequestId) -> Option<&Class> {
         self.class_settings(self.requests.get(id)?.job().class)
     }
 
@@ -35,13 +46,6 @@
         is_in_flight && !self.has_started(id)
     }
 
-    /// How long to wait for an attempt's response from now on, in microseconds.
-    pub fn time_left(&self, now: Micros, id: AttemptId) -> Micros {
-        let Some(request) = self.requests.get(id.request_id) else { return 0 };
-        let Some(attempt) = request.attempt(id.number) else { return 0 };
-        attempt.timeout_at().unwrap_or(request.job().deadline).saturating_sub(now)
-    }
-
     /// How long an attempt waits for its worker's first response, in microseconds. `connect_timeout` is how long a connection may
     /// take to be established. `None` if the request may not be repeated: the attempt then waits until its deadline.
     pub fn accept_timeout(&self, id: RequestId, connect_timeout: Micros) -> Option<Micros> {
@@ -49,27 +53,6 @@
         Some(connect_timeout.min(class.deadline / ACCEPT_TIMEOUT_DIVISOR))
     }
 
-    /// Whether bytes of an attempt may still be written now. The state may have changed since the decision to send the attempt.
-    /// The last byte may take `transit_time` to arrive. The caller itself must check whether the worker has stopped.
-    pub fn may_write(&self, now: Micros, id: AttemptId, transit_time: Micros) -> bool {
-        let request = self.requests.get(id.request_id).filter(|request| request.is_open());
-        let Some(request) = request else { return false };
-        let Some(attempt) = request.in_flight(id.number) else { return false };
-        if now >= attempt.timeout_at().unwrap_or(request.job().deadline) {
-            return false;
-        }
-        let others = (0..).zip(request.attempts()).filter(|(number, _)| *number != id.number);
-        let mut may_have_run = others.map(|(_, other)| other).filter(|other| !other.has_never_run());
-        match self.request_class(id.request_id).map(|class| class.idempotency) {
-            Some(Idempotency::IdempotentWithKey { window, .. }) => {
-                let arrives_at = now + self.batch_interval + transit_time;
-                may_have_run.all(|other| arrives_at < other.sent_at() + window)
-            }
-            Some(Idempotency::NonIdempotent) => may_have_run.next().is_none(),
-            Some(Idempotency::Idempotent) | None => true,
-        }
-    }
-
     /// Handles a worker's status callback, by the request's name and the worker's instance id. Returns whether the callback
     /// changed the state. A callback without effect is counted, and its result is kept if the request has an idempotency record.
     pub fn on_job_status(
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -30,6 +30,7 @@
 pub mod peer_lifecycle;
 mod request;
 mod request_table;
+pub mod send_gate;
 pub mod shutdown_plan;
 mod timers;
 pub mod transfer;
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -1,6 +1,7 @@
 //! The counters of the network side, and the log line that shows them together with the core's.
 
 use crate::core::ledger::Ledger;
+use crate::core::send_gate::SendTally;
 use crate::policy::interface::Micros;
 use crate::server::context::Context;
 
@@ -16,6 +17,8 @@
     pub attempts_written: u64,
     /// Attempts that were ended before their last byte was written, because they may no longer be sent.
     pub attempts_withheld: u64,
+    /// Why attempts were withheld, and how many were sent late.
+    pub sends: SendTally,
     /// Configurations reloaded.
     pub reloads: u64,
     /// Reloads whose configuration was rejected.
@@ -56,6 +59,9 @@
         if current == *self {
             return;
         }
+        if current.network.sends != self.network.sends {
+            tracing::info!("sends {}", current.network.sends);
+        }
         *self = current;
         let (network, ledger) = (&self.network, &self.ledger);
         tracing::info!(
--- a/src/server/upstream/write.rs
+++ b/src/server/upstream/write.rs
@@ -4,6 +4,7 @@
 use super::connection::{Exchange, UpstreamConnection, UpstreamState};
 use super::{CANCEL_OR_PROBE_TIMEOUT, max_idle_time};
 use crate::core::AttemptId;
+use crate::core::send_gate::{SendConditions, SendPermit};
 use crate::policy::interface::Outcome;
 use crate::protocol::platform;
 use crate::server::connection::Connection;
@@ -24,22 +25,33 @@
         connection: &mut Connection,
         upstream: &mut UpstreamConnection,
     ) -> bool {
+        let mut permit = None;
         if let Some(length) = upstream.unwritten_length
             && let UpstreamState::AwaitingResponse(Exchange::Attempt(attempt)) = upstream.state
         {
             let has_begun = connection.write_queue.len() < length;
             context.clock.update(); // in a long turn, the time of the poll is too old for this check
-            let is_usable = is_endpoint_usable(context, upstream);
-            let may_write = context.core.may_write(context.now(), attempt, upstream.transit_allowance);
-            if !may_write || !(is_usable || has_begun) {
-                self.withhold_attempt(context, token, connection, upstream, attempt);
-                return is_usable && !has_begun;
+            let conditions = SendConditions {
+                transit_time: upstream.transit_allowance,
+                is_worker_available: is_endpoint_usable(context, upstream),
+                has_begun,
+            };
+            match context.core.check_send(context.now(), attempt, conditions) {
+                Ok(granted) => permit = Some(granted),
+                Err(reason) => {
+                    context.metrics.sends.record_withheld(reason);
+                    self.withhold_attempt(context, token, connection, upstream, attempt);
+                    return conditions.is_worker_available && !has_begun;
+                }
             }
-            if !has_begun {
-                encode_attempt(context, pending, connection, upstream, attempt);
+            if let Some(permit) = permit.filter(|_| !has_begun) {
+                encode_attempt(pending, connection, upstream, attempt, permit);
             }
         }
         let is_connected = connection.flush();
+        if let Some(permit) = permit {
+            context.metrics.sends.record_sent(permit, context.clock.current_time());
+        }
         if is_connected && connection.write_queue.is_empty() {
             self.on_exchange_written(context, upstream);
         }
@@ -133,15 +145,14 @@
 /// Puts an attempt's request into the write queue of its connection. The request states how much time the client has left. It is
 /// encoded only when its first byte is about to be sent, because the connection may have taken long to be established.
 fn encode_attempt(
-    context: &Context<'_>,
     pending: &PendingRequests,
     connection: &mut Connection,
     upstream: &mut UpstreamConnection,
     attempt: AttemptId,
+    permit: SendPermit,
 ) {
     let Some(raw) = pending.get(attempt.request_id) else { return };
-    let time_left = context.core.time_left(context.now(), attempt);
     connection.write_queue.clear();
-    connection.write_queue.push(platform::forwarded_request(raw, time_left));
+    connection.write_queue.push(platform::forwarded_request(raw, permit.time_left));
     upstream.unwritten_length = Some(connection.write_queue.len());
 }
--- a/tests/core/requests.rs
+++ b/tests/core/requests.rs
@@ -1,6 +1,7 @@
 //! The lifecycle of a request: attempts, callbacks, deadlines, and exactly one final response.
 
 use crate::harness::{CoreHarness, MS, StartedAttempt, responses, started};
+use mothproxy::core::send_gate::{MAX_PERMIT_AGE, SendConditions, SendPermit, SendTally, Withheld};
 use mothproxy::core::{AttemptId, AttemptOutcome, Command, FinalResponse, JobStatus, RequestId};
 use mothproxy::{Outcome, WorkerId};
 use quickcheck::{Arbitrary, Gen};
@@ -61,25 +62,50 @@
     let id = harness.accept(1, 5_000 * MS).expect("the request was not accepted");
     let first = started(&harness.advance(5 * MS))[0].id;
     let at = harness.now;
-    assert!(harness.core.may_write(at, first, 0));
-    assert!(
-        !harness.core.may_write(at + 5_000 * MS, first, 0),
-        "an attempt may be written after the deadline"
-    );
+    let check = |harness: &CoreHarness, now, attempt, transit_time| {
+        harness.core.check_send(now, attempt, conditions(transit_time)).map(|permit| permit.time_left)
+    };
+    assert_eq!(check(&harness, at, first, 0), Ok(4_995 * MS), "the time since the arrival is over");
+    assert_eq!(check(&harness, at + 5_000 * MS, first, 0), Err(Withheld::TimeOver));
     harness.core.on_attempt_ended(harness.now, first, AttemptOutcome::Unserved(Outcome::Reset), None);
-    assert!(!harness.core.may_write(at, first, 0), "an ended attempt may be written");
+    assert_eq!(check(&harness, at, first, 0), Err(Withheld::AttemptEnded));
     let second = (0..100).find_map(|_| started(&harness.advance(20 * MS)).pop());
     let second = second.expect("no second attempt in the same cell").id;
-    assert!(harness.core.may_write(harness.now, second, 0));
-    assert!(
-        !harness.core.may_write(harness.now, second, 40_000 * MS),
-        "an attempt may be written that would arrive after the window"
-    );
+    assert!(check(&harness, harness.now, second, 0).is_ok());
+    let late = check(&harness, harness.now, second, 40_000 * MS);
+    assert_eq!(late, Err(Withheld::MayHaveRun), "the attempt would arrive after the window");
     harness.core.on_client_disconnected(harness.now, id);
-    assert!(
-        !harness.core.may_write(harness.now, second, 0),
-        "an attempt may be written for a disconnected client"
-    );
+    assert_eq!(check(&harness, harness.now, second, 0), Err(Withheld::RequestEnded));
+}
+
+/// A worker that drains gets no new attempt, and the rest of one that has begun.
+#[test]
+fn a_draining_worker_gets_only_the_rest_of_what_has_begun() {
+    let mut harness = CoreHarness::new(1);
+    harness.accept(0, 5_000 * MS).expect("the request was not accepted");
+    let attempt = started(&harness.advance(5 * MS))[0].id;
+    let draining = SendConditions { is_worker_available: false, ..conditions(0) };
+    let withheld = harness.core.check_send(harness.now, attempt, draining);
+    assert_eq!(withheld, Err(Withheld::WorkerUnavailable));
+    let begun = SendConditions { has_begun: true, ..draining };
+    assert!(harness.core.check_send(harness.now, attempt, begun).is_ok());
+}
+
+/// A permit that is used late, because the process was held up, is counted.
+#[test]
+fn permits_that_are_used_late_are_counted() {
+    let permit = SendPermit { granted_at: 1_000, time_left: 5_000 * MS };
+    let mut tally = SendTally::default();
+    tally.record_sent(permit, 1_000 + MAX_PERMIT_AGE);
+    tally.record_sent(permit, 1_001 + MAX_PERMIT_AGE);
+    tally.record_withheld(Withheld::TimeOver);
+    let text = "request_ended=0 attempt_ended=0 time_over=1 may_have_run=0 worker_unavailable=0 outdated=1";
+    assert_eq!(tally.to_string(), text);
+}
+
+/// The conditions of an attempt to a worker that takes work, of which nothing was sent.
+fn conditions(transit_time: u64) -> SendConditions {
+    SendConditions { transit_time, is_worker_available: true, has_begun: false }
 }
 
 #[test]
