An unsafe request takes no connection on which an earlier response may still come

Cause: after a 202 that may have been a copy, a connection rested for the copy window and was then used again. A worker that hangs sends its own response to the earlier request seconds later; it was taken for that to the next one, and a 503 of it for a proof that this one never ran.

Change: requests that may not be repeated anywhere use such a connection only once the earlier attempt is known to have started; otherwise another or a new one. Requests of other classes are as before.

--- a/src/core/engine/attempts.rs
+++ b/src/core/engine/attempts.rs
@@ -46,6 +46,11 @@
         is_in_flight && !self.has_started(id)
     }
 
+    /// Whether a request may be repeated at any worker, whatever has run before.
+    pub fn may_repeat_anywhere(&self, id: RequestId) -> bool {
+        self.request_class(id).is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
     /// How long an attempt waits for its worker's first response, in microseconds. `connect_timeout` is how long a connection may
     /// take to be established. `None` if the request may not be repeated: the attempt then waits until its deadline.
     pub fn accept_timeout(&self, id: RequestId, connect_timeout: Micros) -> Option<Micros> {
--- a/src/server/upstream/idle_pool.rs
+++ b/src/server/upstream/idle_pool.rs
@@ -10,6 +10,15 @@
 use crate::server::tokens::Token;
 use std::collections::HashMap;
 
+/// Which connections an exchange may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// Those that have rested.
+    Rested,
+    /// Of these, only those on which no response to an earlier exchange may still arrive.
+    Certain,
+}
+
 /// An idle connection.
 #[derive(Clone, Copy, Debug)]
 struct IdleConnection {
@@ -44,18 +53,26 @@
     }
 
     /// Removes the most recently added connection to a worker that may be used at `now`, and returns it. Settled connections
-    /// come first. `has_started` says whether the worker has reported the start of an attempt.
+    /// come first. `has_started` says whether the worker has reported the start of an attempt. With [`Reuse::Certain`], a
+    /// connection whose last acceptance is uncertain is used only once its attempt has started: a worker that hangs may send
+    /// its own response to that attempt at any later time.
     pub fn take_rested(
         &mut self,
         worker: WorkerId,
         now: Micros,
+        reuse: Reuse,
         has_started: impl Fn(AttemptId) -> bool,
     ) -> Option<Token> {
         let connections = self.by_worker.get(&worker)?;
+        let is_certain = |connection: &IdleConnection| {
+            reuse == Reuse::Rested || connection.uncertain_attempt.is_none_or(&has_started)
+        };
         let is_rested = |connection: &IdleConnection| {
-            connection.rested_at <= now || connection.uncertain_attempt.is_some_and(&has_started)
+            let has_rested = connection.rested_at <= now;
+            is_certain(connection) && (has_rested || connection.uncertain_attempt.is_some_and(&has_started))
         };
-        let settled = connections.iter().rposition(|connection| connection.settled_at <= now);
+        let is_settled = |connection: &IdleConnection| connection.settled_at <= now && is_certain(connection);
+        let settled = connections.iter().rposition(is_settled);
         let position = settled.or_else(|| connections.iter().rposition(is_rested))?;
         self.take_at(worker, position)
     }
--- a/src/server/upstream/idle_pool/tests.rs
+++ b/src/server/upstream/idle_pool/tests.rs
@@ -1,4 +1,4 @@
-use super::IdlePool;
+use super::{IdlePool, Reuse};
 use crate::core::{AttemptId, RequestId};
 use crate::policy::interface::{Micros, WorkerId};
 use crate::server::tokens::Token;
@@ -29,9 +29,21 @@
         pool.add(token(slot), connection);
     }
     pool.add(token(9), &connection(OTHER, 202, 0));
-    assert_eq!(pool.take_rested(WORKER, WINDOW, |_| true), Some(token(0)), "the only settled connection");
-    assert_eq!(pool.take_rested(WORKER, WINDOW, |_| true), Some(token(1)), "not settled, and usable");
-    assert_eq!(pool.take_rested(WORKER, WINDOW, |_| true), None, "the last connection rests after a failure");
+    assert_eq!(
+        pool.take_rested(WORKER, WINDOW, Reuse::Rested, |_| true),
+        Some(token(0)),
+        "the only settled connection"
+    );
+    assert_eq!(
+        pool.take_rested(WORKER, WINDOW, Reuse::Rested, |_| true),
+        Some(token(1)),
+        "not settled, and usable"
+    );
+    assert_eq!(
+        pool.take_rested(WORKER, WINDOW, Reuse::Rested, |_| true),
+        None,
+        "the last connection rests after a failure"
+    );
     pool.add(token(3), &connection(WORKER, 202, 200));
     assert_eq!(pool.take_oldest(), Some(token(2)), "the oldest of the worker with the most");
     pool.remove(WORKER, token(3));
@@ -48,8 +60,14 @@
     uncertain.attribution.on_response(202, 2, WINDOW);
     uncertain.uncertain_attempt = Some(attempt);
     pool.add(token(0), &uncertain);
-    assert_eq!(pool.take_rested(WORKER, 3, |_| false), None);
-    assert_eq!(pool.take_rested(WORKER, 3, |started| started == attempt), Some(token(0)));
+    assert_eq!(pool.take_rested(WORKER, 3, Reuse::Rested, |_| false), None);
+    assert_eq!(pool.take_rested(WORKER, 3, Reuse::Rested, |started| started == attempt), Some(token(0)));
     pool.add(token(0), &uncertain);
-    assert_eq!(pool.take_rested(WORKER, 2 + WINDOW, |_| false), Some(token(0)));
+    assert_eq!(pool.take_rested(WORKER, 2 + WINDOW, Reuse::Rested, |_| false), Some(token(0)));
+    // A worker that hangs sends its own response at any later time, which must not be taken for that to an unsafe request.
+    pool.add(token(0), &uncertain);
+    assert_eq!(pool.take_rested(WORKER, 100 * WINDOW, Reuse::Certain, |_| false), None);
+    assert_eq!(pool.take_rested(WORKER, 3, Reuse::Certain, |_| true), Some(token(0)));
+    pool.add(token(1), &connection(WORKER, 202, 0));
+    assert_eq!(pool.take_rested(WORKER, WINDOW, Reuse::Certain, |_| false), Some(token(1)));
 }
--- a/src/server/upstream/start.rs
+++ b/src/server/upstream/start.rs
@@ -4,6 +4,7 @@
 use super::attribution::Attribution;
 use super::connection::{CancelRequest, Exchange, UpstreamConnection, UpstreamState};
 use super::end::end_attempt;
+use super::idle_pool::Reuse;
 use super::{CANCEL_OR_PROBE_TIMEOUT, PendingProbe, copy_window, max_idle_time};
 use crate::core::AttemptId;
 use crate::core::endpoint_table::Endpoint;
@@ -30,6 +31,8 @@
     message: Vec<Piece>,
     /// Whether an idle connection must not be used.
     needs_new_connection: bool,
+    /// Which idle connections may be used.
+    reuse: Reuse,
 }
 
 /// A connection that was taken out of the pool.
@@ -69,6 +72,8 @@
             message: Vec::new(),
             // A request has few attempts. Once it has lost one to a broken reused connection, the others use new connections.
             needs_new_connection: self.pending.has_broken_attempt(request_id),
+            // The response to an earlier exchange must not be taken for a proof that this attempt never ran.
+            reuse: if self.core.may_repeat_anywhere(request_id) { Reuse::Rested } else { Reuse::Certain },
         };
         if let Some(token) = self.assign_connection(outgoing) {
             self.upstream.attempts.insert(attempt, token);
@@ -101,6 +106,7 @@
             response_timeout: Some(CANCEL_OR_PROBE_TIMEOUT),
             message: platform::cancel(name),
             needs_new_connection: false,
+            reuse: Reuse::Rested,
         };
         if let Some(token) = self.assign_connection(outgoing) {
             if let Some(attempt) = ending_attempt {
@@ -117,6 +123,7 @@
             response_timeout: Some(CANCEL_OR_PROBE_TIMEOUT),
             message: platform::load_probe(),
             needs_new_connection: false,
+            reuse: Reuse::Rested,
         };
         if let Some(token) = self.assign_connection(outgoing) {
             let probe = PendingProbe { worker, sent_at: self.clock.now() };
@@ -130,7 +137,7 @@
     fn assign_connection(&mut self, outgoing: OutgoingExchange) -> Option<Token> {
         let address = self.core.endpoints().get(outgoing.worker).map(Endpoint::address);
         if !outgoing.needs_new_connection
-            && let Some(idle) = self.upstream.take_idle(&mut context!(self), outgoing.worker, address)
+            && let Some(idle) = self.upstream.take_idle(&mut context!(self), &outgoing, address)
         {
             return Some(idle.reuse(&mut self.reactor, outgoing, self.clock.now()));
         }
@@ -185,12 +192,13 @@
     fn take_idle(
         &mut self,
         context: &mut Context<'_>,
-        worker: WorkerId,
+        outgoing: &OutgoingExchange,
         address: Option<SocketAddr>,
     ) -> Option<IdleUpstream> {
         let now = context.now();
-        while let Some(token) =
-            self.idle.take_rested(worker, now, |attempt| context.core.has_started(attempt))
+        while let Some(token) = self
+            .idle
+            .take_rested(outgoing.worker, now, outgoing.reuse, |attempt| context.core.has_started(attempt))
         {
             let Some((mut connection, Role::Upstream(upstream))) = context.reactor.take(token) else {
                 continue;
