A predecessor that serves again reads the records that its successor wrote

Cause: RecordStore::reopen opened the store and dropped what recovery had read, so that the predecessor knew the keys only as of the handover.

Change: whoever opens the store again loads its records before the next write, and the predecessor does so as soon as its successor has ended. The store is recovered and read in that turn.

--- a/src/core/engine/idempotency.rs
+++ b/src/core/engine/idempotency.rs
@@ -22,15 +22,23 @@
         max_bytes: usize,
         persisted: impl Iterator<Item = PersistedRecord>,
     ) -> Vec<(String, RecordDecodeError)> {
-        let mut store = IdempotencyStore::new(max_bytes);
-        let unreadable = persisted
-            .filter_map(|record| {
-                let error = store.load_persisted(now, &record).err()?;
-                Some((record.key, error))
-            })
-            .collect();
-        self.idempotency = Some(store);
-        unreadable
+        self.idempotency = Some(IdempotencyStore::new(max_bytes));
+        self.load_records(now, persisted)
+    }
+
+    /// Loads persisted records, each in place of the one that is kept for its key. Returns the keys whose records cannot be
+    /// decoded, each with the reason.
+    pub fn load_records(
+        &mut self,
+        now: Micros,
+        persisted: impl Iterator<Item = PersistedRecord>,
+    ) -> Vec<(String, RecordDecodeError)> {
+        let Some(store) = &mut self.idempotency else { return Vec::new() };
+        let load = |record: PersistedRecord| {
+            let error = store.load_persisted(now, &record).err()?;
+            Some((record.key, error))
+        };
+        persisted.filter_map(load).collect()
     }
 
     /// Treats the deduplication window of every recorded attempt as over, because the clock may not show all the time that has
--- a/src/server/idempotency_store.rs
+++ b/src/server/idempotency_store.rs
@@ -92,9 +92,22 @@
         if self.lifecycle.has_handed_over() {
             return self.persist_at_successor(ticket, key, record.as_deref());
         }
+        self.reopen_record_store();
         if let Some(records) = &mut self.records {
             let waiter = ticket.map_or(Waiter::Nobody, Waiter::Core);
-            records.write(self.clock.now(), waiter, &key, record);
+            records.write(waiter, &key, record);
+        }
+    }
+
+    /// Opens the store again if it is not open, and loads what a successor that has ended wrote in the meantime. Blocks while the
+    /// store is recovered and read.
+    pub(in crate::server) fn reopen_record_store(&mut self) {
+        let now = self.clock.now();
+        let Some(records) = &mut self.records else { return };
+        if records.reopen_if_closed(now) {
+            for (key, error) in self.core.load_records(now, records.records()) {
+                tracing::error!(key, %error, "idempotency store: unreadable record");
+            }
         }
     }
 
@@ -114,12 +127,13 @@
         key: &str,
         record: Option<Vec<u8>>,
     ) {
+        self.reopen_record_store();
         let now = self.clock.now();
         self.core.load_record(now, key, record.as_deref());
         match (&mut self.records, ticket) {
             (Some(records), ticket) => {
                 let waiter = ticket.map_or(Waiter::Nobody, Waiter::Predecessor);
-                records.write(now, waiter, key, record);
+                records.write(waiter, key, record);
             }
             // This process has no store: the predecessor must continue as if the record were persisted.
             (None, Some(ticket)) => {
--- a/src/server/idempotency_store/record_store.rs
+++ b/src/server/idempotency_store/record_store.rs
@@ -109,16 +109,7 @@
     }
 
     /// Writes a record, or deletes it if `record` is `None`. A completion is queued in any case.
-    pub(in crate::server) fn write(
-        &mut self,
-        now: Micros,
-        waiter: Waiter,
-        key: &str,
-        record: Option<Vec<u8>>,
-    ) {
-        if self.store.is_none() {
-            self.reopen(now);
-        }
+    pub(in crate::server) fn write(&mut self, waiter: Waiter, key: &str, record: Option<Vec<u8>>) {
         if let Err(error) = self.submit(waiter, key, record) {
             self.sender.send(WriteCompletion { waiter, result: Err(error) });
         }
@@ -144,16 +135,19 @@
         store.submit(batch, Box::new(on_written)).map_err(|error| RecordWriteError::Submit(Arc::new(error)))
     }
 
-    /// Tries to open the store again, at most once per [`REOPEN_INTERVAL`].
-    fn reopen(&mut self, now: Micros) {
-        if self.last_open_attempt.is_some_and(|last| now < last + REOPEN_INTERVAL) {
-            return;
+    /// Tries to open the store again if it is not open, at most once per [`REOPEN_INTERVAL`]. Returns whether it was opened now.
+    /// It may then hold records of another process, which the caller must load.
+    pub(super) fn reopen_if_closed(&mut self, now: Micros) -> bool {
+        let is_too_early = self.last_open_attempt.is_some_and(|last| now < last + REOPEN_INTERVAL);
+        if self.store.is_some() || is_too_early {
+            return false;
         }
         self.last_open_attempt = Some(now);
         match open_store(&self.settings) {
             Ok((store, _)) => self.store = Some(store),
             Err(error) => self.set_failing(RecordWriteError::Open(Arc::new(error))),
         }
+        self.store.is_some()
     }
 
     /// Removes and returns the completions that have arrived, and counts the failed writes.
--- a/src/server/lifecycle/hot_restart/mod.rs
+++ b/src/server/lifecycle/hot_restart/mod.rs
@@ -233,6 +233,7 @@
             "the listening sockets cannot be watched again after the successor has ended"
         );
         self.core.fail_unpersisted();
+        self.reopen_record_store();
         self.hot_restart.open_socket(&self.reactor);
         let context = &mut context!(self);
         self.peers.announce_state(context);
