--- a/crates/testkit/src/soak/discovery.rs
+++ b/crates/testkit/src/soak/discovery.rs
@@ -36,7 +36,7 @@
     endpoints: Mutex<Vec<Endpoint>>,
     generation: watch::Sender<u64>,
     /// By process: when it was notified that a worker drains.
-    drains_told: Vec<Mutex<HashMap<usize, Micros>>>,
+    drains_notified: Vec<Mutex<HashMap<usize, Micros>>>,
     /// Whether the service answers nobody.
     is_down: AtomicBool,
     /// Raised to end all open watches.
@@ -63,7 +63,7 @@
         Discovery {
             endpoints: Mutex::new(addresses.iter().enumerate().map(endpoint).collect()),
             generation: watch::Sender::new(1),
-            drains_told: (0..processes).map(|_| Mutex::default()).collect(),
+            drains_notified: (0..processes).map(|_| Mutex::default()).collect(),
             is_down: AtomicBool::new(false),
             cuts: AtomicU64::new(0),
             whole_list: Mutex::default(),
@@ -76,13 +76,13 @@
     }
 
     /// When a process was notified that a worker drains; `None` if it was not, or if the worker is up again.
-    pub(super) fn drain_told_at(&self, process: usize, worker: usize) -> Option<Micros> {
-        self.drains_told[process].lock().expect("mutex poisoned").get(&worker).copied()
+    pub(super) fn drain_notified_at(&self, process: usize, worker: usize) -> Option<Micros> {
+        self.drains_notified[process].lock().expect("mutex poisoned").get(&worker).copied()
     }
 
     /// A process starts anew: it knows what its configuration says, and is notified of the rest.
     pub(super) fn on_process_started(&self, process: usize) {
-        self.drains_told[process].lock().expect("mutex poisoned").clear();
+        self.drains_notified[process].lock().expect("mutex poisoned").clear();
     }
 
     /// The whole list, in the form of discovery.
@@ -113,14 +113,14 @@
     }
 
     /// Records that a process has been notified of the present list.
-    fn on_told(&self, process: usize, at: Micros) {
+    fn on_notified(&self, process: usize, at: Micros) {
         let endpoints = self.endpoints.lock().expect("mutex poisoned");
-        let mut told = self.drains_told[process].lock().expect("mutex poisoned");
+        let mut notified = self.drains_notified[process].lock().expect("mutex poisoned");
         for (number, endpoint) in endpoints.iter().enumerate() {
             if endpoint.is_draining {
-                told.entry(number).or_insert(at);
+                notified.entry(number).or_insert(at);
             } else {
-                told.remove(&number);
+                notified.remove(&number);
             }
         }
     }
@@ -141,12 +141,12 @@
         self.generation.send_replace(generation);
     }
 
-    /// A process learns that a worker is up again only when it is told; until then an attempt there is no fault. A worker that is
+    /// A process learns that a worker is up again only when it is notified; until then an attempt there is no fault. A worker that is
     /// up again for discovery no longer counts as draining.
     fn forgive_returned(&self) {
         let endpoints = self.endpoints.lock().expect("mutex poisoned");
-        for told in &self.drains_told {
-            told.lock().expect("mutex poisoned").retain(|number, _| endpoints[*number].is_draining);
+        for notified in &self.drains_notified {
+            notified.lock().expect("mutex poisoned").retain(|number, _| endpoints[*number].is_draining);
         }
     }
 }
@@ -217,7 +217,7 @@
         }
         if !request.target.contains("stream=1") {
             let list = shared.discovery.whole_list_text().text;
-            shared.discovery.on_told(process, shared.now());
+            shared.discovery.on_notified(process, shared.now());
             if stream.write_all(response("200 OK", "", &list).as_bytes()).await.is_err() {
                 return;
             }
@@ -264,7 +264,7 @@
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 return;
             }
-            shared.discovery.on_told(process, at.max(shared.now()));
+            shared.discovery.on_notified(process, at.max(shared.now()));
         }
         if tokio::time::timeout(HEARTBEAT_INTERVAL, changed.changed()).await.is_err()
             && stream.write_all(b"1\r\n\n\r\n").await.is_err()
--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -1,8 +1,8 @@
 //! The soak: random, overlapping faults over many real processes of the program, judged by the rules that hold for every request.
 //!
-//! All traffic stays on loopback. [`plan`] draws a run from its seed, [`run`] plays it, and [`Report`] has the findings. Clients,
-//! workers and discovery are simulated in this process; the dispatchers are the built program, which [`process`] starts and
-//! signals, and to which [`throttle`] grants a part of a core. [`requests`] has the rules.
+//! All traffic stays on loopback. `plan` draws a run from its seed, [`run`] plays it, and [`Report`] has the findings. Clients,
+//! workers and discovery are simulated in this process; the dispatchers are the built program, which `process` starts and
+//! signals, and to which `throttle` grants a part of a core. `requests` has the rules.
 
 mod addresses;
 mod client;
--- a/crates/testkit/src/soak/requests.rs
+++ b/crates/testkit/src/soak/requests.rs
@@ -8,7 +8,7 @@
 /// An attempt may begin so long after its client has left.
 const LEFT_GRACE: Micros = 100 * MICROS_PER_MS;
 /// The time told to a worker may exceed the client's by so much.
-const TOLD_SLACK: Micros = 150 * MICROS_PER_MS;
+const TIME_LEFT_SLACK: Micros = 150 * MICROS_PER_MS;
 /// The final answer may come so long after the request's time.
 const ANSWER_GRACE: Micros = 500 * MICROS_PER_MS;
 /// Every time limit on sockets is longer by this.
@@ -72,7 +72,7 @@
     pub cell: u32,
     pub at: Micros,
     /// The time that the dispatcher says is left; `None` if it says nothing.
-    pub told: Option<Micros>,
+    pub stated_time: Option<Micros>,
     /// By how much the measured times may be too late.
     pub lag: Micros,
 }
@@ -168,7 +168,7 @@
 
 impl Request {
     fn check_times(&self, id: &str, arrived: ArrivedAttempt, report: &Report) {
-        let ArrivedAttempt { at, told, lag, worker, .. } = arrived;
+        let ArrivedAttempt { at, stated_time, lag, worker, .. } = arrived;
         let ms = |micros: Micros| micros / MICROS_PER_MS;
         let ends_at = self.sent_at + self.budget;
         if let Some(left_at) = self.left_at.filter(|left_at| at > left_at + LEFT_GRACE + lag) {
@@ -187,8 +187,8 @@
             report.find(at, Rule::SentAfterDeadline, text);
         }
         let left = ends_at.saturating_sub(at);
-        if let Some(told) = told.filter(|told| *told > left + TOLD_SLACK + lag) {
-            let text = format!("{id} of n{}: {} ms told, {} ms left", self.process, ms(told), ms(left));
+        if let Some(stated) = stated_time.filter(|stated| *stated > left + TIME_LEFT_SLACK + lag) {
+            let text = format!("{id} of n{}: {} ms told, {} ms left", self.process, ms(stated), ms(left));
             report.find(at, Rule::ToldTooLong, text);
         }
     }
--- a/crates/testkit/src/soak/worker.rs
+++ b/crates/testkit/src/soak/worker.rs
@@ -74,10 +74,10 @@
             continue;
         }
         let Some(id) = request.field("x-correlation-id").map(str::to_owned) else { return };
-        let told = request.field("x-time-left-ms").and_then(|told| told.parse::<f64>().ok());
-        let told = told.map(|told| (told * MICROS_PER_MS as f64) as Micros);
+        let stated_time = request.field("x-time-left-ms").and_then(|text| text.parse::<f64>().ok());
+        let stated_time = stated_time.map(|ms| (ms * MICROS_PER_MS as f64) as Micros);
         let arrived =
-            ArrivedAttempt { worker, cell: shared.cell(worker), at, told, lag: shared.lag.recent() };
+            ArrivedAttempt { worker, cell: shared.cell(worker), at, stated_time, lag: shared.lag.recent() };
         shared.report.count("attempts", 1);
         let process = shared.requests.on_attempt(&id, arrived, &shared.report);
         let Some(process) = process else { return };
@@ -90,9 +90,9 @@
 
 /// Checks that the process had not been notified that the worker drains or is gone.
 fn check_drain(shared: &Shared, process: usize, worker: usize, id: &str, arrived: ArrivedAttempt) {
-    let Some(told_at) = shared.discovery.drain_told_at(process, worker) else { return };
-    if arrived.at > told_at + shared.drain_grace + arrived.lag {
-        let late = (arrived.at - told_at) / MICROS_PER_MS;
+    let Some(notified_at) = shared.discovery.drain_notified_at(process, worker) else { return };
+    if arrived.at > notified_at + shared.drain_grace + arrived.lag {
+        let late = (arrived.at - notified_at) / MICROS_PER_MS;
         let text = format!("{id} of n{process} at worker {worker}, {late} ms after the list");
         shared.report.find(arrived.at, Rule::SentToDraining, text);
     }
--- a/src/config/list_reader.rs
+++ b/src/config/list_reader.rs
@@ -5,6 +5,7 @@
 //! example with an escaped key, is parsed at once by [`EndpointList::from_json`].
 
 use super::endpoint_list::{EndpointList, RowCollector};
+use super::json_string::StringState;
 use serde_json::Value;
 use std::ops::Range;
 
@@ -28,16 +29,6 @@
     Complete(Option<EndpointList>),
 }
 
-/// The position of a scan in relation to JSON strings, inside of which brackets have no meaning.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum StringState {
-    #[default]
-    Outside,
-    Inside,
-    /// Inside, after a backslash: the next byte does not end the string.
-    Escaped,
-}
-
 /// The reader of one list.
 #[derive(Debug)]
 pub struct ListReader {
@@ -81,7 +72,7 @@
         }
     }
 
-    /// Reads up to `max_rows` further rows, and no more than [`MAX_BYTES_PER_READ`] bytes.
+    /// Reads up to `max_rows` further rows, and no more than 128 KiB of the text.
     pub fn read(&mut self, max_rows: usize) -> ListProgress {
         let mut rows_left = max_rows;
         let last = self.scanned + MAX_BYTES_PER_READ;
@@ -126,11 +117,7 @@
     }
 
     fn scan_in_string(&mut self, at: usize, byte: u8) {
-        self.string = match (self.string, byte) {
-            (StringState::Inside, b'"') => StringState::Outside,
-            (StringState::Inside, b'\\') => StringState::Escaped,
-            _ => StringState::Inside,
-        };
+        self.string = self.string.after(byte);
         if self.depth == FIELD_DEPTH {
             self.is_irregular |= byte == b'\\';
             if self.string == StringState::Outside {
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -111,7 +111,7 @@
 /// A command for the server.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
-    /// Send an attempt to a worker. [`Core::time_left`](super::Core::time_left) says how long to wait for its response.
+    /// Send an attempt to a worker. [`Core::check_send`](super::Core::check_send) says how long to wait for its response.
     StartAttempt {
         /// The attempt.
         attempt: AttemptId,
--- a/src/core/send_gate.rs
+++ b/src/core/send_gate.rs
@@ -45,7 +45,7 @@
 
 /// Why bytes of an attempt may not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Withheld {
+pub enum SendRefusal {
     /// The request has ended: it was answered, or its client has left.
     RequestEnded,
     /// The attempt has ended: it was cancelled or timed out.
@@ -71,13 +71,13 @@
 
 impl SendTally {
     /// Counts bytes that were withheld.
-    pub fn record_withheld(&mut self, reason: Withheld) {
+    pub fn record_refusal(&mut self, reason: SendRefusal) {
         *match reason {
-            Withheld::RequestEnded => &mut self.request_ended,
-            Withheld::AttemptEnded => &mut self.attempt_ended,
-            Withheld::TimeOver => &mut self.time_over,
-            Withheld::MayHaveRun => &mut self.may_have_run,
-            Withheld::WorkerUnavailable => &mut self.worker_unavailable,
+            SendRefusal::RequestEnded => &mut self.request_ended,
+            SendRefusal::AttemptEnded => &mut self.attempt_ended,
+            SendRefusal::TimeOver => &mut self.time_over,
+            SendRefusal::MayHaveRun => &mut self.may_have_run,
+            SendRefusal::WorkerUnavailable => &mut self.worker_unavailable,
         } += 1;
     }
 
@@ -112,19 +112,19 @@
         now: Micros,
         id: AttemptId,
         conditions: SendConditions,
-    ) -> Result<SendPermit, Withheld> {
-        let request = self.open_request(id.request_id).ok_or(Withheld::RequestEnded)?;
-        let attempt = request.in_flight(id.number).ok_or(Withheld::AttemptEnded)?;
+    ) -> Result<SendPermit, SendRefusal> {
+        let request = self.open_request(id.request_id).ok_or(SendRefusal::RequestEnded)?;
+        let attempt = request.in_flight(id.number).ok_or(SendRefusal::AttemptEnded)?;
         let ends_at = attempt.timeout_at().unwrap_or(request.job().deadline);
         if now >= ends_at {
-            return Err(Withheld::TimeOver);
+            return Err(SendRefusal::TimeOver);
         }
         let arrives_at = now + self.batch_interval() + conditions.transit_time;
         if !self.may_repeat(request, id, arrives_at) {
-            return Err(Withheld::MayHaveRun);
+            return Err(SendRefusal::MayHaveRun);
         }
         if !conditions.is_worker_available && !conditions.has_begun {
-            return Err(Withheld::WorkerUnavailable);
+            return Err(SendRefusal::WorkerUnavailable);
         }
         Ok(SendPermit { granted_at: now, time_left: ends_at - now })
     }
--- a/src/core/watch_liveness/object_splitter.rs
+++ b/src/core/watch_liveness/object_splitter.rs
@@ -1,5 +1,7 @@
 //! The framing of a watch: a stream of bytes is split into objects and empty lines.
 
+use crate::config::StringState;
+
 /// Splits the data of a watch into JSON objects, each of which may have any number of lines. Each byte is scanned once.
 #[derive(Debug, Default)]
 pub struct ObjectSplitter {
@@ -16,27 +18,6 @@
     has_empty_line: bool,
 }
 
-/// Whether the scan is inside a JSON string, where brackets have no meaning.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum StringState {
-    #[default]
-    Outside,
-    Inside,
-    /// Inside, after a backslash: the next byte does not end the string.
-    Escaped,
-}
-
-impl StringState {
-    /// The state after a byte of a string.
-    fn after(self, byte: u8) -> StringState {
-        match (self, byte) {
-            (StringState::Inside, b'"') => StringState::Outside,
-            (StringState::Inside, b'\\') => StringState::Escaped,
-            _ => StringState::Inside,
-        }
-    }
-}
-
 impl ObjectSplitter {
     /// Appends received bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
--- a/src/server/downstream/read.rs
+++ b/src/server/downstream/read.rs
@@ -54,15 +54,7 @@
         }
         let mut has_ended = false;
         if flags.intersects(EventFlags::IN | HANGUP) {
-            let length_before = connection.read_buffer.len();
-            let end = connection.fill(client.max_read_buffer(length_before));
-            let is_complete = end == ReadEnd::WouldBlock;
-            let earliest = context.shared.polls.earliest_arrival();
-            client.read_times.on_read(connection.read_buffer.len(), earliest, is_complete);
-            if connection.read_buffer.len() > length_before {
-                self.on_bytes_read(token, &mut client, context.now());
-            }
-            match end {
+            match self.read_bytes(context, token, &mut connection, &mut client) {
                 ReadEnd::WouldBlock => has_ended = flags.intersects(HANGUP),
                 // The client has disconnected, and there is more to read than one request.
                 ReadEnd::LimitReached if flags.intersects(HANGUP) => {
@@ -91,6 +83,24 @@
         }
     }
 
+    /// Reads as much as the connection may buffer, and records when it arrived.
+    fn read_bytes(
+        &mut self,
+        context: &ClientContext<'_>,
+        token: Token,
+        connection: &mut Connection,
+        client: &mut ClientConnection,
+    ) -> ReadEnd {
+        let length_before = connection.read_buffer.len();
+        let end = connection.fill(client.max_read_buffer(length_before));
+        let earliest = context.shared.polls.earliest_arrival();
+        client.read_times.on_read(connection.read_buffer.len(), earliest, end == ReadEnd::WouldBlock);
+        if connection.read_buffer.len() > length_before {
+            self.on_bytes_read(token, client, context.now());
+        }
+        end
+    }
+
     /// If `flags` say that a client has disconnected, handles its event ahead of those of other connections.
     pub(in crate::server) fn on_hangup(
         &mut self,
--- a/src/server/upstream/write.rs
+++ b/src/server/upstream/write.rs
@@ -39,7 +39,7 @@
             match context.core.check_send(context.now(), attempt, conditions) {
                 Ok(granted) => permit = Some(granted),
                 Err(reason) => {
-                    context.metrics.sends.record_withheld(reason);
+                    context.metrics.sends.record_refusal(reason);
                     self.withhold_attempt(context, token, connection, upstream, attempt);
                     return conditions.is_worker_available && !has_begun;
                 }
--- a/tests/core/requests.rs
+++ b/tests/core/requests.rs
@@ -1,7 +1,7 @@
 //! The lifecycle of a request: attempts, callbacks, deadlines, and exactly one final response.
 
 use crate::harness::{CoreHarness, MS, StartedAttempt, responses, started};
-use mothproxy::core::send_gate::{MAX_PERMIT_AGE, SendConditions, SendPermit, SendTally, Withheld};
+use mothproxy::core::send_gate::{MAX_PERMIT_AGE, SendConditions, SendPermit, SendRefusal, SendTally};
 use mothproxy::core::{AttemptId, AttemptOutcome, Command, FinalResponse, JobStatus, RequestId};
 use mothproxy::{Outcome, WorkerId};
 use quickcheck::{Arbitrary, Gen};
@@ -66,16 +66,16 @@
         harness.core.check_send(now, attempt, conditions(transit_time)).map(|permit| permit.time_left)
     };
     assert_eq!(check(&harness, at, first, 0), Ok(4_995 * MS), "the time since the arrival is over");
-    assert_eq!(check(&harness, at + 5_000 * MS, first, 0), Err(Withheld::TimeOver));
+    assert_eq!(check(&harness, at + 5_000 * MS, first, 0), Err(SendRefusal::TimeOver));
     harness.core.on_attempt_ended(harness.now, first, AttemptOutcome::Unserved(Outcome::Reset), None);
-    assert_eq!(check(&harness, at, first, 0), Err(Withheld::AttemptEnded));
+    assert_eq!(check(&harness, at, first, 0), Err(SendRefusal::AttemptEnded));
     let second = (0..100).find_map(|_| started(&harness.advance(20 * MS)).pop());
     let second = second.expect("no second attempt in the same cell").id;
     assert!(check(&harness, harness.now, second, 0).is_ok());
     let late = check(&harness, harness.now, second, 40_000 * MS);
-    assert_eq!(late, Err(Withheld::MayHaveRun), "the attempt would arrive after the window");
+    assert_eq!(late, Err(SendRefusal::MayHaveRun), "the attempt would arrive after the window");
     harness.core.on_client_disconnected(harness.now, id);
-    assert_eq!(check(&harness, harness.now, second, 0), Err(Withheld::RequestEnded));
+    assert_eq!(check(&harness, harness.now, second, 0), Err(SendRefusal::RequestEnded));
 }
 
 /// A worker that drains gets no new attempt, and the rest of one that has begun.
@@ -86,7 +86,7 @@
     let attempt = started(&harness.advance(5 * MS))[0].id;
     let draining = SendConditions { is_worker_available: false, ..conditions(0) };
     let withheld = harness.core.check_send(harness.now, attempt, draining);
-    assert_eq!(withheld, Err(Withheld::WorkerUnavailable));
+    assert_eq!(withheld, Err(SendRefusal::WorkerUnavailable));
     let begun = SendConditions { has_begun: true, ..draining };
     assert!(harness.core.check_send(harness.now, attempt, begun).is_ok());
 }
@@ -98,7 +98,7 @@
     let mut tally = SendTally::default();
     tally.record_sent(permit, 1_000 + MAX_PERMIT_AGE);
     tally.record_sent(permit, 1_001 + MAX_PERMIT_AGE);
-    tally.record_withheld(Withheld::TimeOver);
+    tally.record_refusal(SendRefusal::TimeOver);
     let text = "request_ended=0 attempt_ended=0 time_over=1 may_have_run=0 worker_unavailable=0 outdated=1";
     assert_eq!(tally.to_string(), text);
 }
