A poll tells events that had been waiting from those it waited for

Cause: a process that was stopped within the call of epoll looked as if it had slept until the event, so that requests that had waited for a long turn before it counted as new.

Change: what is waiting is asked first, and only if nothing is does the loop wait. The soak no longer counts a change as notified that came after the list that was being written.

--- a/crates/testkit/src/soak/discovery.rs
+++ b/crates/testkit/src/soak/discovery.rs
@@ -112,11 +112,12 @@
         json!({"generation": *self.generation.borrow(), "reset": false, "instances": rows})
     }
 
-    /// Records that a process has been notified of the present list.
-    fn on_notified(&self, process: usize, at: Micros) {
+    /// Records that a process has been notified of the list of this generation. What has changed since is not in that list.
+    fn on_notified(&self, process: usize, generation: u64, at: Micros) {
         let endpoints = self.endpoints.lock().expect("mutex poisoned");
         let mut notified = self.drains_notified[process].lock().expect("mutex poisoned");
-        for (number, endpoint) in endpoints.iter().enumerate() {
+        let listed = endpoints.iter().enumerate().filter(|(_, endpoint)| endpoint.changed_with <= generation);
+        for (number, endpoint) in listed {
             if endpoint.is_draining {
                 notified.entry(number).or_insert(at);
             } else {
@@ -216,11 +217,11 @@
             continue;
         }
         if !request.target.contains("stream=1") {
-            let list = shared.discovery.whole_list_text().text;
-            shared.discovery.on_notified(process, shared.now());
-            if stream.write_all(response("200 OK", "", &list).as_bytes()).await.is_err() {
+            let list = shared.discovery.whole_list_text();
+            if stream.write_all(response("200 OK", "", &list.text).as_bytes()).await.is_err() {
                 return;
             }
+            shared.discovery.on_notified(process, list.generation, shared.now());
             continue;
         }
         let index = request.target.split_once("index=").and_then(|(_, index)| index.parse().ok());
@@ -260,11 +261,10 @@
             sent_lists += 1;
             is_first = false;
             let chunk = format!("{:x}\r\n{}\n\r\n", list.text.len() + 1, list.text);
-            let at = shared.now();
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 return;
             }
-            shared.discovery.on_notified(process, at.max(shared.now()));
+            shared.discovery.on_notified(process, list.generation, shared.now());
         }
         if tokio::time::timeout(HEARTBEAT_INTERVAL, changed.changed()).await.is_err()
             && stream.write_all(b"1\r\n\n\r\n").await.is_err()
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -63,12 +63,17 @@
     /// Waits for events, at most until the next timer of the core is due or [`MAX_WAIT`] has passed.
     fn wait_for_events(&mut self, events: &mut Vec<Event>) -> Result<(), ServerError> {
         self.clock.update();
-        let began = self.clock.now();
-        let until_wake = self.core.next_wake().map(|at| at.saturating_sub(began));
+        let mut began = self.clock.now();
+        self.poll(events, 0)?;
+        let until_wake = self.core.next_wake().map(|at| at.saturating_sub(self.clock.now()));
         let timeout = until_wake.unwrap_or(MAX_WAIT).min(MAX_WAIT);
-        self.poll(events, timeout)?;
+        let had_to_wait = events.is_empty() && timeout > 0;
+        if had_to_wait {
+            began = self.clock.now();
+            self.poll(events, timeout)?;
+        }
         let is_partial = events.len() == MAX_EVENTS_PER_WAIT;
-        self.polls.record(Wait { began, ended: self.clock.now(), timeout, is_partial });
+        self.polls.record(Wait { had_to_wait, began, ended: self.clock.now(), timeout, is_partial });
         Ok(())
     }
 
--- a/src/server/poll_history.rs
+++ b/src/server/poll_history.rs
@@ -8,15 +8,15 @@
 pub(super) const MAX_WAIT: Micros = 100_000;
 /// A wait that ends this long after its timeout was held up, in microseconds.
 const MAX_WAKE_DELAY: Micros = 20_000;
-/// A wait at least this long had nothing to report when it began, in microseconds.
-const MIN_SLEEP: Micros = 200;
 /// The knowledge of a poll is too old for a send after this time, in microseconds: a quarter of the time within which an attempt
 /// may begin after its client has disconnected.
 const MAX_POLL_AGE: Micros = 25_000;
 
-/// A wait for events that has ended.
+/// A poll for events that has ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Wait {
+    /// Whether nothing had occurred when the poll began, so that it waited.
+    pub had_to_wait: bool,
     pub began: Micros,
     pub ended: Micros,
     /// The longest time that the wait was to take.
@@ -33,7 +33,7 @@
 
     /// Whether the wait ended because of an event that occurred in it.
     fn has_slept(self) -> bool {
-        self.ended.saturating_sub(self.began) >= MIN_SLEEP && !self.was_held_up()
+        self.had_to_wait && !self.was_held_up()
     }
 }
 
